--- /dev/null
+++ b/src/plantainstage/_agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement between the control replicas."""
--- /dev/null
+++ b/src/plantainstage/_control/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the control process."""
--- /dev/null
+++ b/src/plantainstage/_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, extra-load budgets, admission and quarantines."""
--- /dev/null
+++ b/src/plantainstage/_membership/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine and what a leader derives from it."""
--- /dev/null
+++ b/src/plantainstage/_messages/__init__.py
@@ -0,0 +1,1 @@
+"""Wire types: immutable msgspec structs, one module for each protocol."""
--- /dev/null
+++ b/src/plantainstage/_messages/forward.py
@@ -0,0 +1,121 @@
+"""Messages between entry hosts (pynng Push0/Pull0, msgpack, batched)."""
+
+import enum
+
+import msgspec
+
+
+class SubRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of a request for one partition, addressed to one searcher.
+
+    ``remaining_ms`` counts from the moment of sending, so that hosts need no
+    common clock. ``epoch`` is the ownership epoch that the sender knows.
+    """
+
+    sub_request_id: str
+    request_id: str
+    profile: str
+    upstream_id: str
+    epoch: int
+    index: str
+    snapshot: str
+    partition: str
+    fingerprint: str
+    query: bytes
+    remaining_ms: float
+    idempotent: bool
+    extra: bool = False
+
+
+class SubOutcome(enum.Enum):
+    """How a sub-request ended.
+
+    ``NOT_SENT`` guarantees that no byte left for the searcher. ``REFUSED``
+    means that the searcher answered that it did not run it (shed, snapshot
+    not held). After any other failure it may have run.
+    """
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    RESET = "reset"
+    TIMED_OUT = "timed_out"
+    SILENT = "silent"
+    CANCELLED = "cancelled"
+    INVALID = "invalid"
+
+
+class SubResult(msgspec.Struct, frozen=True, kw_only=True):
+    """The result of a sub-request, from the owner of its searcher.
+
+    ``reason`` is a code such as ``shed``, ``snapshot_gone``, ``not_owner``,
+    ``lease_expired``, ``quarantined``, ``queue_full`` or
+    ``connection_refused``. ``queued`` is the owner's queue length for this
+    searcher, ``service_ms`` the time from first byte to answer, and
+    ``reported_load`` the searcher's own word.
+    """
+
+    sub_request_id: str
+    upstream_id: str
+    partition: str
+    outcome: SubOutcome
+    reason: str = ""
+    snapshot: str = ""
+    documents: int = 0
+    hits: bytes = b"[]"
+    queued: int = 0
+    service_ms: float = 0.0
+    reported_load: float = 0.0
+
+
+class SubRequests(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A batch of sub-requests from one entry host to an owner."""
+
+    sender: str
+    items: tuple[SubRequest, ...]
+
+
+class SubResults(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A batch of results from an owner back to an entry host."""
+
+    sender: str
+    items: tuple[SubResult, ...]
+
+
+class CancelSubRequests(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The sender no longer needs these sub-requests."""
+
+    sender: str
+    sub_request_ids: tuple[str, ...]
+
+
+class QuarantineNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A fingerprint to refuse at once, ahead of the replicated record."""
+
+    sender: str
+    fingerprint: str
+    duration_ms: int
+
+
+class LinkProbe(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks for a ``LinkEcho``, to tell a silent link from a slow owner."""
+
+    sender: str
+    number: int
+
+
+class LinkEcho(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers a ``LinkProbe``."""
+
+    sender: str
+    number: int
+
+
+ForwardMessage = (
+    SubRequests
+    | SubResults
+    | CancelSubRequests
+    | QuarantineNotice
+    | LinkProbe
+    | LinkEcho
+)
--- /dev/null
+++ b/src/plantainstage/_programs/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the console scripts."""
--- /dev/null
+++ b/src/plantainstage/_reports/__init__.py
@@ -0,0 +1,1 @@
+"""Minute records and the report on service-level burn."""
--- /dev/null
+++ b/src/plantainstage/_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of snapshots and replicas, hedging, and the gathering of answers."""
--- /dev/null
+++ b/src/plantainstage/_settings/__init__.py
@@ -0,0 +1,1 @@
+"""One validated, immutable settings object for each program."""
--- /dev/null
+++ b/src/plantainstage/_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes and connections to searchers."""
--- /dev/null
+++ b/src/plantainstage/messages.py
@@ -0,0 +1,5 @@
+"""Wire types of all protocols."""
+
+from plantainstage._messages import callers, configuration, control, forward, upstreams
+
+__all__ = ["callers", "configuration", "control", "forward", "upstreams"]
