--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -149,9 +149,12 @@
 
     ``deadline_ms`` is the remaining time of the request; after the claiming
     host's lease and this time have passed, a running claim reads as unknown.
+    ``nonce`` is drawn once for each claim, so that a second delivery of the
+    same claim is granted again instead of reading as another host's claim.
     """
 
     request_id: str
+    nonce: str
     digest: str
     entry_id: str
     incarnation: str
