--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,15 @@
+"""behave hooks: each scenario ends the processes that it started."""
+
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent))
+
+
+def before_scenario(context, scenario):
+    context.resources = ExitStack()
+
+
+def after_scenario(context, scenario):
+    context.resources.close()
--- /dev/null
+++ b/features/support/processes.py
@@ -0,0 +1,112 @@
+"""Starts the programs on loopback and waits for conditions, never for time."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+STOP_TIMEOUT_S = 30
+CONDITION_TIMEOUT_S = 60  # generous: a limit for hangs, not a tested bound
+
+
+def free_port():
+    """Returns a loopback port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def free_address():
+    """Returns an ``IP:port`` on loopback."""
+    return f"127.0.0.1:{free_port()}"
+
+
+def wait_until(condition, *, what):
+    """Polls ``condition`` until it is true; returns its value."""
+    limit = time.monotonic() + CONDITION_TIMEOUT_S
+    while time.monotonic() < limit:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"not reached within {CONDITION_TIMEOUT_S} s: {what}")
+
+
+def post_json(address, path, body):
+    """Posts a body (a value or bytes); returns status and decoded reply."""
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data)
+    try:
+        with urllib.request.urlopen(request, timeout=CONDITION_TIMEOUT_S) as reply:
+            return reply.status, json.loads(reply.read())
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read())
+
+
+def get_status(address, path):
+    """Returns the HTTP status of a GET, or 0 when nothing listens."""
+    try:
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as reply:
+            return reply.status
+    except urllib.error.HTTPError as error:
+        return error.code
+    except OSError:
+        return 0
+
+
+class Program:
+    """A started program whose log goes to a file."""
+
+    def __init__(self, *, module, arguments, log_path):
+        environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+        self.log_path = Path(log_path)
+        with open(log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, *module, *arguments],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        """Sends a signal to this process only."""
+        self.process.send_signal(number)
+
+    def freeze(self):
+        """Stops the process without its knowledge (SIGSTOP)."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Ends an earlier freeze."""
+        self.signal(signal.SIGCONT)
+
+    def kill(self):
+        """Ends the process without a planned stop."""
+        self.process.kill()
+        self.process.wait(STOP_TIMEOUT_S)
+
+    def stop(self):
+        """Asks for a planned stop and returns the exit code."""
+        if self.process.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+    def close(self):
+        """Ends the process in whatever state it is."""
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(STOP_TIMEOUT_S)
+
+    def log_lines(self):
+        """Returns the JSON lines that the program has logged so far."""
+        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -73,7 +73,7 @@
 
 @dataclass(kw_only=True, eq=False)
 class NotLeaderError(PlantainstageError):
-    """This replica is not the leader, so that nothing was done."""
+    """The replica asked is not the leader; nothing was done."""
 
     leader_address: str = ""
 
--- /dev/null
+++ b/src/plantainstage/_settings/base.py
@@ -0,0 +1,120 @@
+"""Checks shared by the settings objects of all programs."""
+
+import ipaddress
+import os
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from plantainstage._errors import SettingError, SettingsError
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
+
+
+def is_address(value):
+    """Whether ``value`` is ``IP:port`` with a port from 1 to 65535."""
+    host, separator, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return (
+        bool(separator) and port.isascii() and port.isdigit() and 0 < int(port) < 2**16
+    )
+
+
+@dataclass(kw_only=True)
+class SettingsCheck:
+    """Collects the errors of all settings, so that none hides another.
+
+    For example::
+
+        check = SettingsCheck()
+        check.address(flag="--listen", value=listen)
+        check.finish()
+    """
+
+    errors: list[SettingError] = field(default_factory=list)
+
+    def require(self, *, flag, value, condition, expected, remedy):
+        """Records an error for ``flag`` unless ``condition`` holds."""
+        if not condition:
+            self.errors.append(
+                SettingError(
+                    flag=flag, value=str(value), expected=expected, remedy=remedy
+                )
+            )
+
+    def address(self, *, flag, value):
+        """Checks an ``IP:port``."""
+        self.require(
+            flag=flag,
+            value=value,
+            condition=is_address(value),
+            expected="IP:port with a port from 1 to 65535",
+            remedy="Give the numeric address, for example 127.0.0.1:8080.",
+        )
+
+    def addresses(self, *, flag, values, minimum=1):
+        """Checks a list of at least ``minimum`` distinct addresses."""
+        for value in values:
+            self.address(flag=flag, value=value)
+        self.require(
+            flag=flag,
+            value=",".join(values),
+            condition=len(set(values)) == len(values) >= minimum,
+            expected=f"at least {minimum} distinct addresses",
+            remedy="Repeat the flag once for each address.",
+        )
+
+    def name(self, *, flag, value):
+        """Checks an identifier such as a host id or a data centre."""
+        self.require(
+            flag=flag,
+            value=value,
+            condition=bool(_NAME.fullmatch(value)),
+            expected="1 to 63 of [A-Za-z0-9_.-], the first a letter or a digit",
+            remedy="Choose a short name that is unique in the deployment.",
+        )
+
+    def between(self, *, flag, value, low, high, unit):
+        """Checks a number against an inclusive range."""
+        self.require(
+            flag=flag,
+            value=value,
+            condition=low <= value <= high,
+            expected=f"{low} to {high} {unit}",
+            remedy="Choose a value in the range.",
+        )
+
+    def writable_folder(self, *, flag, value):
+        """Checks that a folder exists, or can be created, and can be written."""
+        path = os.path.abspath(value)
+        existing = path
+        while not os.path.exists(existing):
+            existing = os.path.dirname(existing)
+        self.require(
+            flag=flag,
+            value=value,
+            condition=os.path.isdir(existing)
+            and os.access(existing, os.W_OK | os.X_OK),
+            expected="a folder that this process may write",
+            remedy="Create it, or change its owner or mode.",
+        )
+
+    def finish(self):
+        """Raises SettingsError with all recorded errors, if there are any."""
+        if self.errors:
+            raise SettingsError("The settings are not valid", self.errors)
+
+
+def build_settings(build: Callable[[], object]):
+    """Returns ``build()``; prints each settings error and exits with code 2."""
+    import click
+
+    try:
+        return build()
+    except SettingsError as group:
+        for error in group.exceptions:
+            click.echo(f"error: {error}", err=True)
+        raise SystemExit(2) from None
--- /dev/null
+++ b/src/plantainstage/_transport/rpc.py
@@ -0,0 +1,206 @@
+"""Request and reply between our processes over pynng.
+
+A client closes and dials anew when a reply is overdue: an established
+connection may be dead for good while a new one works.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pynng
+from loguru import logger
+
+from plantainstage._errors import ControlUnavailableError
+from plantainstage._messages import control
+
+SERVER_CONTEXTS = 64  # requests that one server handles at the same time
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+# nng repeats a request by itself after this time; our clients do it themselves,
+# with another replica, so that the library's own repetition is pushed out.
+RESEND_TIME_MS = 3_600_000
+RETRY_PAUSE_S = 0.05
+
+_encoder = msgspec.msgpack.Encoder()
+_request_decoder = msgspec.msgpack.Decoder(control.ControlRequest)
+_reply_decoder = msgspec.msgpack.Decoder(control.ControlReply)
+
+
+def nng_url(address):
+    """Returns the nng URL of an ``IP:port`` address."""
+    return f"tcp://{address}"
+
+
+class RpcServer:
+    """Listens on ``address`` and passes each request to ``handler``.
+
+    ``handler`` takes a decoded ``ControlRequest`` and returns a reply. An
+    undecodable request gets ``RequestRejected`` and costs nobody else anything.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        handler: Callable[[control.ControlRequest], Awaitable[control.ControlReply]],
+    ):
+        self.address = address
+        self.handler = handler
+        self.socket = None
+        self.tasks = []
+
+    def start(self):
+        """Listens and starts the workers; raises pynng.AddressInUse."""
+        self.socket = pynng.Rep0()
+        try:
+            self.socket.listen(nng_url(self.address))
+        except pynng.NNGException:
+            self.socket.close()
+            raise
+        self.tasks = [
+            asyncio.create_task(self._serve()) for _ in range(SERVER_CONTEXTS)
+        ]
+
+    async def stop(self):
+        """Cancels the workers and closes the socket."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.socket is not None:
+            self.socket.close()
+
+    async def _serve(self):
+        context = self.socket.new_context()
+        try:
+            while True:
+                await self._serve_one(context)
+        except pynng.Closed:
+            return
+        finally:
+            context.close()
+
+    async def _serve_one(self, context):
+        reply = await self._handle(await context.arecv())
+        try:
+            await context.asend(_encoder.encode(reply))
+        except pynng.Closed:
+            raise
+        except pynng.NNGException as error:
+            logger.warning("reply could not be sent", error=repr(error))
+
+    async def _handle(self, data):
+        try:
+            request = _request_decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            return control.RequestRejected(
+                code="malformed",
+                message=f"The request could not be decoded: {error}.",
+                remedy="Use the same release of plantainstage on both sides.",
+            )
+        return await self.handler(request)
+
+
+class RpcClient:
+    """One server address; several calls may be outstanding at once."""
+
+    def __init__(self, *, address: str):
+        self.address = address
+        self.socket = None
+
+    def close(self):
+        """Closes the socket; outstanding calls fail with pynng.Closed."""
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
+    def _connected_socket(self):
+        if self.socket is None:
+            self.socket = pynng.Req0(
+                resend_time=RESEND_TIME_MS,
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            self.socket.dial(nng_url(self.address), block=False)
+        return self.socket
+
+    async def call(self, request, *, timeout_s):
+        """Returns the decoded reply; raises TimeoutError or NNGException."""
+        socket = self._connected_socket()
+        context = socket.new_context()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await context.asend(_encoder.encode(request))
+                data = await context.arecv()
+        except TimeoutError:
+            if self.socket is socket:
+                self.close()
+            raise
+        finally:
+            context.close()
+        return _reply_decoder.decode(data)
+
+
+class ControlClient:
+    """Finds the leader among the control replicas and calls it.
+
+    A call is repeated with other replicas until a leader replies or the time
+    is used up. Every ``ControlRequest`` may be repeated without harm.
+    """
+
+    def __init__(self, *, addresses: tuple[str, ...], attempt_timeout_s: float = 1.0):
+        self.addresses = addresses
+        self.attempt_timeout_s = attempt_timeout_s
+        self.clients = {}
+        self.current = addresses[0]
+
+    def close(self):
+        """Closes all sockets."""
+        for client in self.clients.values():
+            client.close()
+        self.clients.clear()
+
+    async def call(self, request, *, timeout_s):
+        """Returns the leader's reply or raises ControlUnavailableError."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        last_error = ""
+        while (remaining := deadline - loop.time()) > 0:
+            try:
+                reply = await self._client(self.current).call(
+                    request, timeout_s=min(remaining, self.attempt_timeout_s)
+                )
+            except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
+                last_error = f"{self.current}: {type(error).__name__}"
+                self._rotate()
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            match reply:
+                case control.NotLeader(leader_address=""):
+                    last_error = f"{self.current}: no leader known"
+                    self._rotate()
+                    await asyncio.sleep(RETRY_PAUSE_S)
+                case control.NotLeader(leader_address=address):
+                    last_error = f"{self.current}: leader is {address}"
+                    if address == self.current:
+                        await asyncio.sleep(RETRY_PAUSE_S)
+                    self.current = address
+                case _:
+                    return reply
+        raise ControlUnavailableError(
+            addresses=self.addresses,
+            waited_ms=round(timeout_s * 1000),
+            last_error=last_error,
+        )
+
+    def _client(self, address):
+        if address not in self.clients:
+            self.clients[address] = RpcClient(address=address)
+        return self.clients[address]
+
+    def _rotate(self):
+        if self.current in self.addresses:
+            position = self.addresses.index(self.current) + 1
+            self.current = self.addresses[position % len(self.addresses)]
+        else:
+            self.current = self.addresses[0]
