Add the gather of a request and the queue of a searcher's owner

Change: Gather, OwnerQueue, their action types, the per-version configuration view, estimates, extra-load budget, quarantine table and silence detection. The exchange action names its connection, so that the queue itself counts them.

--- /dev/null
+++ b/src/plantainstage/_limits/extra_load.py
@@ -0,0 +1,96 @@
+"""The extra-load budget of one profile on one entry host.
+
+The window is divided into buckets. Extra sub-requests of the oldest, partly
+expired bucket still count and its first sub-requests no longer do, so that the
+limit holds in the exact window that ends with each extra sub-request.
+"""
+
+from collections import deque
+
+from plantainstage._errors import check_invariant
+
+WINDOW_S = 60.0
+BUCKETS = 120  # the oldest bucket costs at most 1/120 of the budget
+
+
+class ExtraLoadBudget:
+    """Counts first and extra sub-requests in a sliding minute.
+
+    First sub-requests count once they are known to have left, that is, when
+    their request finishes. Extra ones count before they are sent. For example::
+
+        budget = ExtraLoadBudget(limit=0.05)
+        budget.record_first(40, now=1.0)
+        budget.take(now=1.0)   # True, the first of two
+    """
+
+    def __init__(self, *, limit: float, window_s: float = WINDOW_S):
+        self.limit = limit
+        self.window_s = window_s
+        self.bucket_s = window_s / BUCKETS
+        self.buckets = deque()  # [number, first, extra], oldest first
+        self.first = 0
+        self.extra = 0
+
+    def record_first(self, count, now):
+        """Counts first sub-requests that left for a searcher."""
+        if count:
+            self._bucket(now)[1] += count
+            self.first += count
+
+    def has_room(self, now):
+        """Whether ``take`` would grant one extra sub-request now."""
+        self._bucket(now)
+        return self.extra + 1 <= self.limit * self._whole_first(now)
+
+    def take(self, now):
+        """Takes room for one extra sub-request; false when there is none."""
+        bucket = self._bucket(now)
+        allowed = self.limit * self._whole_first(now)
+        if self.extra + 1 > allowed:
+            return False
+        bucket[2] += 1
+        self.extra += 1
+        check_invariant(
+            self.extra <= allowed,
+            invariant="extra_load_limit",
+            detail=f"{self.extra} extra sub-requests, {allowed} allowed",
+        )
+        return True
+
+    def _bucket(self, now):
+        number = int(now / self.bucket_s)
+        buckets = self.buckets
+        if buckets and buckets[-1][0] >= number:
+            return buckets[-1]
+        oldest = number - BUCKETS
+        while buckets and buckets[0][0] < oldest:
+            _, first, extra = buckets.popleft()
+            self.first -= first
+            self.extra -= extra
+        buckets.append([number, 0, 0])
+        return buckets[-1]
+
+    def _whole_first(self, now):
+        oldest = self.buckets[0]
+        if oldest[0] <= int(now / self.bucket_s) - BUCKETS:
+            return self.first - oldest[1]
+        return self.first
+
+
+class ExtraLoadBudgets:
+    """The budgets of all profiles on this host, by profile name."""
+
+    def __init__(self, *, window_s: float = WINDOW_S):
+        self.window_s = window_s
+        self.by_profile = {}
+
+    def for_profile(self, profile):
+        """Returns the profile's budget with its limit now in force."""
+        budget = self.by_profile.get(profile.name)
+        if budget is None:
+            budget = self.by_profile[profile.name] = ExtraLoadBudget(
+                limit=profile.extra_load_limit, window_s=self.window_s
+            )
+        budget.limit = profile.extra_load_limit
+        return budget
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -4,36 +4,469 @@
 on a monotonic clock) and carries out the returned actions in order.
 """
 
-from dataclasses import dataclass
+import heapq
+import math
 
-from plantainstage._messages.forward import SubRequest, SubResult
+from plantainstage._errors import check_invariant
+from plantainstage._limits.actions import (
+    AbortExchange,
+    CloseConnection,
+    OwnerAction,
+    ProbeSearcher,
+    ReportCrashedFingerprint,
+    ReturnResult,
+    StartExchange,
+    WakeQueueAt,
+)
+from plantainstage._limits.connections import ConnectionTable
+from plantainstage._limits.fair_queue import FairQueue
+from plantainstage._limits.silence import (
+    PROBE_TIMEOUT_S,
+    Reachability,
+    SilenceDetector,
+)
+from plantainstage._messages.forward import SubOutcome, SubResult
 
+__all__ = [
+    "AbortExchange",
+    "CloseConnection",
+    "HostLease",
+    "OwnerAction",
+    "OwnerQueue",
+    "ProbeSearcher",
+    "ReportCrashedFingerprint",
+    "ReturnResult",
+    "StartExchange",
+    "WakeQueueAt",
+]
 
-@dataclass(frozen=True, kw_only=True)
-class StartExchange:
-    """Send this sub-request to the searcher now; a slot is taken for it.
+INITIAL_SERVICE_S = 0.005
+SERVICE_GAIN = 0.05
+# After an exchange without an answer the searcher may still run until the
+# sub-request's deadline, and one-way latency and its timers later.
+SLOT_RELEASE_GRACE_S = 0.01
+# The searcher has certainly ended the sub-request after one of these.
+_SLOT_FREE_OUTCOMES = frozenset(
+    {
+        SubOutcome.ANSWERED,
+        SubOutcome.REFUSED,
+        SubOutcome.NOT_SENT,
+        SubOutcome.CANCELLED,
+    }
+)
 
-    Exactly one ``finished`` call must follow.
+
+class HostLease:
+    """The entry host's lease, shared by all of its owner queues."""
+
+    def __init__(self, *, until: float = -math.inf):
+        self.until = until
+
+    def valid(self, now):
+        """Whether bytes may be sent to searchers."""
+        return now < self.until
+
+
+class _Queued:
+    """A sub-request that waits; ``deadline`` is on the owner's clock."""
+
+    __slots__ = ("requester_id", "sub_request", "deadline", "profile", "removed")
+
+    def __init__(self, *, requester_id, sub_request, deadline):
+        self.requester_id = requester_id
+        self.sub_request = sub_request
+        self.deadline = deadline
+        self.profile = sub_request.profile
+        self.removed = False
+
+
+class _Running:
+    """A sub-request that holds a slot and a connection."""
+
+    __slots__ = (
+        "queued",
+        "started_at",
+        "connection_id",
+        "got_byte",
+        "suspect",
+        "aborted",
+    )
+
+    def __init__(self, *, queued, started_at, connection_id):
+        self.queued = queued
+        self.started_at = started_at
+        self.connection_id = connection_id
+        self.got_byte = False
+        self.suspect = False
+        self.aborted = False
+
+
+class OwnerQueue:
+    """Sends sub-requests to one searcher within its slots and connections.
+
+    ``slots`` and ``connections`` are the searcher's announced caps, ``lease``
+    and ``quarantines`` are shared by the host's queues. The queue sends nothing
+    until ``own`` was called with the epoch of an active ownership. For example::
+
+        queue = OwnerQueue(
+            upstream_id="r1", slots=3, connections=30, lease=lease,
+            quarantines=routing.quarantines,
+        )
+        queue.own(epoch=4)
+        for action in queue.submit("e2", sub_request, now):
+            match action:
+                case StartExchange():   # run it, then call queue.finished(...)
+                case ReturnResult(requester_id=host, result=result): ...
+
+    ``finished`` takes a ``SubResult`` with ``outcome`` and, for an answer, the
+    answer's fields; the queue fills in ``queued`` and ``service_ms``. Report
+    ``NOT_SENT`` only if no byte of the exchange left, and ``CANCELLED`` only
+    after a 499.
     """
 
-    requester_id: str
-    sub_request: SubRequest
-    deadline: float
+    def __init__(
+        self,
+        *,
+        upstream_id: str,
+        slots: int,
+        connections: int,
+        lease: HostLease,
+        quarantines,
+        weights=None,
+    ):
+        self.upstream_id = upstream_id
+        self.slots = slots
+        self.lease = lease
+        self.quarantines = quarantines
+        self.connections = ConnectionTable(cap=connections)
+        self.silence = SilenceDetector()
+        self.waiting = FairQueue()
+        self.waiting.set_weights(weights or {})
+        self.by_id = {}
+        self.running = {}
+        self.held_slots = []  # times at which slots of lost exchanges free up
+        self.epoch = None
+        self.service_s = INITIAL_SERVICE_S
+        self.wake_at = math.inf
+
+    # ---- Ownership -----------------------------------------------------------
+
+    def own(self, *, epoch):
+        """Allows sending for this ownership epoch."""
+        self.epoch = epoch
+
+    def disown(self, now):
+        """Stops sending: returns queued work as not sent, closes connections.
+
+        The searcher is released once ``idle`` is true.
+        """
+        self.epoch = None
+        actions = []
+        for item in self.waiting.drain():
+            self._return_unsent(item, "not_owner", actions)
+        for connection_id in self.connections.close_idle():
+            actions.append(CloseConnection(connection_id=connection_id))
+        self._wake(actions, now)
+        return actions
+
+    def set_weights(self, weights):
+        """Sets the weight of each profile by name."""
+        self.waiting.set_weights(weights)
+
+    def idle(self, now):
+        """Whether nothing of this owner can still run on the searcher."""
+        self._free_held_slots(now)
+        return not (
+            self.running or self.waiting or self.held_slots or self.connections.idle
+        )
+
+    # ---- Events --------------------------------------------------------------
+
+    def submit(self, requester_id, sub_request, now):
+        """Takes a sub-request of an entry host (possibly this one)."""
+        item = _Queued(
+            requester_id=requester_id,
+            sub_request=sub_request,
+            deadline=now + sub_request.remaining_ms / 1000,
+        )
+        actions = []
+        reason = self._reason_to_refuse(item, now) or self._reason_full(item, now)
+        if reason:
+            self._return_unsent(item, reason, actions)
+            return actions
+        self.waiting.push(item)
+        self.by_id[sub_request.sub_request_id] = item
+        self._dispatch(actions, now)
+        return actions
+
+    def cancel(self, sub_request_id, now):
+        """The requester no longer needs this sub-request.
+
+        A running non-idempotent sub-request goes on: stopping it half way
+        would leave its effect unknown.
+        """
+        actions = []
+        item = self.by_id.get(sub_request_id)
+        if item is not None:
+            self.waiting.remove(item)
+            self._return_unsent(item, "cancelled", actions)
+            return actions
+        running = self.running.get(sub_request_id)
+        if (
+            running is not None
+            and not running.aborted
+            and running.queued.sub_request.idempotent
+        ):
+            running.aborted = True
+            actions.append(AbortExchange(sub_request_id=sub_request_id))
+        return actions
+
+    def first_byte(self, sub_request_id, now):
+        """A byte of the answer arrived, so the connection is not silent."""
+        running = self.running.get(sub_request_id)
+        if running is not None:
+            running.got_byte = True
+
+    def finished(self, result, now, *, connection_usable):
+        """An exchange ended; its slot is free or held until its deadline.
+
+        ``connection_usable`` is false when the connection has been closed.
+        """
+        running = self.running.pop(result.sub_request_id, None)
+        check_invariant(
+            running is not None,
+            invariant="one_finish_per_exchange",
+            detail=f"{self.upstream_id}: {result.sub_request_id}",
+        )
+        actions = []
+        item = running.queued
+        usable = connection_usable and self.epoch is not None
+        self.connections.release(running.connection_id, usable=usable)
+        if connection_usable and not usable:
+            actions.append(CloseConnection(connection_id=running.connection_id))
+        elapsed = now - running.started_at
+        self._learn(running, result.outcome, result.reason, elapsed, actions, now)
+        if result.outcome not in _SLOT_FREE_OUTCOMES:
+            free_at = item.deadline + SLOT_RELEASE_GRACE_S
+            if free_at > now:
+                heapq.heappush(self.held_slots, free_at)
+        self._dispatch(actions, now)
+        actions.append(
+            ReturnResult(
+                requester_id=item.requester_id,
+                result=SubResult(
+                    sub_request_id=result.sub_request_id,
+                    upstream_id=self.upstream_id,
+                    partition=item.sub_request.partition,
+                    outcome=result.outcome,
+                    reason=result.reason,
+                    snapshot=result.snapshot,
+                    documents=result.documents,
+                    hits=result.hits,
+                    queued=len(self.waiting),
+                    service_ms=elapsed * 1000,
+                    reported_load=result.reported_load,
+                ),
+            )
+        )
+        return actions
+
+    def connection_lost(self, connection_id, now):
+        """The searcher closed an idle connection."""
+        self.connections.forget(connection_id)
+        return []
+
+    def probe_finished(self, answered, now):
+        """Takes whether a probe was answered; closes silent connections."""
+        actions = []
+        self.silence.probe_finished(answered)
+        if answered:
+            for running in self.running.values():
+                if running.suspect and not running.got_byte:
+                    actions.append(
+                        CloseConnection(
+                            connection_id=running.connection_id, silent=True
+                        )
+                    )
+        else:
+            self._return_all_unsent("searcher_silent", actions)
+        self._dispatch(actions, now)
+        return actions
+
+    def on_timer(self, now):
+        """Frees held slots, drops late work, suspects connections, probes."""
+        self.wake_at = math.inf
+        actions = []
+        self._suspect(actions, now)
+        self._drop_late(actions, now)
+        self._dispatch(actions, now)
+        return actions
+
+    # ---- Admission -----------------------------------------------------------
+
+    def expected_wait_s(self, profile, now):
+        """Returns how long a new sub-request of this profile would wait."""
+        busy = len(self.running) + len(self.held_slots)
+        if busy < self.slots and not self.waiting:
+            return 0.0
+        ahead = self.waiting.ahead(profile) + 1
+        return ahead * self.service_s / self.slots
+
+    def _reason_to_refuse(self, item, now):
+        sub_request = item.sub_request
+        if self.epoch is None or sub_request.epoch != self.epoch:
+            return "not_owner"
+        if not self.lease.valid(now):
+            return "lease_expired"
+        if self.quarantines.is_quarantined(sub_request.fingerprint, now):
+            return "quarantined"
+        if now + self.service_s > item.deadline:
+            return "deadline"
+        return ""
+
+    def _reason_full(self, item, now):
+        if self.silence.state is Reachability.UNREACHABLE:
+            return "searcher_silent"
+        wait = self.expected_wait_s(item.profile, now)
+        if now + wait + self.service_s > item.deadline:
+            return "queue_full"
+        return ""
+
+    # ---- Sending -------------------------------------------------------------
+
+    def _dispatch(self, actions, now):
+        self._free_held_slots(now)
+        while (
+            self.waiting
+            and len(self.running) + len(self.held_slots) < self.slots
+            and self.connections.can_acquire()
+        ):
+            item = self.waiting.pop()
+            reason = self._reason_to_refuse(item, now)
+            if reason:
+                self._return_unsent(item, reason, actions)
+            else:
+                self._start(item, actions, now)
+        self._wake(actions, now)
+
+    def _start(self, item, actions, now):
+        sub_request = item.sub_request
+        self.by_id.pop(sub_request.sub_request_id, None)
+        connection_id, must_open = self.connections.acquire()
+        self.running[sub_request.sub_request_id] = _Running(
+            queued=item, started_at=now, connection_id=connection_id
+        )
+        check_invariant(
+            len(self.running) + len(self.held_slots) <= self.slots,
+            invariant="slot_cap",
+            detail=f"{self.upstream_id}: {len(self.running)} of {self.slots}",
+        )
+        actions.append(
+            StartExchange(
+                requester_id=item.requester_id,
+                sub_request=sub_request,
+                deadline=item.deadline,
+                connection_id=connection_id,
+                open_connection=must_open,
+            )
+        )
+
+    def _return_unsent(self, item, reason, actions):
+        sub_request = item.sub_request
+        self.by_id.pop(sub_request.sub_request_id, None)
+        check_invariant(
+            sub_request.sub_request_id not in self.running,
+            invariant="not_sent_is_certain",
+            detail=f"{self.upstream_id}: {sub_request.sub_request_id}",
+        )
+        actions.append(
+            ReturnResult(
+                requester_id=item.requester_id,
+                result=SubResult(
+                    sub_request_id=sub_request.sub_request_id,
+                    upstream_id=self.upstream_id,
+                    partition=sub_request.partition,
+                    outcome=SubOutcome.NOT_SENT,
+                    reason=reason,
+                    queued=len(self.waiting),
+                ),
+            )
+        )
 
+    def _return_all_unsent(self, reason, actions):
+        for item in self.waiting.drain():
+            self._return_unsent(item, reason, actions)
 
-@dataclass(frozen=True, kw_only=True)
-class AbortExchange:
-    """Ask the searcher to stop this running sub-request."""
+    # ---- Time and silence ----------------------------------------------------
 
-    sub_request_id: str
+    def _learn(self, running, outcome, reason, elapsed, actions, now):
+        match outcome:
+            case SubOutcome.ANSWERED:
+                self.service_s += SERVICE_GAIN * (elapsed - self.service_s)
+                self.silence.observe(elapsed)
+                self.silence.answered()
+            case SubOutcome.REFUSED | SubOutcome.CANCELLED:
+                self.silence.answered()
+            case SubOutcome.RESET:
+                sub_request = running.queued.sub_request
+                if self.quarantines.record_reset(
+                    sub_request.fingerprint, sub_request.sub_request_id, now
+                ):
+                    duration_ms = round(self.quarantines.duration_s * 1000)
+                    actions.append(
+                        ReportCrashedFingerprint(
+                            fingerprint=sub_request.fingerprint,
+                            duration_ms=duration_ms,
+                        )
+                    )
+            case SubOutcome.TIMED_OUT if not running.got_byte:
+                self._probe(actions, now)
+            case SubOutcome.NOT_SENT if reason == "connection_refused":
+                self.silence.refused()
+                self._return_all_unsent("searcher_silent", actions)
 
+    def _suspect(self, actions, now):
+        threshold = self.silence.suspect_after_s
+        for running in self.running.values():
+            if running.got_byte or running.suspect:
+                continue
+            if now >= running.started_at + threshold:
+                running.suspect = True
+                self._probe(actions, now)
+        if self.silence.state is Reachability.UNREACHABLE:
+            self._probe(actions, now)
 
-@dataclass(frozen=True, kw_only=True)
-class ReturnResult:
-    """Send this result back to the entry host that asked."""
+    def _probe(self, actions, now):
+        if self.silence.needs_probe(now):
+            actions.append(ProbeSearcher(timeout_s=PROBE_TIMEOUT_S))
 
-    requester_id: str
-    result: SubResult
+    def _drop_late(self, actions, now):
+        late = [
+            item for item in self.by_id.values() if now + self.service_s > item.deadline
+        ]
+        for item in late:
+            self.waiting.remove(item)
+            self._return_unsent(item, "deadline", actions)
 
+    def _free_held_slots(self, now):
+        held = self.held_slots
+        while held and held[0] <= now:
+            heapq.heappop(held)
 
-OwnerAction = StartExchange | AbortExchange | ReturnResult
+    def _wake(self, actions, now):
+        time = math.inf
+        if self.held_slots:
+            time = self.held_slots[0]
+        if self.running:
+            threshold = self.silence.suspect_after_s
+            for running in self.running.values():
+                if not (running.got_byte or running.suspect):
+                    time = min(time, running.started_at + threshold)
+        if self.by_id:
+            first = next(iter(self.by_id.values()))
+            time = min(time, first.deadline - self.service_s)
+        if self.silence.state is Reachability.UNREACHABLE:
+            time = min(time, self.silence.next_probe or now)
+        if time < self.wake_at:
+            self.wake_at = time
+            actions.append(WakeQueueAt(time=time))
--- /dev/null
+++ b/src/plantainstage/_limits/silence.py
@@ -0,0 +1,74 @@
+"""When a connection, or a searcher, counts as silent (section 7.10).
+
+Pure arithmetic on times; the owner queue carries out what follows from it.
+"""
+
+import enum
+
+MINIMUM_SUSPECT_S = 0.05
+SUSPECT_FACTOR = 4.0
+INITIAL_P99_S = 0.05
+P99_STEP = 0.2
+P99 = 0.99
+# A reply to a probe takes one round trip and 6 ms to open the connection.
+PROBE_TIMEOUT_S = 0.05
+PROBE_INTERVAL_S = 0.2
+
+
+class Reachability(enum.Enum):
+    """What is known of the searcher as a whole."""
+
+    REACHABLE = "reachable"
+    PROBING = "probing"
+    UNREACHABLE = "unreachable"
+
+
+class SilenceDetector:
+    """Learns the 99th percentile of answer times and when to probe.
+
+    ``suspect_after_s`` is the time without a byte after which a connection is
+    suspect: four times the 99th percentile, at least 50 ms.
+    """
+
+    def __init__(self):
+        self.p99_s = INITIAL_P99_S
+        self.state = Reachability.REACHABLE
+        self.next_probe = None
+
+    @property
+    def suspect_after_s(self):
+        """Seconds without a byte after which a connection is suspect."""
+        return max(MINIMUM_SUSPECT_S, SUSPECT_FACTOR * self.p99_s)
+
+    def observe(self, elapsed_s):
+        """Learns from an answer, which also shows that the searcher is there."""
+        if elapsed_s > self.p99_s:
+            self.p99_s *= 1 + P99_STEP * P99
+        else:
+            self.p99_s *= 1 - P99_STEP * (1 - P99)
+
+    def needs_probe(self, now):
+        """Whether a probe should be sent now; counts it as sent."""
+        if self.state is Reachability.PROBING:
+            return False
+        if self.next_probe is not None and now < self.next_probe:
+            return False
+        if self.state is Reachability.REACHABLE:
+            self.state = Reachability.PROBING
+        self.next_probe = now + PROBE_INTERVAL_S
+        return True
+
+    def probe_finished(self, answered):
+        """Takes the outcome of a probe."""
+        if answered:
+            self.state = Reachability.REACHABLE
+        else:
+            self.state = Reachability.UNREACHABLE
+
+    def refused(self):
+        """No connection could be opened, so that nothing can be sent."""
+        self.state = Reachability.UNREACHABLE
+
+    def answered(self):
+        """An answer arrived; the searcher is reachable."""
+        self.state = Reachability.REACHABLE
--- /dev/null
+++ b/src/plantainstage/_routing/answering.py
@@ -0,0 +1,49 @@
+"""Builds the reply of a gather from the progress of its partitions."""
+
+import msgspec
+
+from plantainstage._errors import check_invariant
+from plantainstage._messages.callers import AnswerBody, Coverage
+
+
+def build_answer(gather, now):
+    """Returns the AnswerBody; its coverage is counted anew from the results."""
+    answered = 0
+    hits = {}
+    missing = []
+    for part in gather.parts:
+        result = part.result
+        if result is None:
+            missing.append(part.view.name)
+            continue
+        check_invariant(
+            result.snapshot == gather.snapshot.snapshot,
+            invariant="one_snapshot",
+            detail=f"{result.snapshot} in an answer of {gather.snapshot.snapshot}",
+        )
+        check_invariant(
+            part.view.name not in hits,
+            invariant="partition_counted_once",
+            detail=f"{gather.request_id} partition {part.view.name}",
+        )
+        answered += result.documents
+        hits[part.view.name] = msgspec.Raw(result.hits)
+    check_invariant(
+        answered == gather.answered <= gather.total,
+        invariant="exact_coverage",
+        detail=f"{gather.request_id}: {answered}, {gather.answered}, {gather.total}",
+    )
+    return AnswerBody(
+        request_id=gather.request_id,
+        profile=gather.profile.name,
+        index=gather.snapshot.index,
+        snapshot=gather.snapshot.snapshot,
+        coverage=Coverage(
+            documents_answered=answered,
+            documents_total=gather.total,
+            fraction=answered / gather.total if gather.total else 1.0,
+            partitions_missing=tuple(missing),
+        ),
+        elapsed_ms=(now - gather.arrived_at) * 1000,
+        hits=hits,
+    )
--- /dev/null
+++ b/src/plantainstage/_routing/estimates.py
@@ -0,0 +1,249 @@
+"""What an entry host has learnt about searchers and partitions.
+
+Quantiles are tracked by small multiplicative steps (Robbins-Monro in the log
+domain), which costs one comparison and one multiplication for each sample.
+"""
+
+import math
+import random as random_module
+
+from plantainstage._limits.admission import HostAdmission
+from plantainstage._limits.quarantine import QuarantineTable
+
+SAME_ZONE_HOP_S = 0.0002
+CROSS_ZONE_HOP_S = 0.0015
+INITIAL_SERVICE_S = 0.005
+SERVICE_GAIN = 0.1
+STALE_AFTER_S = 1.0
+STALE_DECAY_S = 5.0
+QUEUE_NEWS_S = 0.05  # queue lengths change within some service times
+RAMP_S = 5.0
+RAMP_FACTOR = 2.0  # a searcher that has just started counts as this much slower
+FAILURE_FACTOR = 4.0
+MAXIMUM_SERVICE_S = 2.0
+HEDGE_QUANTILE = 0.95
+HEDGE_STEP = 0.1
+MINIMUM_HEDGE_DELAY_S = 0.001
+INITIAL_HEDGE_DELAY_S = 0.02
+
+
+class HedgeDelay:
+    """The learnt 95th percentile of a partition's latency, in seconds."""
+
+    __slots__ = ("value",)
+
+    def __init__(self):
+        self.value = INITIAL_HEDGE_DELAY_S
+
+    def observe(self, latency_s):
+        """Moves the estimate by a small step towards the quantile."""
+        if latency_s > self.value:
+            self.value *= 1 + HEDGE_STEP * HEDGE_QUANTILE
+        elif self.value > MINIMUM_HEDGE_DELAY_S:
+            self.value *= 1 - HEDGE_STEP * (1 - HEDGE_QUANTILE)
+
+
+class SearcherEstimate:
+    """Expected completion time of one searcher, seen from this host."""
+
+    __slots__ = (
+        "upstream_id",
+        "incarnation",
+        "slots",
+        "distance_s",
+        "service_s",
+        "updated",
+        "outstanding",
+        "queued",
+        "queue_time",
+        "reported_load",
+        "ramp_until",
+        "typical",
+    )
+
+    def __init__(self, *, upstream_id, incarnation, slots, distance_s, typical):
+        self.upstream_id = upstream_id
+        self.incarnation = incarnation
+        self.slots = slots
+        self.distance_s = distance_s
+        self.typical = typical
+        self.service_s = typical.service_s
+        self.updated = -math.inf
+        self.outstanding = 0
+        self.queued = 0
+        self.queue_time = -math.inf
+        self.reported_load = 0.0
+        self.ramp_until = -math.inf
+
+    def observe(self, result, elapsed_s, now):
+        """Learns from an answer (``service_ms`` when the owner measured it)."""
+        service = result.service_ms / 1000 or elapsed_s
+        self.service_s += SERVICE_GAIN * (service - self.service_s)
+        self.typical.observe(service)
+        self.updated = self.queue_time = now
+        self.queued = result.queued
+        self.reported_load = result.reported_load
+
+    def observe_at_least(self, elapsed_s, now):
+        """Learns from a sub-request given up after this time."""
+        if elapsed_s > self.service_s:
+            self.service_s += SERVICE_GAIN * (elapsed_s - self.service_s)
+            self.updated = now
+
+    def observe_queue(self, result, now):
+        """Learns the queue length from a result that carries no latency."""
+        self.queued = result.queued
+        self.queue_time = now
+
+    def observe_failure(self, now):
+        """Makes the searcher unattractive until the estimate has decayed."""
+        self.service_s = min(self.service_s * FAILURE_FACTOR, MAXIMUM_SERVICE_S)
+        self.updated = now
+
+    def wait_s(self, now):
+        """Returns the expected wait for a slot from the last queue report."""
+        age = now - self.queue_time
+        if age >= QUEUE_NEWS_S or not self.queued:
+            return 0.0
+        return self.queued * (1 - age / QUEUE_NEWS_S) * self.service_s / self.slots
+
+    def score(self, now):
+        """Returns the expected completion time in seconds; lower is better."""
+        service = self.service_s
+        age = now - self.updated
+        if age > STALE_AFTER_S:
+            typical = self.typical.service_s
+            weight = math.exp(-(age - STALE_AFTER_S) / STALE_DECAY_S)
+            service = typical + (service - typical) * weight
+        if now < self.ramp_until:
+            left = (self.ramp_until - now) / RAMP_S
+            service *= 1 + (RAMP_FACTOR - 1) * left
+        expected = self.distance_s + service
+        if self.outstanding:
+            expected += self.outstanding * service / self.slots
+        return expected + self.wait_s(now)
+
+
+class TypicalService:
+    """The median service time over all searchers of an index."""
+
+    __slots__ = ("service_s",)
+
+    def __init__(self):
+        self.service_s = INITIAL_SERVICE_S
+
+    def observe(self, service_s):
+        """Moves the estimate by a small step towards the median."""
+        self.service_s *= 1.005 if service_s > self.service_s else 0.995
+
+
+class RoutingCounters:
+    """Events that a host counts over all its requests."""
+
+    def __init__(self):
+        self.discarded_results = 0
+        self.late_results = 0
+        self.hedges = 0
+        self.retries = 0
+        self.budget_denials = 0
+        self.quarantine_refusals = 0
+        self.overload_refusals = 0
+
+
+class RoutingState:
+    """Everything that one entry host shares between its gathers.
+
+    ``incarnation`` is unique to the process, so that a result for an earlier
+    process never matches a sub-request of this one. For example::
+
+        routing = RoutingState(
+            entry_id="e1", incarnation="7f3a", data_centre="upper-canal",
+            random=random.Random(1),
+        )
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        incarnation: str,
+        data_centre: str,
+        random: random_module.Random | None = None,
+        quarantines: QuarantineTable | None = None,
+        cross_zone_hop_s: float = CROSS_ZONE_HOP_S,
+    ):
+        self.entry_id = entry_id
+        self.data_centre = data_centre
+        self.random = (random or random_module.Random()).random
+        self.quarantines = quarantines or QuarantineTable()
+        self.admission = HostAdmission()
+        self.counters = RoutingCounters()
+        self.cross_zone_hop_s = cross_zone_hop_s
+        self.sub_request_prefix = f"{entry_id}.{incarnation}."
+        self.sub_request_count = 0
+        self.estimates = {}
+        self.hedge_delays = {}
+        self.typical = {}
+
+    def next_sub_request_id(self):
+        """Returns an id that no other request, process or host uses."""
+        self.sub_request_count += 1
+        return f"{self.sub_request_prefix}{self.sub_request_count}"
+
+    def hop_s(self, owner_id, owner_zone):
+        """Returns the expected one-way time to an owner."""
+        if owner_id == self.entry_id:
+            return 0.0
+        return self._distance_s(self.data_centre, owner_zone)
+
+    def hedge_delay(self, index, partition):
+        """Returns the HedgeDelay of a partition, kept across versions."""
+        return self.hedge_delays.setdefault((index, partition), HedgeDelay())
+
+    def estimate(self, upstream, owner_zone):
+        """Returns the searcher's estimate; a restarted searcher gets a new one."""
+        estimate = self.estimates.get(upstream.upstream_id)
+        if estimate is None or estimate.incarnation != upstream.incarnation:
+            estimate = SearcherEstimate(
+                upstream_id=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                slots=upstream.slots,
+                distance_s=0.0,
+                typical=self.typical.setdefault(upstream.index, TypicalService()),
+            )
+            self.estimates[upstream.upstream_id] = estimate
+        estimate.slots = upstream.slots
+        estimate.distance_s = 2 * (
+            self._distance_s(self.data_centre, owner_zone)
+            + self._distance_s(owner_zone, upstream.data_centre)
+        )
+        return estimate
+
+    def start_ramp(self, upstream_id, now):
+        """Sends less work to a searcher that has just started."""
+        if upstream_id in self.estimates:
+            self.estimates[upstream_id].ramp_until = now + RAMP_S
+
+    def choose(self, replicas, tried, now):
+        """Returns the better of two random eligible replicas, or None."""
+        if tried:
+            replicas = [item for item in replicas if item.upstream_id not in tried]
+        count = len(replicas)
+        if count < 2:
+            return replicas[0] if count else None
+        random = self.random
+        first = int(random() * count)
+        second = first + 1 + int(random() * (count - 1))
+        one = replicas[first]
+        other = replicas[second if second < count else second - count]
+        one_score = one.estimate.score(now)
+        other_score = other.estimate.score(now)
+        if one_score == other_score:
+            # Reported load lags and may mislead, so it only breaks ties.
+            if other.estimate.reported_load < one.estimate.reported_load:
+                return other
+            return one
+        return one if one_score < other_score else other
+
+    def _distance_s(self, one, other):
+        return SAME_ZONE_HOP_S if one == other else self.cross_zone_hop_s
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -4,55 +4,471 @@
 on a monotonic clock) and carries out the returned actions in order.
 """
 
-from dataclasses import dataclass
+import heapq
 
-from plantainstage._errors import RefusalError
-from plantainstage._messages.callers import AnswerBody
-from plantainstage._messages.forward import SubRequest
+from plantainstage._errors import check_invariant
+from plantainstage._limits.quarantine import fingerprint_of
+from plantainstage._messages.callers import RunState
+from plantainstage._messages.forward import SubOutcome, SubRequest
+from plantainstage._routing import refusals
+from plantainstage._routing.actions import (
+    CancelSubRequest,
+    FinishRequest,
+    GatherAction,
+    ReportCrashes,
+    SendSubRequest,
+    WakeAt,
+)
+from plantainstage._routing.answering import build_answer
+from plantainstage._routing.progress import Attempt, Part
+from plantainstage._routing.view import choose_snapshot
 
+__all__ = [
+    "CancelSubRequest",
+    "FinishRequest",
+    "Gather",
+    "GatherAction",
+    "ReportCrashes",
+    "SendSubRequest",
+    "WakeAt",
+]
 
-@dataclass(frozen=True, kw_only=True)
-class SendSubRequest:
-    """Send this to its searcher's owner, entry host ``owner_id``."""
+# Encoding an answer and writing it take below 1 ms, and event-loop timers fire
+# up to 1 ms late; the reply is final this long before the deadline.
+FINISH_MARGIN_S = 0.002
+# A crashing request must not reach a third searcher of a partition, so that at
+# most two sub-requests of a partition may be running or have run.
+POSSIBLE_RUNS_PER_PARTITION = 2
+FLOAT_TOLERANCE = 1e-9
 
-    owner_id: str
-    sub_request: SubRequest
+_ANSWERED = SubOutcome.ANSWERED
+_NOT_SENT = SubOutcome.NOT_SENT
+_NOT_RUN_OUTCOMES = frozenset({SubOutcome.NOT_SENT, SubOutcome.REFUSED})
+_NO_REPLICAS_TRIED = frozenset()
 
 
-@dataclass(frozen=True, kw_only=True)
-class CancelSubRequest:
-    """The result is no longer needed; tell the owner."""
+class Gather:
+    """Scatters one request and gathers its answers by the deadline.
 
-    owner_id: str
-    sub_request_id: str
+    ``view`` and ``routing`` are shared by all gathers of the host; ``budget``
+    is the profile's ``ExtraLoadBudget``. A non-idempotent request must hold its
+    claim before ``start``. Every method returns a list of ``GatherAction``, to
+    be carried out in order; after a ``FinishRequest`` further calls are allowed
+    and change nothing. For example::
 
+        view = ConfigurationView(configuration=configuration, routing=routing)
+        profile = view.profiles[body.profile]
+        gather = Gather(
+            request_id=request_id, profile=profile, body=body, view=view,
+            routing=routing, budget=budgets.for_profile(profile), now=now,
+        )
+        for action in gather.start(now):
+            match action:
+                case SendSubRequest(owner_id=owner_id, sub_request=sub_request):
+                    gathers[sub_request.sub_request_id] = gather
+                    ...
 
-@dataclass(frozen=True, kw_only=True)
-class WakeAt:
-    """Call ``on_timer`` at this time; a later WakeAt replaces an earlier one."""
+    ``now`` in the constructor is the time at which the request arrived, from
+    which the deadline counts. Results are passed by sub-request id, which is
+    unique across requests and hosts.
+    """
 
-    time: float
+    def __init__(
+        self, *, request_id: str, profile, body, view, routing, budget, now: float
+    ):
+        self.request_id = request_id
+        self.profile = profile
+        self.body = body
+        self.view = view
+        self.routing = routing
+        self.budget = budget
+        self.arrived_at = now
+        self.finish_at = now + profile.deadline_ms / 1000 - FINISH_MARGIN_S
+        self.query = bytes(body.query)
+        self.fingerprint = fingerprint_of(profile.index, self.query)
+        self.snapshot = None
+        self.parts = ()
+        self.attempts = {}
+        self.due = []  # heap of (time, number, part) for hedges and retries
+        self.due_count = 0
+        self.total = 0
+        self.needed = 0.0
+        self.answered = 0
+        self.attainable = 0
+        self.unresolved = 0
+        self.finished = False
+        self.recording_crashes = False
 
+    # ---- Events --------------------------------------------------------------
 
-@dataclass(frozen=True, kw_only=True)
-class ReportCrashes:
-    """Quarantine this fingerprint everywhere before the request finishes.
+    def start(self, now):
+        """Sends the first sub-requests, or refuses the request as not run."""
+        profile = self.profile
+        if self.routing.quarantines.is_quarantined(self.fingerprint, now):
+            self.routing.counters.quarantine_refusals += 1
+            return self._refuse(refusals.quarantined(RunState.NOT_RUN), now)
+        chosen = choose_snapshot(
+            self.view, profile.index, self.body.partitions, profile.minimum_coverage
+        )
+        if chosen is None:
+            refusal = refusals.index_unavailable(profile.index)
+            if self.view.snapshots.get(profile.index):
+                refusal = refusals.unknown_partition(self.body.partitions)
+            return self._refuse(refusal, now)
+        self.snapshot, wanted = chosen
+        self.total = sum([item.documents for item in wanted])
+        self.needed = (profile.minimum_coverage - FLOAT_TOLERANCE) * self.total
+        if not self.routing.admission.admits(
+            gather=self, partitions=wanted, remaining_s=self.finish_at - now, now=now
+        ):
+            self.routing.counters.overload_refusals += 1
+            return self._refuse(refusals.overloaded(), now)
+        return self._scatter(wanted, now)
 
-    The owner of the gather calls ``on_quarantine_recorded`` afterwards.
-    """
+    def on_result(self, sub_result, now):
+        """Takes the result of one of this request's sub-requests."""
+        attempt = self.attempts.get(sub_result.sub_request_id)
+        if (
+            attempt is None
+            or attempt.outcome is not None
+            or not self._matches(attempt, sub_result)
+        ):
+            self.routing.counters.discarded_results += 1
+            return []
+        self._resolve(attempt, sub_result, now)
+        outcome = sub_result.outcome
+        crashed = outcome is SubOutcome.RESET and self._record_reset(attempt, now)
+        if self.finished:
+            self.routing.counters.late_results += 1
+            return []
+        actions = []
+        if crashed or sub_result.reason == "quarantined":
+            self._stop_for_crashes(actions, now)
+        elif not self.recording_crashes:
+            part = attempt.part
+            if outcome is _ANSWERED:
+                self._accept(part, sub_result, actions, now)
+            elif part.result is None and part.outstanding == 0:
+                self._retry(part, attempt, actions, now)
+            if self.unresolved == 0 or self.attainable < self.needed:
+                self._finish(actions, now)
+        return actions
 
-    fingerprint: str
-    duration_ms: int
+    def on_timer(self, now):
+        """Sends due hedges and retries; finishes when the time is up."""
+        if self.finished:
+            return []
+        actions = []
+        if now >= self.finish_at:
+            self._finish(actions, now)
+            return actions
+        due = self.due
+        while due and due[0][0] <= now:
+            part = heapq.heappop(due)[2]
+            if part.result is None and not part.given_up:
+                self._send_extra(part, actions, now)
+        if self._settled():
+            self._finish(actions, now)
+        else:
+            actions.append(self._wake())
+        return actions
 
+    def on_quarantine_recorded(self, now):
+        """Refuses the request, now that no other host will run it again."""
+        if self.finished or not self.recording_crashes:
+            return []
+        actions = []
+        self._finish(actions, now)
+        return actions
 
-@dataclass(frozen=True, kw_only=True)
-class FinishRequest:
-    """The reply is final; events after it change nothing."""
+    def on_caller_gone(self, now):
+        """Cancels what runs, unless the request is not idempotent.
 
-    answer: AnswerBody | None = None
-    refusal: RefusalError | None = None
+        A non-idempotent request goes on, so that its outcome can be recorded
+        for a resend.
+        """
+        if self.finished or not self.body.idempotent:
+            return []
+        actions = []
+        self._seal(actions, FinishRequest(), now)
+        return actions
 
+    # ---- Sending -------------------------------------------------------------
 
-GatherAction = (
-    SendSubRequest | CancelSubRequest | WakeAt | ReportCrashes | FinishRequest
-)
+    def _scatter(self, wanted, now):
+        actions = []
+        self.parts = [Part(item) for item in wanted]
+        self.unresolved = len(self.parts)
+        self.attainable = self.total
+        hedges = self.body.idempotent
+        choose = self.routing.choose
+        for part in self.parts:
+            view = part.view
+            replica = choose(view.replicas, _NO_REPLICAS_TRIED, now)
+            if replica is None:
+                self._give_up(part)
+                continue
+            self._send(part, replica, actions, now, extra=False)
+            if hedges and len(view.replicas) > 1:
+                self._add_due(now + view.delay.value, part)
+        if self._settled():
+            self._finish(actions, now)
+        else:
+            actions.append(self._wake())
+        return actions
+
+    def _send(self, part, replica, actions, now, *, extra):
+        idempotent = self.body.idempotent
+        if self.finished or self.recording_crashes:
+            check_invariant(
+                False, invariant="no_send_after_finish", detail=self.request_id
+            )
+        if part.possible_runs >= POSSIBLE_RUNS_PER_PARTITION or (
+            not idempotent and (part.bytes_left or part.outstanding)
+        ):
+            check_invariant(
+                False, invariant="runs_per_partition", detail=self.request_id
+            )
+        routing = self.routing
+        sub_request_id = routing.next_sub_request_id()
+        part.outstanding += 1
+        part.possible_runs += 1
+        replica.estimate.outstanding += 1
+        attempt = Attempt(sub_request_id, part, replica, now, extra)
+        part.attempts.append(attempt)
+        self.attempts[sub_request_id] = attempt
+        sub_request = SubRequest(
+            sub_request_id=sub_request_id,
+            request_id=self.request_id,
+            profile=self.profile.name,
+            upstream_id=replica.upstream_id,
+            epoch=replica.epoch,
+            index=self.snapshot.index,
+            snapshot=self.snapshot.snapshot,
+            partition=part.view.name,
+            fingerprint=self.fingerprint,
+            query=self.query,
+            remaining_ms=(self.finish_at - now - 2 * replica.hop_s) * 1000,
+            idempotent=idempotent,
+            extra=extra,
+        )
+        actions.append(
+            SendSubRequest(owner_id=replica.owner_id, sub_request=sub_request)
+        )
+
+    def _retry(self, part, attempt, actions, now):
+        """Tries another replica after a failed attempt, if that is allowed."""
+        if attempt.outcome is not _NOT_SENT:
+            self._send_extra(part, actions, now)
+            return
+        # No upstream saw the failed attempt, so that a further one is not
+        # extra load. Each replica is tried once, which bounds the repetition.
+        replica = None
+        if self._may_send(part, now):
+            replica = self.routing.choose(part.view.replicas, part.tried(), now)
+        if replica is None:
+            self._give_up(part)
+        else:
+            self._send(part, replica, actions, now, extra=attempt.extra)
+
+    def _may_send(self, part, now):
+        if now >= self.finish_at:
+            return False
+        if not self.body.idempotent:
+            return not part.bytes_left and part.outstanding == 0
+        return part.possible_runs < POSSIBLE_RUNS_PER_PARTITION
+
+    def _send_extra(self, part, actions, now):
+        """Sends a hedge or a retry within the budget, or waits for room."""
+        replica = None
+        if self._may_send(part, now):
+            replica = self.routing.choose(part.view.replicas, part.tried(), now)
+        if replica is None:
+            if part.outstanding == 0:
+                self._give_up(part)
+            return
+        if part.outstanding and self.routing.quarantines.has_reset(
+            self.fingerprint, now
+        ):
+            return  # a hedge would hand one more searcher to a crashing request
+        counters = self.routing.counters
+        if self.budget.take(now):
+            if part.outstanding:
+                counters.hedges += 1
+            else:
+                counters.retries += 1
+            self._send(part, replica, actions, now, extra=True)
+            return
+        counters.budget_denials += 1
+        again = now + part.view.delay.value
+        if again < self.finish_at:
+            self._add_due(again, part)
+            actions.append(self._wake())
+        elif part.outstanding == 0:
+            self._give_up(part)
+
+    def _add_due(self, time, part):
+        self.due_count += 1
+        heapq.heappush(self.due, (time, self.due_count, part))
+
+    def _wake(self):
+        due = self.due
+        if due and due[0][0] < self.finish_at:
+            return WakeAt(time=due[0][0])
+        return WakeAt(time=self.finish_at)
+
+    # ---- Results -------------------------------------------------------------
+
+    def _matches(self, attempt, result):
+        """Whether the result belongs to this attempt in every respect."""
+        part = attempt.part.view
+        if (
+            result.upstream_id != attempt.replica.upstream_id
+            or result.partition != part.name
+        ):
+            return False
+        if result.outcome is not _ANSWERED:
+            return True
+        return (
+            result.snapshot == self.snapshot.snapshot
+            and 0 <= result.documents <= part.documents
+        )
+
+    def _resolve(self, attempt, result, now):
+        """Marks the attempt as ended and learns from its result."""
+        outcome = attempt.outcome = result.outcome
+        part = attempt.part
+        estimate = attempt.replica.estimate
+        if not self.finished:
+            part.outstanding -= 1
+            estimate.outstanding -= 1
+        if outcome is _ANSWERED:
+            part.bytes_left = True
+            elapsed = now - attempt.sent_at
+            estimate.observe(result, elapsed, now)
+            part.view.delay.observe(elapsed)
+            return
+        if outcome is not _NOT_SENT:
+            part.bytes_left = True
+        if outcome in _NOT_RUN_OUTCOMES:
+            part.possible_runs -= 1
+            estimate.observe_queue(result, now)
+        elif outcome is not SubOutcome.CANCELLED:
+            estimate.observe_failure(now)
+
+    def _accept(self, part, result, actions, now):
+        if part.result is not None:
+            return
+        part.result = result
+        documents = result.documents
+        self.answered += documents
+        if part.given_up:
+            self.attainable += documents
+        else:
+            self.unresolved -= 1
+            self.attainable -= part.view.documents - documents
+        if part.outstanding:
+            for attempt in part.attempts:
+                self._cancel(attempt, actions, now)
+
+    def _give_up(self, part):
+        if not part.given_up:
+            part.given_up = True
+            self.unresolved -= 1
+            self.attainable -= part.view.documents
+
+    def _cancel(self, attempt, actions, now):
+        if attempt.outcome is not None or attempt.cancelled:
+            return
+        attempt.cancelled = True
+        attempt.replica.estimate.observe_at_least(now - attempt.sent_at, now)
+        actions.append(
+            CancelSubRequest(
+                owner_id=attempt.replica.owner_id,
+                sub_request_id=attempt.sub_request_id,
+            )
+        )
+
+    # ---- Crashes -------------------------------------------------------------
+
+    def _record_reset(self, attempt, now):
+        """Records a reset; whether the fingerprint is quarantined now."""
+        attempt.part.resets += 1
+        check_invariant(
+            attempt.part.resets <= POSSIBLE_RUNS_PER_PARTITION,
+            invariant="crashes_per_partition",
+            detail=f"{self.request_id} partition {attempt.part.view.name}",
+        )
+        quarantines = self.routing.quarantines
+        quarantines.record_reset(self.fingerprint, attempt.sub_request_id, now)
+        return quarantines.is_quarantined(self.fingerprint, now)
+
+    def _stop_for_crashes(self, actions, now):
+        """Sends no more and refuses once the quarantine is recorded."""
+        if self.recording_crashes:
+            return
+        self.recording_crashes = True
+        self.due.clear()
+        for attempt in self.attempts.values():
+            self._cancel(attempt, actions, now)
+        duration_ms = round(self.routing.quarantines.duration_s * 1000)
+        actions.append(
+            ReportCrashes(fingerprint=self.fingerprint, duration_ms=duration_ms)
+        )
+        actions.append(self._wake())
+
+    # ---- Finishing -----------------------------------------------------------
+
+    def _settled(self):
+        return not self.recording_crashes and (
+            self.unresolved == 0 or self.attainable < self.needed
+        )
+
+    def _finish(self, actions, now):
+        if self.recording_crashes:
+            finish = FinishRequest(refusal=refusals.quarantined(self._run_state()))
+        elif self.answered >= self.needed:
+            finish = FinishRequest(answer=build_answer(self, now))
+        else:
+            finish = FinishRequest(refusal=self._shortfall())
+        self._seal(actions, finish, now)
+
+    def _shortfall(self):
+        run = self._run_state()
+        if run is RunState.NOT_RUN and self.attempts:
+            return refusals.overloaded()
+        return refusals.coverage_not_met(
+            answered=self.answered,
+            total=self.total,
+            minimum=self.profile.minimum_coverage,
+            run=run,
+        )
+
+    def _run_state(self):
+        """NOT_RUN only if every attempt ended without having run."""
+        certain = all(
+            attempt.outcome in _NOT_RUN_OUTCOMES for attempt in self.attempts.values()
+        )
+        return RunState.NOT_RUN if certain else RunState.UNKNOWN
+
+    def _refuse(self, refusal, now):
+        actions = []
+        self._seal(actions, FinishRequest(refusal=refusal), now)
+        return actions
+
+    def _seal(self, actions, finish, now):
+        check_invariant(
+            not self.finished, invariant="finished_once", detail=self.request_id
+        )
+        self.finished = True
+        self.due.clear()
+        first = 0
+        for attempt in self.attempts.values():
+            if attempt.outcome is None:
+                self._cancel(attempt, actions, now)
+                attempt.part.outstanding -= 1
+                attempt.replica.estimate.outstanding -= 1
+            elif not attempt.extra and attempt.outcome is not _NOT_SENT:
+                first += 1
+        self.budget.record_first(first, now)
+        actions.append(finish)
--- /dev/null
+++ b/src/plantainstage/_routing/view.py
@@ -0,0 +1,146 @@
+"""A configuration version, arranged for the decisions of each request.
+
+Built once for each version, since partitions and replicas by name would
+otherwise be looked up for every sub-request.
+"""
+
+from plantainstage._messages.configuration import UpstreamState
+
+
+class Replica:
+    """A searcher that may get sub-requests, with its owner and its estimate."""
+
+    __slots__ = ("upstream_id", "owner_id", "epoch", "hop_s", "estimate")
+
+    def __init__(self, *, upstream_id, owner_id, epoch, hop_s, estimate):
+        self.upstream_id = upstream_id
+        self.owner_id = owner_id
+        self.epoch = epoch
+        self.hop_s = hop_s
+        self.estimate = estimate
+
+
+class PartitionView:
+    """A partition of a snapshot with its documents and eligible replicas."""
+
+    __slots__ = ("name", "documents", "replicas", "delay")
+
+    def __init__(self, *, name, documents, replicas, delay):
+        self.name = name
+        self.documents = documents
+        self.replicas = replicas
+        self.delay = delay
+
+
+class SnapshotView:
+    """A snapshot of an index; ``available`` counts documents with a replica."""
+
+    def __init__(self, *, index, snapshot, partitions):
+        self.index = index
+        self.snapshot = snapshot
+        self.partitions = partitions
+        self.by_name = {item.name: item for item in partitions}
+        self.total = sum(item.documents for item in partitions)
+        self.available = available_documents(partitions)
+
+    def restricted_to(self, names):
+        """Returns the partitions of these names, or None if one is unknown."""
+        if not all(name in self.by_name for name in names):
+            return None
+        return tuple(self.by_name[name] for name in dict.fromkeys(names))
+
+
+def available_documents(partitions):
+    """Counts the documents of partitions that have an eligible replica."""
+    return sum(item.documents for item in partitions if item.replicas)
+
+
+class ConfigurationView:
+    """Profiles by name and, by index, snapshots from the newest to the oldest.
+
+    A replica is eligible when it serves and its owner is active: during a move
+    of ownership nobody may send to the searcher. For example::
+
+        view = ConfigurationView(configuration=configuration, routing=routing)
+        profile = view.profiles["rider-gate"]
+    """
+
+    def __init__(self, *, configuration, routing):
+        self.version = configuration.version
+        self.profiles = {item.name: item for item in configuration.profiles}
+        self.snapshots = {}
+        holders = self._holders(configuration, routing)
+        newest_first = sorted(
+            configuration.manifests, key=lambda item: item.sequence, reverse=True
+        )
+        for manifest in newest_first:
+            partitions = tuple(
+                PartitionView(
+                    name=name,
+                    documents=documents,
+                    replicas=tuple(
+                        holders.get((manifest.index, manifest.snapshot, name), ())
+                    ),
+                    delay=routing.hedge_delay(manifest.index, name),
+                )
+                for name, documents in manifest.documents.items()
+            )
+            self.snapshots.setdefault(manifest.index, []).append(
+                SnapshotView(
+                    index=manifest.index,
+                    snapshot=manifest.snapshot,
+                    partitions=partitions,
+                )
+            )
+
+    def _holders(self, configuration, routing):
+        zones = {item.entry_id: item.data_centre for item in configuration.entry_hosts}
+        owners = {
+            item.upstream_id: item for item in configuration.ownerships if item.active
+        }
+        holders = {}
+        for upstream in configuration.upstreams:
+            owner = owners.get(upstream.upstream_id)
+            if owner is None or upstream.state is not UpstreamState.SERVING:
+                continue
+            replica = Replica(
+                upstream_id=upstream.upstream_id,
+                owner_id=owner.entry_id,
+                epoch=owner.epoch,
+                hop_s=routing.hop_s(owner.entry_id, zones.get(owner.entry_id, "")),
+                estimate=routing.estimate(upstream, zones.get(owner.entry_id, "")),
+            )
+            for holding in upstream.holdings:
+                for partition in holding.partitions:
+                    key = (upstream.index, holding.snapshot, partition)
+                    holders.setdefault(key, []).append(replica)
+        return holders
+
+
+def choose_snapshot(view, index, names, minimum_coverage):
+    """Returns (snapshot view, its wanted partitions), or None.
+
+    The newest with full coverage, else the newest that reaches the minimum,
+    else the newest with the best attainable coverage. Snapshots that lack a
+    partition in ``names`` are passed over.
+    """
+    reaching = best = None
+    best_fraction = -1.0
+    for snapshot in view.snapshots.get(index, ()):
+        if names:
+            wanted = snapshot.restricted_to(names)
+            if wanted is None:
+                continue
+            total = sum(item.documents for item in wanted)
+            available = available_documents(wanted)
+        else:
+            wanted = snapshot.partitions
+            total, available = snapshot.total, snapshot.available
+        if available == total and all(item.replicas for item in wanted):
+            return snapshot, wanted
+        fraction = available / total if total else 1.0
+        if reaching is None and fraction >= minimum_coverage:
+            reaching = (snapshot, wanted)
+        if fraction > best_fraction:
+            best, best_fraction = (snapshot, wanted), fraction
+    return reaching or best
