Convert numbers among the settings checks

Cause: click's number types stop at the first wrong flag and hide the others. Change: SettingsCheck.integer, number and choice record an error and go on.

--- a/src/plantainstage/_settings/base.py
+++ b/src/plantainstage/_settings/base.py
@@ -87,6 +87,45 @@
             remedy="Choose a value in the range.",
         )
 
+    def integer(self, *, flag, value, low, high, unit):
+        """Returns the whole number in ``value``, or ``low`` with an error recorded.
+
+        Programs take numbers as text and convert them here: click's own types
+        stop at the first wrong flag and would hide the others.
+        """
+        return self._converted(int, flag, value, low, high, unit)
+
+    def number(self, *, flag, value, low, high, unit):
+        """Returns the finite number in ``value``, or ``low`` with an error."""
+        return self._converted(float, flag, value, low, high, unit)
+
+    def _converted(self, convert, flag, value, low, high, unit):
+        try:
+            converted = convert(value)
+        except (TypeError, ValueError):
+            converted = None
+        # A comparison with NaN is false, so that NaN is refused here as well.
+        valid = converted is not None and low <= converted <= high
+        kind = "a whole number" if convert is int else "a number"
+        self.require(
+            flag=flag,
+            value=value,
+            condition=valid,
+            expected=f"{kind} from {low} to {high} {unit}".rstrip(),
+            remedy="Choose a value in the range.",
+        )
+        return converted if valid else low
+
+    def choice(self, *, flag, value, choices):
+        """Checks that ``value`` is one of ``choices``."""
+        self.require(
+            flag=flag,
+            value=value,
+            condition=value in choices,
+            expected=f"one of {', '.join(choices)}",
+            remedy="Choose one of them.",
+        )
+
     def writable_folder(self, *, flag, value):
         """Checks that a folder exists, or can be created, and can be written."""
         path = os.path.abspath(value)
