Add a discrete-event model of the tier; stop a timer loop of OwnerQueue

Cause: the decisions need a load that is the same for every policy. The first run did not end: OwnerQueue asked to be woken at deadline - service time, and at exactly that time found the sub-request not yet late, so it asked again. Change: bench/tier_model drives Gather and OwnerQueue in virtual time against searcher models and two baselines; the late check and the wake time now use the same expression.

--- /dev/null
+++ b/bench/tier_model/deployment.py
@@ -0,0 +1,253 @@
+"""The shapes of the two deployments of docs/design.md, section 1.3."""
+
+import random
+from dataclasses import dataclass
+
+from plantainstage._messages.configuration import (
+    Configuration,
+    EntryHost,
+    Manifest,
+    Ownership,
+    Profile,
+    SnapshotHolding,
+    Upstream,
+    UpstreamState,
+)
+
+SAME_ZONE_S = 0.0001
+DOCUMENTS_PER_PARTITION = 10_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Group:
+    """Services of one kind; each service is one partition."""
+
+    name: str
+    services: int
+    searchers: int
+    slots: int
+    connections: int
+    connect_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """Groups of services, zones, entry hosts and the profile of the load."""
+
+    name: str
+    index: str
+    zones: tuple[str, ...]
+    zone_hop_s: float
+    groups: tuple[Group, ...]
+    profile: Profile
+    entry_hosts: int = 9
+
+    def latency_s(self, one, other):
+        """Returns the one-way latency between two zones."""
+        return SAME_ZONE_S if one == other else self.zone_hop_s
+
+
+KOGI_BASIN = Deployment(
+    name="kogi-basin",
+    index="ditch-turns",
+    zones=("upper-canal", "middle-canal", "lower-canal"),
+    zone_hop_s=0.001,
+    groups=(
+        Group(
+            name="rider-desk",
+            services=10,
+            searchers=3,
+            slots=3,
+            connections=30,
+            connect_s=0.006,
+        ),
+        Group(
+            name="ward-ledger",
+            services=15,
+            searchers=3,
+            slots=3,
+            connections=30,
+            connect_s=0.006,
+        ),
+        Group(
+            name="farmer-phone-line",
+            services=1,
+            searchers=5,
+            slots=6,
+            connections=110,
+            connect_s=0.001,
+        ),
+        Group(
+            name="levy-book",
+            services=1,
+            searchers=3,
+            slots=6,
+            connections=110,
+            connect_s=0.001,
+        ),
+    ),
+    profile=Profile(
+        name="rider-gate",
+        index="ditch-turns",
+        deadline_ms=80,
+        minimum_coverage=0.95,
+        extra_load_limit=0.05,
+    ),
+)
+
+ETAIN_GRAVE = Deployment(
+    name="etain-grave",
+    index="order-history",
+    zones=("port-louis", "curepipe", "rose-hill", "grand-baie"),
+    zone_hop_s=0.0015,
+    groups=(
+        Group(
+            name="counter-desk",
+            services=10,
+            searchers=3,
+            slots=2,
+            connections=25,
+            connect_s=0.006,
+        ),
+        Group(
+            name="royalty-ledger",
+            services=15,
+            searchers=3,
+            slots=2,
+            connections=25,
+            connect_s=0.006,
+        ),
+        Group(
+            name="workshop-queue",
+            services=1,
+            searchers=4,
+            slots=6,
+            connections=50,
+            connect_s=0.001,
+        ),
+        Group(
+            name="pewter-stock",
+            services=1,
+            searchers=4,
+            slots=6,
+            connections=50,
+            connect_s=0.001,
+        ),
+    ),
+    profile=Profile(
+        name="counter",
+        index="order-history",
+        deadline_ms=120,
+        minimum_coverage=0.99,
+        extra_load_limit=0.05,
+    ),
+)
+
+DEPLOYMENTS = {item.name: item for item in (KOGI_BASIN, ETAIN_GRAVE)}
+
+
+@dataclass(frozen=True, kw_only=True)
+class SearcherShape:
+    """One searcher of a deployment."""
+
+    upstream_id: str
+    partition: str
+    zone: str
+    slots: int
+    connections: int
+    connect_s: float
+
+
+def searcher_shapes(deployment):
+    """Returns all searchers; the replicas of a partition are in turn zones."""
+    shapes = []
+    zones = deployment.zones
+    for group in deployment.groups:
+        for service in range(group.services):
+            partition = f"{group.name}-{service}"
+            for replica in range(group.searchers):
+                shapes.append(
+                    SearcherShape(
+                        upstream_id=f"{partition}-{replica}",
+                        partition=partition,
+                        zone=zones[(service + replica) % len(zones)],
+                        slots=group.slots,
+                        connections=group.connections,
+                        connect_s=group.connect_s,
+                    )
+                )
+    return shapes
+
+
+def entry_hosts(deployment):
+    """Returns the entry hosts, in turn zones."""
+    zones = deployment.zones
+    return tuple(
+        EntryHost(
+            entry_id=f"entry-{number}",
+            incarnation="1",
+            data_centre=zones[number % len(zones)],
+            caller_address="",
+            forward_address="",
+        )
+        for number in range(deployment.entry_hosts)
+    )
+
+
+def assign_owners(shapes, hosts, seed):
+    """Maps searchers to owners; replicas of a partition get different ones."""
+    chooser = random.Random(seed)
+    owners = {}
+    by_partition = {}
+    for shape in shapes:
+        by_partition.setdefault(shape.partition, []).append(shape)
+    for replicas in by_partition.values():
+        chosen = chooser.sample([host.entry_id for host in hosts], len(replicas))
+        for shape, owner in zip(replicas, chosen, strict=True):
+            owners[shape.upstream_id] = owner
+    return owners
+
+
+def build_configuration(deployment, searchers, hosts, owners, *, version, profiles):
+    """Returns the configuration for the present state of all searcher models.
+
+    ``searchers`` are ``SearcherModel`` objects.
+    """
+    snapshots = sorted({name for item in searchers for name in item.announced})
+    partitions = dict.fromkeys(item.shape.partition for item in searchers)
+    documents = {name: DOCUMENTS_PER_PARTITION for name in partitions}
+    return Configuration(
+        version=version,
+        profiles=profiles,
+        upstreams=tuple(
+            Upstream(
+                upstream_id=item.shape.upstream_id,
+                incarnation=str(item.incarnation),
+                address="",
+                data_centre=item.shape.zone,
+                index=deployment.index,
+                slots=item.shape.slots,
+                connections=item.shape.connections,
+                holdings=tuple(
+                    SnapshotHolding(snapshot=name, partitions=(item.shape.partition,))
+                    for name in sorted(item.announced)
+                ),
+                state=UpstreamState(item.state),
+            )
+            for item in searchers
+        ),
+        manifests=tuple(
+            Manifest(
+                index=deployment.index,
+                snapshot=name,
+                sequence=int(name.removeprefix("s")),
+                documents=documents,
+            )
+            for name in snapshots
+        ),
+        entry_hosts=hosts,
+        ownerships=tuple(
+            Ownership(upstream_id=key, entry_id=owner, epoch=1, active=True)
+            for key, owner in owners.items()
+        ),
+    )
--- /dev/null
+++ b/bench/tier_model/policies.py
@@ -0,0 +1,127 @@
+"""The program's decisions and the two kept baselines, behind one interface."""
+
+import random
+
+from plantainstage._limits.extra_load import ExtraLoadBudgets
+from plantainstage._limits.owner_queue import HostLease, OwnerQueue
+from plantainstage._limits.quarantine import QuarantineTable
+from plantainstage._routing.estimates import RoutingState
+from plantainstage._routing.gather import Gather
+from plantainstage._routing.view import ConfigurationView
+
+from .baselines import BaselineGather, BaselineQueue
+
+FIXED_HEDGE_S = 0.03  # 2.5 times the models' median service time
+
+
+class PlantainstagePolicy:
+    """Gather and OwnerQueue as they run in the entry process."""
+
+    name = "plantainstage"
+
+    def __init__(self, *, host, deployment, seed, window_s):
+        self.routing = RoutingState(
+            entry_id=host.entry_id,
+            incarnation=host.incarnation,
+            data_centre=host.data_centre,
+            random=random.Random(f"{seed}/{host.entry_id}"),
+            quarantines=QuarantineTable(),
+            cross_zone_hop_s=deployment.zone_hop_s,
+        )
+        self.budgets = ExtraLoadBudgets(window_s=window_s)
+        self.lease = HostLease(until=float("inf"))
+        self.view = None
+
+    def apply(self, configuration):
+        """Puts a configuration version in force on this host."""
+        self.view = ConfigurationView(configuration=configuration, routing=self.routing)
+
+    def gather(self, record, body, profile, now):
+        """Returns the logic of one request."""
+        return Gather(
+            request_id=record.request_id,
+            profile=self.view.profiles[profile.name],
+            body=body,
+            view=self.view,
+            routing=self.routing,
+            budget=self.budgets.for_profile(self.view.profiles[profile.name]),
+            now=now,
+        )
+
+    def queue(self, shape, weights):
+        """Returns the logic of one owner queue."""
+        queue = OwnerQueue(
+            upstream_id=shape.upstream_id,
+            slots=shape.slots,
+            connections=shape.connections,
+            lease=self.lease,
+            quarantines=self.routing.quarantines,
+            weights=weights,
+        )
+        queue.own(epoch=1)
+        return queue
+
+    def quarantine(self, fingerprint, now):
+        """Takes over a quarantine notice."""
+        quarantines = self.routing.quarantines
+        quarantines.quarantine(fingerprint, now + quarantines.duration_s)
+
+
+class BaselinePolicy:
+    """A random replica for each partition; waits for all answers.
+
+    With ``hedge_s`` a second sub-request goes to another random replica after
+    that time. The owners' queues are plain first-in first-out.
+    """
+
+    name = "random"
+    hedge_s = None
+
+    def __init__(self, *, host, deployment, seed, window_s):
+        self.random = random.Random(f"{seed}/{host.entry_id}")
+        self.prefix = host.entry_id
+        self.count = 0
+        self.configuration = None
+        self.replicas = {}
+        self.snapshot = None
+
+    def apply(self, configuration):
+        """Puts a configuration version in force on this host."""
+        self.configuration = configuration
+        self.snapshot = max(configuration.manifests, key=lambda item: item.sequence)
+        owners = {item.upstream_id: item.entry_id for item in configuration.ownerships}
+        self.replicas = {name: [] for name in self.snapshot.documents}
+        for upstream in configuration.upstreams:
+            if upstream.state.value != "serving":
+                continue
+            for holding in upstream.holdings:
+                if holding.snapshot == self.snapshot.snapshot:
+                    for partition in holding.partitions:
+                        self.replicas[partition].append(
+                            (upstream.upstream_id, owners[upstream.upstream_id])
+                        )
+
+    def gather(self, record, body, profile, now):
+        """Returns the logic of one request."""
+        return BaselineGather(
+            policy=self, record=record, body=body, profile=profile, now=now
+        )
+
+    def queue(self, shape, weights):
+        """Returns the logic of one owner queue."""
+        return BaselineQueue(shape=shape)
+
+    def quarantine(self, fingerprint, now):
+        """Baselines know no quarantine."""
+
+
+class FixedHedgePolicy(BaselinePolicy):
+    """The first baseline with a hedge after a fixed delay, without a budget."""
+
+    name = "fixed-hedge"
+    hedge_s = FIXED_HEDGE_S
+
+
+POLICIES = {
+    item.name: item for item in (BaselinePolicy, FixedHedgePolicy, PlantainstagePolicy)
+}
--- /dev/null
+++ b/bench/tier_model/scenarios.py
@@ -0,0 +1,156 @@
+"""Scenarios: how the load and the faults of a run are set up."""
+
+import random
+from dataclasses import dataclass
+
+from .searchers import CRASH_MARK, SERVICE_MEDIAN_S
+from .tier import Tier
+
+MEAN_SERVICE_S = SERVICE_MEDIAN_S * 1.063  # of the log-normal service times
+LYING_SHARE = 0.2  # searchers whose load reports are noise
+CRASH_RESEND_S = 0.05
+CRASH_RESENDS = 30
+
+
+@dataclass(frozen=True, kw_only=True)
+class Plan:
+    """How long a run lasts and how a minute is scaled.
+
+    ``minute_s`` virtual seconds stand for a minute in the extra-load window
+    and in the worst-minute measure. Latencies and deadlines are not scaled.
+    """
+
+    warm_up_s: float
+    minutes: int
+    minute_s: float
+    load: float  # share of capacity
+
+    @property
+    def end_s(self):
+        """Virtual time at which the load ends."""
+        return self.warm_up_s + self.minutes * self.minute_s
+
+
+def no_fault(tier, plan):
+    """Nothing fails."""
+
+
+def stragglers(tier, plan):
+    """5% of sub-requests are 10 times slow."""
+    for searcher in tier.searchers.values():
+        searcher.straggler_share = 0.05
+
+
+def slow_searchers(tier, plan):
+    """One searcher in ten is 10 times slow."""
+    for number, searcher in enumerate(tier.searchers.values()):
+        if number % 10 == 4:
+            tier.loop.at(plan.warm_up_s, setattr, searcher, "slow_factor", 10.0)
+
+
+def replica_lost(tier, plan):
+    """A replica is lost, and another one later."""
+    names = list(tier.searchers)
+    tier.loop.at(plan.warm_up_s + 0.2, tier.kill, names[0])
+    tier.loop.at(plan.warm_up_s + plan.minute_s / 2, tier.kill, names[40])
+
+
+def snapshot_rollout(tier, plan):
+    """Searchers move to a new snapshot in turn while one of them drains."""
+    names = list(tier.searchers)
+    tier.random.shuffle(names)
+    start = plan.warm_up_s + 0.2
+    span = plan.minute_s * 0.6
+    for number, name in enumerate(names):
+        at = start + span * number / len(names)
+        searcher = tier.searchers[name]
+        tier.loop.at(at, _take_snapshot, tier, searcher)
+        tier.loop.at(at + 1.0, _drop_snapshot, tier, searcher)
+    tier.loop.at(start + span / 2, _drain, tier, tier.searchers[names[0]])
+
+
+def _take_snapshot(tier, searcher):
+    searcher.snapshots.add("s2")
+    searcher.announced = set(searcher.snapshots)
+    tier.publish()
+
+
+def _drop_snapshot(tier, searcher):
+    # The searcher drops the data at once; entry hosts learn of it later.
+    searcher.snapshots.discard("s1")
+    searcher.announced = set(searcher.snapshots)
+    tier.publish()
+
+
+def _drain(tier, searcher):
+    searcher.state = "draining"
+    tier.publish()
+
+
+def overload(tier, plan):
+    """Load beyond capacity; searchers shed a small share as well."""
+    for searcher in tier.searchers.values():
+        searcher.shed_share = 0.002
+
+
+def crashing_request(tier, plan):
+    """One request crashes each searcher that runs it and is sent again."""
+    tier.loop.at(plan.warm_up_s + 0.2, _send_crashing, tier, 0)
+
+
+def _send_crashing(tier, number):
+    if number < CRASH_RESENDS:
+        entry = tier.host_list[number % len(tier.host_list)]
+        query = b'{"q":"' + CRASH_MARK + b'"}'
+        tier.send(query=query, entry=entry)
+        tier.loop.after(CRASH_RESEND_S, _send_crashing, tier, number + 1)
+
+
+def silent_connections(tier, plan):
+    """A tenth of the open connections goes silent for good."""
+    for searcher in tier.searchers.values():
+        tier.loop.at(plan.warm_up_s + 0.2, searcher.turn_silent, 0.1)
+        tier.loop.at(plan.warm_up_s + plan.minute_s / 2, searcher.turn_silent, 0.1)
+
+
+def slow_data_centre(tier, plan):
+    """All searchers of one data centre are 10 times slow."""
+    zone = tier.deployment.zones[0]
+    for searcher in tier.searchers.values():
+        if searcher.shape.zone == zone:
+            tier.loop.at(plan.warm_up_s, setattr, searcher, "slow_factor", 10.0)
+
+
+SCENARIOS = {
+    "no-fault": (no_fault, None),
+    "stragglers": (stragglers, None),
+    "slow-searchers": (slow_searchers, None),
+    "replica-lost": (replica_lost, None),
+    "snapshot-rollout": (snapshot_rollout, None),
+    "overload-1x": (overload, 1.0),
+    "overload-2x": (overload, 2.0),
+    "overload-5x": (overload, 5.0),
+    "crashing-request": (crashing_request, None),
+    "silent-connections": (silent_connections, None),
+    "slow-data-centre": (slow_data_centre, None),
+}
+
+
+def run_scenario(*, name, deployment, policy_class, seed, plan):
+    """Runs one scenario to its end and returns the tier."""
+    setup, load = SCENARIOS[name]
+    tier = Tier(
+        deployment=deployment,
+        policy_class=policy_class,
+        seed=seed,
+        window_s=plan.minute_s,
+        random=random.Random(f"{seed}/{name}"),
+    )
+    for number, searcher in enumerate(tier.searchers.values()):
+        searcher.lies = number % round(1 / LYING_SHARE) == 0
+    setup(tier, plan)
+    share = plan.load if load is None else load
+    rate = tier.capacity(MEAN_SERVICE_S) * share
+    tier.start_load(rate=rate, until=plan.end_s)
+    tier.loop.run(plan.end_s + 2.5)
+    return tier
--- /dev/null
+++ b/bench/tier_model/tier.py
@@ -0,0 +1,147 @@
+"""Entry hosts, searchers, load and faults of one run."""
+
+import msgspec
+
+from plantainstage._messages.callers import QueryBody
+
+from .deployment import (
+    assign_owners,
+    build_configuration,
+    entry_hosts,
+    searcher_shapes,
+)
+from .entry import EntryModel, QueueModel
+from .loop import EventLoop
+from .records import RequestRecord
+from .searchers import SearcherModel
+
+CONFIGURATION_DELAY_S = 0.4  # a host applies a version at its next lease renewal
+HEARTBEAT_LEASE_S = 3.0
+
+
+class Tier:
+    """One run: a deployment under one policy, driven in virtual time."""
+
+    def __init__(self, *, deployment, policy_class, seed, window_s, random):
+        self.deployment = deployment
+        self.loop = EventLoop()
+        self.random = random
+        self.profiles = (deployment.profile,)
+        self.records = []
+        self.sub_request_upstream = {}
+        shapes = searcher_shapes(deployment)
+        hosts = entry_hosts(deployment)
+        self.host_records = hosts
+        self.owners = assign_owners(shapes, hosts, seed)
+        self.searchers = {
+            shape.upstream_id: SearcherModel(shape=shape, loop=self.loop, seed=seed)
+            for shape in shapes
+        }
+        self.hosts = {}
+        for host in hosts:
+            policy = policy_class(
+                host=host, deployment=deployment, seed=seed, window_s=window_s
+            )
+            self.hosts[host.entry_id] = EntryModel(tier=self, host=host, policy=policy)
+        self.host_list = list(self.hosts.values())
+        weights = {item.name: item.weight for item in self.profiles}
+        for upstream_id, searcher in self.searchers.items():
+            entry = self.hosts[self.owners[upstream_id]]
+            logic = entry.policy.queue(searcher.shape, weights)
+            entry.queues[upstream_id] = QueueModel(
+                entry=entry, searcher=searcher, logic=logic
+            )
+        self.version = 0
+        self.publish(spread_s=0.0)
+
+    def upstream_of(self, sub_request_id):
+        """Returns the searcher of a sub-request that reached its owner."""
+        return self.sub_request_upstream.get(sub_request_id, "")
+
+    def publish(self, *, spread_s=CONFIGURATION_DELAY_S):
+        """Puts the searchers' present announcements in force on all hosts."""
+        self.version += 1
+        configuration = build_configuration(
+            self.deployment,
+            list(self.searchers.values()),
+            self.host_records,
+            self.owners,
+            version=self.version,
+            profiles=self.profiles,
+        )
+        for entry in self.host_list:
+            if spread_s:
+                self.loop.after(
+                    self.random.random() * spread_s, self._apply, entry, configuration
+                )
+            else:
+                self._apply(entry, configuration)
+
+    def _apply(self, entry, configuration):
+        if getattr(entry, "version", 0) < configuration.version:
+            entry.version = configuration.version
+            entry.policy.apply(configuration)
+
+    def quarantine(self, source, fingerprint):
+        """Sends a quarantine notice to all entry hosts."""
+        for entry in self.host_list:
+            delay = self.deployment.latency_s(source.zone, entry.zone)
+            self.loop.after(delay, self._quarantined, entry, fingerprint)
+
+    def _quarantined(self, entry, fingerprint):
+        entry.policy.quarantine(fingerprint, self.loop.now)
+
+    # ---- Load ----------------------------------------------------------------
+
+    def send(self, *, query, profile=None, entry=None, on_finish=None):
+        """A caller sends one request to a random (or the given) entry host."""
+        record = RequestRecord(
+            request_id=f"r{len(self.records)}",
+            started_at=self.loop.now,
+            profile=profile or self.profiles[0],
+            on_finish=on_finish,
+        )
+        self.records.append(record)
+        body = QueryBody(
+            profile=record.profile.name,
+            query=msgspec.Raw(query),
+            request_id=record.request_id,
+        )
+        entry = entry or self.host_list[int(self.random.random() * len(self.host_list))]
+        entry.request(record, body, record.profile)
+        return record
+
+    def start_load(self, *, rate, until, start=0.0, profile=None):
+        """Requests with exponential gaps, each with a query of its own."""
+        self.loop.at(
+            start + self.random.expovariate(rate), self._tick, rate, until, profile
+        )
+
+    def _tick(self, rate, until, profile):
+        if self.loop.now >= until:
+            return
+        self.send(query=b'{"q":%d}' % len(self.records), profile=profile)
+        self.loop.after(self.random.expovariate(rate), self._tick, rate, until, profile)
+
+    # ---- Faults --------------------------------------------------------------
+
+    def kill(self, upstream_id):
+        """Ends a searcher for good; control notices after its lease."""
+        self.searchers[upstream_id].die()
+        self.loop.after(HEARTBEAT_LEASE_S, self._lost, upstream_id)
+
+    def _lost(self, upstream_id):
+        self.searchers[upstream_id].state = "lost"
+        self.publish()
+
+    def capacity(self, mean_service_s):
+        """Returns the requests a second that the scarcest partition can serve.
+
+        A slot is taken at the owner for the service and one round trip.
+        """
+        slots = {}
+        for searcher in self.searchers.values():
+            partition = searcher.shape.partition
+            slots[partition] = slots.get(partition, 0) + searcher.shape.slots
+        round_trip_s = 2 * self.deployment.zone_hop_s
+        return min(slots.values()) / (mean_service_s + round_trip_s)
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -442,7 +442,9 @@
 
     def _drop_late(self, actions, now):
         late = [
-            item for item in self.by_id.values() if now + self.service_s > item.deadline
+            item
+            for item in self.by_id.values()
+            if item.deadline - self.service_s <= now
         ]
         for item in late:
             self.waiting.remove(item)
@@ -464,7 +466,7 @@
                     time = min(time, running.started_at + threshold)
         if self.by_id:
             first = next(iter(self.by_id.values()))
-            time = min(time, first.deadline - self.service_s)
+            time = min(time, max(first.deadline - self.service_s, now))
         if self.silence.state is Reachability.UNREACHABLE:
             time = min(time, self.silence.next_probe or now)
         if time < self.wake_at:
