--- /dev/null
+++ b/src/plantainstage/_agreement/core.py
@@ -0,0 +1,214 @@
+"""The Raft core: takes events with the current time and returns actions.
+
+It does no I/O, reads no clock and draws randomness only from the source that it
+was given, so that a run with the same events gives the same actions.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from plantainstage._agreement import boot, election, replication, snapshots
+from plantainstage._agreement.actions import Action
+from plantainstage._agreement.log import Log
+from plantainstage._agreement.membership import next_membership
+from plantainstage._agreement.state import CoreState, Role, Timing
+from plantainstage._errors import NotLeaderError
+from plantainstage._messages import agreement as messages
+
+
+@dataclass(frozen=True, kw_only=True)
+class DurableState:
+    """What a replica finds in its data folder when it starts."""
+
+    member_id: messages.MemberId
+    boot: int
+    boot_nonce: str
+    term: int = 0
+    vote: messages.MemberId | None = None
+    snapshot: messages.Snapshot | None = None
+    entries: list[messages.Entry] = field(default_factory=list)
+    peers: dict[messages.MemberId, messages.PeerRecord] = field(default_factory=dict)
+
+
+class Core:
+    """One replica's part in the agreement.
+
+    The driver passes events, then calls ``flush`` and carries out
+    ``take_actions`` in the phases that ``actions`` describes. For example::
+
+        core.propose([b"a", b"b"], now=now)
+        core.flush(now=now)
+        actions = core.take_actions()
+        # send, write, sync
+        core.synced(now=now)
+    """
+
+    def __init__(
+        self,
+        *,
+        durable: DurableState,
+        timing: Timing,
+        random_source: random.Random,
+        now: float,
+    ):
+        self.state = CoreState(
+            member_id=durable.member_id,
+            boot=durable.boot,
+            boot_nonce=durable.boot_nonce,
+            timing=timing,
+            random=random_source,
+            log=Log(snapshot=durable.snapshot, entries=durable.entries),
+            term=durable.term,
+            vote=durable.vote,
+            snapshot=durable.snapshot,
+            peers=dict(durable.peers),
+            now=now,
+            commit_index=durable.snapshot.index if durable.snapshot else 0,
+        )
+        self.state.reset_election_deadline()
+        boot.start(self.state)
+
+    # ---- Queries ------------------------------------------------------------------
+
+    @property
+    def is_leader(self):
+        """Whether this replica leads, as far as it knows."""
+        return self.state.role is Role.LEADER
+
+    @property
+    def has_unfinished_reads(self):
+        """Whether a read waits for a confirmation."""
+        return bool(self.state.reads)
+
+    def next_timer(self):
+        """Returns the time at which ``tick`` is due."""
+        state = self.state
+        if not state.joined:
+            return state.boot_retry_at
+        if state.role is Role.LEADER:
+            checked = state.quorum_checked_at + state.timing.election_timeout_s
+            return min(state.heartbeat_at, checked)
+        return state.election_deadline
+
+    # ---- Events -------------------------------------------------------------------
+
+    def tick(self, *, now):
+        """Does what is due at ``now``."""
+        state = self._advance(now)
+        if not state.joined:
+            boot.on_timer(state)
+        elif state.role is Role.LEADER:
+            election.check_quorum(state)
+            if state.role is Role.LEADER:
+                election.continue_transfer(state)
+                if now >= state.heartbeat_at:
+                    state.round_wanted = True
+        elif now >= state.election_deadline:
+            election.start_pre_vote(state)
+
+    def receive(self, *, sender, message, now):
+        """Handles a message of another replica."""
+        state = self._advance(now)
+        if state.stopped:
+            return
+        match message:
+            case messages.BootRequest():
+                boot.on_boot_request(state, sender, message)
+            case messages.BootReply():
+                boot.on_boot_reply(state, sender, message)
+            case _ if state.joined:
+                self._receive_joined(state, sender, message)
+            case messages.AppendRequest() if not state.membership.members:
+                replication.ask_for_snapshot(state, sender, message)
+            case messages.SnapshotChunk() if not state.membership.members:
+                boot.on_offered_snapshot(state, message.membership)
+
+    def _receive_joined(self, state, sender, message):
+        match message:
+            case messages.AppendRequest():
+                replication.on_append_request(state, sender, message)
+            case messages.AppendReply():
+                replication.on_append_reply(state, sender, message)
+                if state.role is Role.LEADER:
+                    election.continue_transfer(state)
+            case messages.VoteRequest():
+                election.on_vote_request(state, sender, message)
+            case messages.VoteReply():
+                election.on_vote_reply(state, sender, message)
+            case messages.SnapshotChunk():
+                snapshots.on_snapshot_chunk(state, sender, message)
+            case messages.SnapshotReply():
+                snapshots.on_snapshot_reply(state, sender, message)
+            case messages.TimeoutNow():
+                election.on_timeout_now(state, sender, message)
+
+    def propose(self, commands, *, now):
+        """Appends commands; returns their indices and the term.
+
+        Raises NotLeaderError if nothing was appended.
+        """
+        state = self._advance(now)
+        if state.role is not Role.LEADER or state.transfer_target is not None:
+            raise NotLeaderError
+        kind = messages.EntryKind.COMMAND
+        return replication.append_own(state, kind, commands), state.term
+
+    def start_read(self, request, *, now):
+        """Asks for a confirmation of leadership that begins after this call.
+
+        ``ReadReady`` or ``ReadFailed`` with the same request number follows.
+        Raises NotLeaderError.
+        """
+        state = self._advance(now)
+        if state.role is not Role.LEADER:
+            raise NotLeaderError
+        replication.start_read(state, request)
+
+    def change_member(self, action, member, *, now):
+        """Appends one step of a member change; returns its index and the term.
+
+        Raises NotLeaderError or MemberChangeRefusedError.
+        """
+        state = self._advance(now)
+        membership = next_membership(state, action, member)
+        return replication.append_membership(state, membership), state.term
+
+    def transfer_leadership(self, *, now, target=None):
+        """Starts to hand over; returns whether a target was found."""
+        state = self._advance(now)
+        if state.role is not Role.LEADER:
+            raise NotLeaderError
+        return election.start_transfer(state, target)
+
+    def snapshot_taken(self, snapshot, *, now):
+        """Shortens the log after ``snapshot`` was made durable."""
+        state = self._advance(now)
+        if state.snapshot is not None and snapshot.index <= state.snapshot.index:
+            return
+        state.snapshot = snapshot
+        keep = state.timing.trailing_entries
+        state.log.compact(min(snapshot.index, state.log.last.index - keep))
+
+    def synced(self, *, now):
+        """Everything in the storage actions returned so far is durable."""
+        state = self._advance(now)
+        election.on_own_vote_synced(state)
+        replication.on_log_synced(state, state.log.last.index)
+
+    def flush(self, *, now):
+        """Sends what the events since the last call made necessary."""
+        state = self._advance(now)
+        if state.role is Role.LEADER and state.round_wanted:
+            replication.broadcast(state)
+            replication.release_reads(state)
+
+    def take_actions(self) -> list[Action]:
+        """Returns the collected actions and forgets them."""
+        actions = self.state.actions
+        self.state.actions = []
+        return actions
+
+    def _advance(self, now):
+        # A clock that steps back must not make a timeout look longer ago.
+        self.state.now = max(self.state.now, now)
+        return self.state
--- /dev/null
+++ b/src/plantainstage/_agreement/state.py
@@ -0,0 +1,227 @@
+"""The state of the Raft core that its modules share."""
+
+import enum
+import random
+from dataclasses import dataclass, field
+
+from plantainstage._agreement.actions import (
+    Action,
+    LeaderChanged,
+    ReadFailed,
+    SaveHardState,
+    Send,
+)
+from plantainstage._agreement.log import Log
+from plantainstage._errors import check_invariant
+from plantainstage._messages.agreement import (
+    LogPosition,
+    MemberId,
+    Membership,
+    PeerRecord,
+    Snapshot,
+)
+
+
+class Role(enum.Enum):
+    """What a replica does in the current term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Timing:
+    """Times in seconds and sizes.
+
+    The election timeout is drawn from the minimum to twice the minimum, so that
+    a lost leader is replaced within about 1 s. It has to exceed several
+    heartbeats plus the slowest usual sync.
+    """
+
+    heartbeat_s: float = 0.08
+    election_timeout_s: float = 0.45
+    boot_retry_s: float = 0.1
+    max_append_bytes: int = 256 * 1024
+    max_in_flight_entries: int = 4096
+    snapshot_chunk_bytes: int = 256 * 1024
+    trailing_entries: int = 1000
+
+
+@dataclass(kw_only=True)
+class SnapshotTransfer:
+    """A snapshot on its way to one member."""
+
+    snapshot: Snapshot
+    offset: int = 0
+    sent_at: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Progress:
+    """What the leader knows about one member."""
+
+    next_index: int
+    match_index: int = 0
+    round: int = 0
+    heard_at: float = 0.0
+    probing: bool = True
+    probe_sent_at: float = float("-inf")
+    transfer: SnapshotTransfer | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class PendingRead:
+    """A read that waits until a quorum has answered ``round``."""
+
+    request: int
+    round: int
+
+
+@dataclass(kw_only=True)
+class PartialSnapshot:
+    """The part of a snapshot that a follower has received."""
+
+    index: int
+    term: int
+    size: int
+    data: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(kw_only=True)
+class CoreState:
+    """Everything that the core knows. Times are the owner's monotonic clock."""
+
+    member_id: MemberId
+    boot: int
+    boot_nonce: str
+    timing: Timing
+    random: random.Random
+    log: Log
+    term: int = 0
+    vote: MemberId | None = None
+    snapshot: Snapshot | None = None
+    peers: dict[MemberId, PeerRecord] = field(default_factory=dict)
+    now: float = 0.0
+    commit_index: int = 0
+    role: Role = Role.FOLLOWER
+    leader: MemberId | None = None
+    leader_heard_at: float = float("-inf")
+    election_deadline: float = 0.0
+    votes: set[MemberId] = field(default_factory=set)
+    campaign_is_transfer: bool = False
+    # Leader only.
+    progress: dict[MemberId, Progress] = field(default_factory=dict)
+    round: int = 0
+    round_wanted: bool = False
+    reads: list[PendingRead] = field(default_factory=list)
+    own_match: int = 0
+    term_start_index: int = 0
+    heartbeat_at: float = 0.0
+    quorum_checked_at: float = 0.0
+    transfer_target: MemberId | None = None
+    transfer_deadline: float = 0.0
+    # Follower only.
+    partial: PartialSnapshot | None = None
+    # Start of the replica.
+    joined: bool = False
+    boot_members: Membership = Membership()
+    start_position: LogPosition = LogPosition()
+    start_term: int = 0
+    boot_recorded_by: set[MemberId] = field(default_factory=set)
+    boot_retry_at: float = 0.0
+    stopped: bool = False
+    actions: list[Action] = field(default_factory=list)
+
+    @property
+    def membership(self) -> Membership:
+        """The newest membership, committed or not."""
+        return self.log.membership
+
+    def voters(self):
+        """Returns the ids of the voters of the newest membership."""
+        return {m.member_id for m in self.membership.members if m.voter}
+
+    def others(self):
+        """Returns the ids of all other members, learners included."""
+        return [
+            m.member_id
+            for m in self.membership.members
+            if m.member_id != self.member_id
+        ]
+
+    def is_quorum(self, ids):
+        """Whether ``ids`` contain a majority of the voters."""
+        voters = self.voters()
+        return len(voters & set(ids)) * 2 > len(voters)
+
+    def send(self, receiver, message, *, after_sync):
+        """Adds a message to the actions."""
+        self.actions.append(
+            Send(receiver=receiver, message=message, after_sync=after_sync)
+        )
+
+    def save_hard_state(self, *, term, vote):
+        """Changes the term or the vote; both have to be synced before replies."""
+        check_invariant(
+            term > self.term or (term == self.term and self.vote in (None, vote)),
+            invariant="one vote a term",
+            detail=f"{self.vote} in term {self.term}, then {vote} in term {term}",
+        )
+        if (term, vote) != (self.term, self.vote):
+            self.term = term
+            self.vote = vote
+            self.actions.append(SaveHardState(term=term, vote=vote))
+
+    def reset_election_deadline(self):
+        """Draws the time at which this replica starts an election by itself."""
+        minimum = self.timing.election_timeout_s
+        self.election_deadline = self.now + self.random.uniform(minimum, 2 * minimum)
+
+    def set_leader(self, leader):
+        """Notes the leader of this term and tells the driver of a change."""
+        if leader == self.leader:
+            return
+        check_invariant(
+            self.leader is None or leader is None,
+            invariant="one leader a term",
+            detail=f"{self.leader} and {leader} lead term {self.term}",
+        )
+        self.leader = leader
+        self.actions.append(LeaderChanged(leader=leader, term=self.term))
+
+    def become_follower(self, *, term):
+        """Follows in ``term``; a higher term ends the current role."""
+        if term > self.term:
+            self.set_leader(None)
+            self.save_hard_state(term=term, vote=None)
+        elif self.role is Role.LEADER:
+            self.set_leader(None)
+        if self.role is Role.LEADER:
+            self.fail_reads()
+            self.progress = {}
+            self.transfer_target = None
+        if self.role is not Role.FOLLOWER:
+            self.reset_election_deadline()
+        self.role = Role.FOLLOWER
+        self.votes = set()
+
+    def fail_reads(self):
+        """Ends all reads that wait for a confirmation."""
+        for read in self.reads:
+            self.actions.append(ReadFailed(request=read.request))
+        self.reads = []
+
+    def note_peer(self, member_id, *, acknowledged=None, term=0):
+        """Remembers in memory what a peer has acknowledged."""
+        record = self.peers.get(member_id) or PeerRecord(member_id=member_id)
+        merged = PeerRecord(
+            member_id=member_id,
+            boot=record.boot,
+            boot_nonce=record.boot_nonce,
+            acknowledged=max(record.acknowledged, acknowledged or LogPosition()),
+            acknowledged_term=max(record.acknowledged_term, term),
+        )
+        if merged != record:
+            self.peers[member_id] = merged
--- /dev/null
+++ b/src/plantainstage/_control/peer_links.py
@@ -0,0 +1,209 @@
+"""Links between control replicas: pynng Push0 to each peer, one Pull0.
+
+Frames carry a sequence number and acknowledge the peer's frames. A link whose
+oldest unacknowledged frame is too old is closed and dialled anew, because an
+established connection may be dead for good while a new one works. Frames in
+between are lost; the agreement repeats what matters.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+import pynng
+from loguru import logger
+
+from plantainstage._messages.agreement import Envelope, MemberId
+from plantainstage._transport.rpc import RECONNECT_MAX_MS, RECONNECT_MIN_MS, nng_url
+
+SILENCE_LIMIT_S = 1.0  # several heartbeats and one usual sync
+QUEUE_FRAMES = 256  # frames that wait for a peer; older ones are dropped
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+class PeerLink:
+    """The outgoing link to one address."""
+
+    def __init__(self, *, address: str, clock: Callable[[], float]):
+        self.address = address
+        self.clock = clock
+        self.queue = deque(maxlen=QUEUE_FRAMES)
+        self.wake = asyncio.Event()
+        self.socket = None
+        self.task = None
+        self.sequence = 0
+        self.acknowledged = 0
+        self.waiting_since = None
+        self.heard_process = ""
+        self.heard_sequence = 0
+
+    def start(self):
+        """Starts the task that owns the socket."""
+        self.task = asyncio.create_task(self._run())
+
+    async def stop(self):
+        """Ends the task and closes the socket."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        self._close()
+
+    def next_sequence(self):
+        """Returns the number of the next frame."""
+        self.sequence += 1
+        return self.sequence
+
+    def put(self, frame: bytes):
+        """Queues a frame; the oldest one is dropped when the queue is full."""
+        self.queue.append(frame)
+        self.wake.set()
+
+    def note_heard(self, envelope: Envelope, own_process: str):
+        """Notes a frame from the peer and what it acknowledges."""
+        if envelope.process != self.heard_process:
+            self.heard_process = envelope.process
+            self.heard_sequence = 0
+        self.heard_sequence = max(self.heard_sequence, envelope.sequence)
+        if envelope.heard_process == own_process:
+            if envelope.heard_sequence > self.acknowledged:
+                self.acknowledged = envelope.heard_sequence
+                self.waiting_since = self.clock()
+            if self.acknowledged >= self.sequence:
+                self.waiting_since = None
+
+    async def _run(self):
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.queue:
+                await self._send(self.queue.popleft())
+
+    async def _send(self, frame):
+        now = self.clock()
+        if self.waiting_since is None:
+            self.waiting_since = now
+        elif now - self.waiting_since > SILENCE_LIMIT_S:
+            logger.debug("silent peer link closed", address=self.address)
+            self._close()
+            self.waiting_since = now
+        try:
+            await self._connected().asend(frame)
+        except pynng.Timeout:
+            # No connection took the frame in time; it counts as lost.
+            self.queue.clear()
+        except pynng.NNGException as error:
+            logger.debug(
+                "peer link failed", address=self.address, error=type(error).__name__
+            )
+            self._close()
+
+    def _connected(self):
+        if self.socket is None:
+            self.socket = pynng.Push0(
+                send_timeout=round(SILENCE_LIMIT_S * 1000),
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            self.socket.dial(nng_url(self.address), block=False)
+        return self.socket
+
+    def _close(self):
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
+
+class PeerLinks:
+    """All links of one replica.
+
+    ``on_frame`` gets each decoded envelope that is addressed to this replica.
+    """
+
+    def __init__(
+        self,
+        *,
+        member_id: MemberId,
+        process: str,
+        address: str,
+        clock: Callable[[], float],
+        on_frame: Callable[[Envelope], None],
+    ):
+        self.member_id = member_id
+        self.process = process
+        self.address = address
+        self.clock = clock
+        self.on_frame = on_frame
+        self.links = {}
+        self.known_addresses = {}
+        self.socket = None
+        self.task = None
+
+    def start(self):
+        """Listens for peers; raises pynng.AddressInUse."""
+        self.socket = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
+        try:
+            self.socket.listen(nng_url(self.address))
+        except pynng.NNGException:
+            self.socket.close()
+            raise
+        self.task = asyncio.create_task(self._receive())
+
+    async def stop(self):
+        """Closes all sockets."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        for link in self.links.values():
+            await link.stop()
+        self.links.clear()
+        if self.socket is not None:
+            self.socket.close()
+
+    def send(self, *, receiver: MemberId | None, address: str, body):
+        """Queues a message; without an address, the last one heard from is used."""
+        address = address or self.known_addresses.get(receiver, "")
+        if not address or address == self.address:
+            return
+        link = self._link(address)
+        envelope = Envelope(
+            sender=self.member_id,
+            receiver=receiver,
+            reply_address=self.address,
+            process=self.process,
+            sequence=link.next_sequence(),
+            heard_process=link.heard_process,
+            heard_sequence=link.heard_sequence,
+            body=body,
+        )
+        link.put(_encoder.encode(envelope))
+
+    def _link(self, address):
+        link = self.links.get(address)
+        if link is None:
+            link = PeerLink(address=address, clock=self.clock)
+            link.start()
+            self.links[address] = link
+        return link
+
+    async def _receive(self):
+        while True:
+            try:
+                data = await self.socket.arecv()
+                envelope = _decoder.decode(data)
+            except pynng.Closed:
+                return
+            except (pynng.NNGException, msgspec.MsgspecError) as error:
+                logger.warning("peer frame not usable", error=repr(error))
+                continue
+            self._take(envelope)
+
+    def _take(self, envelope):
+        self._link(envelope.reply_address).note_heard(envelope, self.process)
+        if envelope.receiver not in (None, self.member_id):
+            # Meant for an earlier folder at this address.
+            return
+        self.known_addresses[envelope.sender] = envelope.reply_address
+        self.on_frame(envelope)
--- /dev/null
+++ b/src/plantainstage/_control/replica_events.py
@@ -0,0 +1,58 @@
+"""Events that the replica's task takes from its inbox."""
+
+import asyncio
+from dataclasses import dataclass
+
+from plantainstage._messages.agreement import Envelope, Member
+from plantainstage._messages.control import MemberAction
+
+
+@dataclass(frozen=True, kw_only=True)
+class Incoming:
+    """A frame from a peer."""
+
+    envelope: Envelope
+
+
+@dataclass(frozen=True, kw_only=True)
+class Propose:
+    """A command to commit; the future gets the state machine's result."""
+
+    command: bytes
+    future: asyncio.Future
+
+
+@dataclass(frozen=True, kw_only=True)
+class Read:
+    """A confirmation of leadership; the future gets the applied index."""
+
+    future: asyncio.Future
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChangeMember:
+    """One step of a member change; the future gets None once committed."""
+
+    action: MemberAction
+    member: Member
+    future: asyncio.Future
+
+
+@dataclass(frozen=True, kw_only=True)
+class Transfer:
+    """Hand leadership over; the future gets whether there is a target."""
+
+    future: asyncio.Future
+
+
+@dataclass(frozen=True, kw_only=True)
+class StopNow:
+    """End the task after this batch."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Pending:
+    """A proposal that waits for its index to be applied."""
+
+    term: int
+    future: asyncio.Future
--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -145,6 +145,11 @@
     """Another process holds the data folder's lock."""
 
 
+@dataclass(kw_only=True, eq=False)
+class BootstrapRefusedError(StorageError):
+    """A new group cannot be founded with this folder."""
+
+
 # ---- Transport -----------------------------------------------------------------------
 
 
--- /dev/null
+++ b/src/plantainstage/_storage/folder.py
@@ -0,0 +1,173 @@
+"""The data folder: its lock, its identity and atomic replacement of files."""
+
+import os
+from dataclasses import dataclass
+
+import msgspec
+
+from plantainstage._errors import (
+    CorruptLogError,
+    FolderInUseError,
+    StorageError,
+    StorageFailedError,
+)
+from plantainstage._messages.agreement import MemberId
+from plantainstage._storage.files import FileOperations
+from plantainstage._storage.frames import encode_frame, scan_frames
+
+IDENTITY_NAME = "identity"
+LOCK_NAME = "lock"
+TEMPORARY_SUFFIX = ".new"
+REPLACE_REMEDY = (
+    "Move the folder away, start with an empty one and replace the replica: add "
+    "the new incarnation as a learner, promote it, remove the old one."
+)
+
+
+class Identity(msgspec.Struct, frozen=True, kw_only=True):
+    """The identity file; ``boot`` counts the starts with this folder.
+
+    ``sealed`` is set once the first log segment exists: from then on a folder
+    without a log has lost it.
+    """
+
+    replica_id: str
+    incarnation: str
+    boot: int
+    sealed: bool = False
+
+
+_encoder = msgspec.msgpack.Encoder()
+_identity_decoder = msgspec.msgpack.Decoder(Identity)
+
+
+def storage_failed(path, error):
+    """Returns the error that stops a replica after a failed write or sync."""
+    return StorageFailedError(
+        path=path,
+        detail=f"Writing failed: {error}. Nothing of it was acknowledged.",
+        remedy="Free space or replace the disk, then start the replica again.",
+    )
+
+
+@dataclass(kw_only=True)
+class Folder:
+    """An opened and locked data folder."""
+
+    path: str
+    files: FileOperations
+    lock: object
+    identity: Identity
+
+    @property
+    def member_id(self):
+        """The replica id and the incarnation."""
+        return MemberId(
+            replica_id=self.identity.replica_id,
+            incarnation=self.identity.incarnation,
+        )
+
+    def seal(self):
+        """Records durably that the folder has a log."""
+        if not self.identity.sealed:
+            self.identity = msgspec.structs.replace(self.identity, sealed=True)
+            self.replace(IDENTITY_NAME, _encoder.encode(self.identity))
+
+    def file(self, name):
+        """Returns the path of a file in the folder."""
+        return os.path.join(self.path, name)
+
+    def replace(self, name, payload):
+        """Replaces a file atomically and durably by one frame."""
+        write_atomically(self.files, self.path, name, encode_frame(payload))
+
+    def close(self):
+        """Ends the lock."""
+        self.files.unlock(self.lock)
+
+
+def write_atomically(files, folder, name, data):
+    """Writes a file under a temporary name, syncs it and renames it."""
+    path = os.path.join(folder, name)
+    temporary = path + TEMPORARY_SUFFIX
+    try:
+        handle = files.create(temporary)
+        try:
+            files.write(handle, data)
+            files.sync(handle)
+        finally:
+            files.close(handle)
+        files.rename(temporary, path)
+        files.sync_folder(folder)
+    except OSError as error:
+        raise storage_failed(path, error) from error
+
+
+def read_single_frame(files, path):
+    """Returns the payload of a file that was written atomically."""
+    try:
+        data = files.read(path)
+    except OSError as error:
+        raise StorageError(
+            path=path,
+            detail=f"The file cannot be read: {error}.",
+            remedy="Check the disk and the owner of the folder.",
+        ) from error
+    scan = scan_frames(data)
+    if len(scan.payloads) != 1 or scan.end != len(data):
+        raise CorruptLogError(
+            path=path, detail="The file is damaged.", remedy=REPLACE_REMEDY
+        )
+    return scan.payloads[0]
+
+
+def open_folder(*, path, replica_id, files, new_incarnation) -> Folder:
+    """Locks the folder and raises its boot counter durably.
+
+    An empty folder gets a new identity. ``new_incarnation`` returns a random
+    text. Raises FolderInUseError, StorageError or CorruptLogError.
+    """
+    try:
+        if not files.exists(path):
+            files.make_folder(path)
+            files.sync_folder(os.path.dirname(os.path.abspath(path)))
+        lock = files.lock(os.path.join(path, LOCK_NAME))
+    except BlockingIOError as error:
+        raise FolderInUseError(
+            path=path,
+            detail="Another process holds the lock of this folder.",
+            remedy="Stop that process, or give each replica its own folder.",
+        ) from error
+    except OSError as error:
+        raise storage_failed(path, error) from error
+    try:
+        identity = _next_identity(path, replica_id, files, new_incarnation)
+        data = encode_frame(_encoder.encode(identity))
+        write_atomically(files, path, IDENTITY_NAME, data)
+    except BaseException:
+        files.unlock(lock)
+        raise
+    return Folder(path=path, files=files, lock=lock, identity=identity)
+
+
+def _next_identity(path, replica_id, files, new_incarnation):
+    names = {n for n in files.list_folder(path) if not n.endswith(TEMPORARY_SUFFIX)}
+    if IDENTITY_NAME not in names:
+        if names - {LOCK_NAME}:
+            raise CorruptLogError(
+                path=path,
+                detail="The folder has state but no identity.",
+                remedy=REPLACE_REMEDY,
+            )
+        return Identity(replica_id=replica_id, incarnation=new_incarnation(), boot=1)
+    identity_path = os.path.join(path, IDENTITY_NAME)
+    payload = read_single_frame(files, identity_path)
+    identity = _identity_decoder.decode(payload)
+    if identity.replica_id != replica_id:
+        raise StorageError(
+            path=path,
+            detail=f"The folder belongs to replica {identity.replica_id!r}, "
+            f"not to {replica_id!r}.",
+            remedy="Give each replica its own folder and keep its id.",
+        )
+    return msgspec.structs.replace(identity, boot=identity.boot + 1)
--- /dev/null
+++ b/src/plantainstage/_storage/frames.py
@@ -0,0 +1,73 @@
+"""Frames on disk: a marker, a length and a checksum before each payload.
+
+All that is written between two syncs is one frame. A crash can therefore damage
+only the last frame of the last segment.
+"""
+
+import struct
+from dataclasses import dataclass
+
+import xxhash
+
+MARKER = b"\xf1PLG"
+_HEADER = struct.Struct("<4sIQ")
+HEADER_BYTES = _HEADER.size
+MAX_PAYLOAD_BYTES = 1 << 30
+
+
+def _checksum(length, payload):
+    return xxhash.xxh3_64_intdigest(payload, seed=length)
+
+
+def encode_frame(payload: bytes) -> bytes:
+    """Returns the frame of a payload."""
+    length = len(payload)
+    return _HEADER.pack(MARKER, length, _checksum(length, payload)) + payload
+
+
+def frame_at(data, offset):
+    """Returns the payload of the intact frame at ``offset``, or None."""
+    if offset + HEADER_BYTES > len(data):
+        return None
+    marker, length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + HEADER_BYTES
+    if marker != MARKER or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    return payload if _checksum(length, payload) == checksum else None
+
+
+@dataclass(frozen=True, kw_only=True)
+class FrameScan:
+    """The intact frames from the start of a file.
+
+    ``end`` is where they end. ``intact_later`` tells that an intact frame
+    follows the damage at ``end``, which a crash cannot explain.
+    """
+
+    payloads: tuple[bytes, ...]
+    end: int
+    intact_later: bool
+
+
+def scan_frames(data: bytes) -> FrameScan:
+    """Reads frames until the end or the first damage."""
+    payloads = []
+    offset = 0
+    while (payload := frame_at(data, offset)) is not None:
+        payloads.append(payload)
+        offset += HEADER_BYTES + len(payload)
+    return FrameScan(
+        payloads=tuple(payloads),
+        end=offset,
+        intact_later=_any_frame_after(data, offset),
+    )
+
+
+def _any_frame_after(data, offset):
+    found = data.find(MARKER, offset + 1)
+    while found >= 0:
+        if frame_at(data, found) is not None:
+            return True
+        found = data.find(MARKER, found + 1)
+    return False
--- /dev/null
+++ b/src/plantainstage/_storage/segments.py
@@ -0,0 +1,191 @@
+"""Log segments: append-only files of frames.
+
+The first frame of a segment is its header, with the hard state and the peers'
+records at that time; so earlier segments can be removed. Each later frame is
+what was written between two syncs. Nothing is cut off to replace entries: an
+entry replaces, on reading, all earlier ones from its index on. A crash in
+between therefore never leaves a log that ends before both the old and the new
+tail.
+"""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from plantainstage._errors import CorruptLogError
+from plantainstage._messages.agreement import Entry, MemberId, PeerRecord
+from plantainstage._storage.folder import (
+    REPLACE_REMEDY,
+    Folder,
+    storage_failed,
+    write_atomically,
+)
+from plantainstage._storage.frames import encode_frame, scan_frames
+
+PREFIX = "log-"
+
+
+class HardState(msgspec.Struct, frozen=True, kw_only=True):
+    """The current term and the vote in it."""
+
+    term: int = 0
+    vote: MemberId | None = None
+
+
+class SegmentHeader(msgspec.Struct, frozen=True, kw_only=True):
+    """The first frame of a segment."""
+
+    number: int
+    hard_state: HardState
+    peers: tuple[PeerRecord, ...]
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True):
+    """What one frame holds."""
+
+    entries: tuple[Entry, ...] = ()
+    hard_state: HardState | None = None
+    peers: tuple[PeerRecord, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_header_decoder = msgspec.msgpack.Decoder(SegmentHeader)
+_batch_decoder = msgspec.msgpack.Decoder(Batch)
+
+
+def segment_name(number):
+    """Returns the file name of a segment; names sort like their numbers."""
+    return f"{PREFIX}{number:012d}"
+
+
+def segment_numbers(folder: Folder):
+    """Returns the numbers of the segments in the folder, in order."""
+    names = folder.files.list_folder(folder.path)
+    return [
+        int(name.removeprefix(PREFIX))
+        for name in names
+        if name.startswith(PREFIX) and name.removeprefix(PREFIX).isdigit()
+    ]
+
+
+@dataclass(kw_only=True)
+class LogContent:
+    """What the segments hold after ``start_index``."""
+
+    start_index: int
+    hard_state: HardState = HardState()
+    peers: dict[MemberId, PeerRecord] = field(default_factory=dict)
+    entries: list[Entry] = field(default_factory=list)
+    # The highest index in each segment, which decides when it can be removed.
+    highest: dict[int, int] = field(default_factory=dict)
+
+    def add(self, number, batch: Batch):
+        """Takes over one frame; returns false if an entry leaves a gap."""
+        if batch.hard_state is not None:
+            self.hard_state = batch.hard_state
+        for record in batch.peers:
+            self.peers[record.member_id] = record
+        for entry in batch.entries:
+            last = self.start_index + len(self.entries)
+            if entry.index > last + 1:
+                return False
+            if entry.index > self.start_index:
+                del self.entries[entry.index - self.start_index - 1 :]
+                self.entries.append(entry)
+            else:
+                self.entries.clear()
+            highest = self.highest.get(number, 0)
+            self.highest[number] = max(highest, entry.index)
+        return True
+
+
+def read_segments(folder: Folder, *, first_segment, start_index) -> LogContent:
+    """Reads the segments from ``first_segment`` on; cuts off a torn tail.
+
+    Raises CorruptLogError for damage that a crash cannot explain.
+    """
+    numbers = [n for n in segment_numbers(folder) if n >= first_segment]
+    content = LogContent(start_index=start_index)
+    if numbers != list(range(first_segment, first_segment + len(numbers))):
+        raise _corrupt(folder, first_segment, "a segment is missing")
+    if folder.identity.sealed and not numbers:
+        raise _corrupt(folder, first_segment, "the segment is missing")
+    for number in numbers:
+        _read_segment(folder, number, content, is_last=number == numbers[-1])
+    return content
+
+
+def _read_segment(folder, number, content, *, is_last):
+    path = folder.file(segment_name(number))
+    try:
+        data = folder.files.read(path)
+    except OSError as error:
+        raise _corrupt(folder, number, f"reading failed: {error}") from error
+    scan = scan_frames(data)
+    if scan.end != len(data):
+        if not is_last or scan.intact_later:
+            raise _corrupt(folder, number, f"damaged at byte {scan.end}")
+        try:
+            folder.files.truncate(path, scan.end)
+        except OSError as error:
+            raise storage_failed(path, error) from error
+    if not scan.payloads:
+        # The header is in place before the segment gets its name.
+        raise _corrupt(folder, number, "the header is damaged")
+    try:
+        header = _header_decoder.decode(scan.payloads[0])
+        batches = [_batch_decoder.decode(payload) for payload in scan.payloads[1:]]
+    except msgspec.MsgspecError as error:
+        raise _corrupt(folder, number, f"unknown content: {error}") from error
+    if header.number != number:
+        raise _corrupt(folder, number, f"the header is that of {header.number}")
+    content.highest.setdefault(number, 0)
+    content.add(number, Batch((), header.hard_state, header.peers))
+    for batch in batches:
+        if not content.add(number, batch):
+            raise _corrupt(folder, number, "entries are missing")
+
+
+def _corrupt(folder, number, detail):
+    return CorruptLogError(
+        path=folder.file(segment_name(number)),
+        detail=f"The log is damaged before its tail: {detail}.",
+        remedy=REPLACE_REMEDY,
+    )
+
+
+class SegmentWriter:
+    """Appends frames to the newest segment."""
+
+    def __init__(self, *, folder: Folder, number: int):
+        self.folder = folder
+        self.number = number
+        self.handle = None
+
+    def create(self, header: SegmentHeader):
+        """Starts a new segment with its header, durably."""
+        self.close()
+        name = segment_name(header.number)
+        data = encode_frame(_encoder.encode(header))
+        write_atomically(self.folder.files, self.folder.path, name, data)
+        self.number = header.number
+
+    def append(self, batch: Batch):
+        """Writes and syncs one frame; returns its size in bytes."""
+        files = self.folder.files
+        path = self.folder.file(segment_name(self.number))
+        data = encode_frame(_encoder.encode(batch))
+        try:
+            if self.handle is None:
+                self.handle = files.open_append(path)
+            files.write(self.handle, data)
+            files.sync(self.handle)
+        except OSError as error:
+            raise storage_failed(path, error) from error
+        return len(data)
+
+    def close(self):
+        """Closes the file."""
+        if self.handle is not None:
+            self.folder.files.close(self.handle)
+            self.handle = None
--- /dev/null
+++ b/src/plantainstage/_storage/store.py
@@ -0,0 +1,262 @@
+"""The durable state of one replica: identity, log segments and snapshot."""
+
+import secrets
+from dataclasses import dataclass
+
+import msgspec
+
+from plantainstage._agreement.actions import (
+    InstallSnapshot,
+    SaveEntries,
+    SaveHardState,
+    SavePeer,
+    StorageAction,
+)
+from plantainstage._agreement.core import DurableState
+from plantainstage._errors import CorruptLogError, StorageFailedError
+from plantainstage._messages.agreement import Snapshot
+from plantainstage._storage.files import FileOperations, SystemFiles
+from plantainstage._storage.folder import (
+    REPLACE_REMEDY,
+    TEMPORARY_SUFFIX,
+    open_folder,
+    read_single_frame,
+    storage_failed,
+)
+from plantainstage._storage.segments import (
+    Batch,
+    HardState,
+    SegmentHeader,
+    SegmentWriter,
+    read_segments,
+    segment_name,
+    segment_numbers,
+)
+
+SNAPSHOT_NAME = "snapshot"
+INCARNATION_BYTES = 12
+
+
+class SnapshotFile(msgspec.Struct, frozen=True, kw_only=True):
+    """The snapshot and the first segment that still counts with it."""
+
+    snapshot: Snapshot
+    first_segment: int
+
+
+_encoder = msgspec.msgpack.Encoder()
+_snapshot_decoder = msgspec.msgpack.Decoder(SnapshotFile)
+
+
+def random_name():
+    """Returns a random text for an incarnation or a process."""
+    return secrets.token_hex(INCARNATION_BYTES)
+
+
+@dataclass(kw_only=True)
+class _Counters:
+    """Sizes since the last snapshot."""
+
+    entries: int = 0
+    bytes: int = 0
+
+
+class Store:
+    """Keeps what the core wants durable in one data folder.
+
+    All calls block on the disk. After a StorageFailedError the store refuses
+    everything: what a failed sync left on the disk is unknown. For example::
+
+        store = Store(path="/var/lib/plantainstage", replica_id="control-1")
+        core = Core(durable=store.durable, ...)
+        store.persist([SaveHardState(term=3, vote=None)])
+    """
+
+    def __init__(
+        self,
+        *,
+        path: str,
+        replica_id: str,
+        files: FileOperations | None = None,
+        new_name=random_name,
+    ):
+        self.files = files or SystemFiles()
+        self.failed = False
+        self.since_snapshot = _Counters()
+        self.folder = open_folder(
+            path=path,
+            replica_id=replica_id,
+            files=self.files,
+            new_incarnation=new_name,
+        )
+        try:
+            self._load(new_name())
+        except BaseException:
+            self.folder.close()
+            raise
+
+    @property
+    def member_id(self):
+        """The identity of the folder."""
+        return self.folder.member_id
+
+    @property
+    def is_empty(self):
+        """Whether the folder holds no state but its identity."""
+        return self.durable.snapshot is None and not self.durable.entries
+
+    def persist(self, actions: list[StorageAction]):
+        """Makes the actions durable in order, with one sync between snapshots.
+
+        Raises StorageFailedError; then nothing of it may be acknowledged.
+        """
+        self._check_usable()
+        try:
+            pending = []
+            for action in actions:
+                match action:
+                    case InstallSnapshot(snapshot=snapshot):
+                        self._write_batch(pending)
+                        pending = []
+                        self._install(snapshot)
+                    case _:
+                        pending.append(action)
+            self._write_batch(pending)
+        except StorageFailedError:
+            self.failed = True
+            raise
+
+    def save_snapshot(self, snapshot: Snapshot):
+        """Makes a snapshot durable and removes the segments that it replaces."""
+        self._check_usable()
+        try:
+            self._start_segment()
+            needed = [n for n, high in self.highest.items() if high > snapshot.index]
+            self._write_snapshot(snapshot, min([*needed, self.writer.number]))
+        except StorageFailedError:
+            self.failed = True
+            raise
+        self.since_snapshot = _Counters()
+
+    def close(self):
+        """Closes the files and ends the lock."""
+        self.writer.close()
+        self.folder.close()
+
+    def _check_usable(self):
+        if self.failed:
+            raise storage_failed(self.folder.path, "an earlier write failed")
+
+    # ---- Loading ------------------------------------------------------------------
+
+    def _load(self, boot_nonce):
+        snapshot, first_segment = self._read_snapshot()
+        self._remove_leftovers(first_segment)
+        content = read_segments(
+            self.folder,
+            first_segment=first_segment,
+            start_index=snapshot.index if snapshot else 0,
+        )
+        self.hard_state = content.hard_state
+        self.peers = content.peers
+        self.highest = content.highest
+        number = max(content.highest, default=0)
+        self.writer = SegmentWriter(folder=self.folder, number=number)
+        if number == 0:
+            self._start_segment()
+        self.folder.seal()
+        self.durable = DurableState(
+            member_id=self.folder.member_id,
+            boot=self.folder.identity.boot,
+            boot_nonce=boot_nonce,
+            term=content.hard_state.term,
+            vote=content.hard_state.vote,
+            snapshot=snapshot,
+            entries=content.entries,
+            peers=content.peers,
+        )
+        self.since_snapshot.entries = len(content.entries)
+
+    def _read_snapshot(self):
+        path = self.folder.file(SNAPSHOT_NAME)
+        if not self.files.exists(path):
+            return None, 1
+        try:
+            file = _snapshot_decoder.decode(read_single_frame(self.files, path))
+        except msgspec.MsgspecError as error:
+            raise CorruptLogError(
+                path=path,
+                detail=f"The snapshot has unknown content: {error}.",
+                remedy=REPLACE_REMEDY,
+            ) from error
+        return file.snapshot, file.first_segment
+
+    def _remove_leftovers(self, first_segment):
+        """Removes what a crash left between two steps of a replacement."""
+        names = [
+            name
+            for name in self.files.list_folder(self.folder.path)
+            if name.endswith(TEMPORARY_SUFFIX)
+        ]
+        old = [n for n in segment_numbers(self.folder) if n < first_segment]
+        self._remove([*names, *map(segment_name, old)])
+
+    # ---- Writing ------------------------------------------------------------------
+
+    def _write_batch(self, actions):
+        if not actions:
+            return
+        entries = ()
+        hard_state = None
+        peers = []
+        for action in actions:
+            match action:
+                case SaveEntries(entries=new):
+                    entries += new
+                case SaveHardState(term=term, vote=vote):
+                    hard_state = HardState(term=term, vote=vote)
+                case SavePeer(record=record):
+                    peers.append(record)
+        self.hard_state = hard_state or self.hard_state
+        for record in peers:
+            self.peers[record.member_id] = record
+        size = self.writer.append(Batch(entries, hard_state, tuple(peers)))
+        self.since_snapshot.bytes += size
+        self.since_snapshot.entries += len(entries)
+        if entries:
+            highest = max(entry.index for entry in entries)
+            number = self.writer.number
+            self.highest[number] = max(self.highest[number], highest)
+
+    def _install(self, snapshot):
+        self._start_segment()
+        self._write_snapshot(snapshot, self.writer.number)
+        self.since_snapshot = _Counters()
+
+    def _start_segment(self):
+        number = self.writer.number + 1
+        self.writer.create(
+            SegmentHeader(
+                number=number,
+                hard_state=self.hard_state,
+                peers=tuple(self.peers.values()),
+            )
+        )
+        self.highest[number] = 0
+
+    def _write_snapshot(self, snapshot, first_segment):
+        file = SnapshotFile(snapshot=snapshot, first_segment=first_segment)
+        self.folder.replace(SNAPSHOT_NAME, _encoder.encode(file))
+        # The snapshot names the first segment that counts, so a crash before
+        # the removal leaves only files that the next start removes.
+        old = [number for number in self.highest if number < first_segment]
+        for number in old:
+            del self.highest[number]
+        self._remove(map(segment_name, old))
+
+    def _remove(self, names):
+        try:
+            for name in names:
+                self.files.remove(self.folder.file(name))
+        except OSError as error:
+            raise storage_failed(self.folder.path, error) from error
--- a/src/plantainstage/errors.py
+++ b/src/plantainstage/errors.py
@@ -1,6 +1,7 @@
 """The errors that this package raises."""
 
 from plantainstage._errors import (
+    BootstrapRefusedError,
     ControlUnavailableError,
     CorruptLogError,
     ExchangeError,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "BootstrapRefusedError",
     "ControlUnavailableError",
     "CorruptLogError",
     "ExchangeError",
