--- /dev/null
+++ b/src/plantainstage/_control/confirmation.py
@@ -0,0 +1,31 @@
+"""Confirms leadership once for all requests that wait."""
+
+import asyncio
+
+
+class BatchedConfirmation:
+    """Shares confirmations of leadership between waiting requests.
+
+    A confirmation proves leadership only for requests that arrived before it
+    started, so that a request never joins a running one: it waits for the next.
+    """
+
+    def __init__(self, *, log):
+        self.log = log
+        self.running = None
+        self.next = None
+        self.started = 0
+
+    async def confirm(self):
+        """Returns the confirmed commit index; raises NotLeaderError."""
+        if self.next is None:
+            self.next = asyncio.create_task(self._run_after(self.running))
+        # One waiting request that is cancelled must not fail the others.
+        return await asyncio.shield(self.next)
+
+    async def _run_after(self, previous):
+        if previous is not None:
+            await asyncio.wait([previous])
+        self.running, self.next = self.next, None
+        self.started += 1
+        return await self.log.confirm_leadership()
--- /dev/null
+++ b/src/plantainstage/_control/entry_requests.py
@@ -0,0 +1,119 @@
+"""Requests of entry hosts: leases, announcements, quarantines."""
+
+from plantainstage._errors import OutcomeUnknownError
+from plantainstage._membership import commands
+from plantainstage._membership.leases import LEASE_MS, start_of
+from plantainstage._membership.ownership import EntrySuperseded
+from plantainstage._messages import control
+
+GRANT_TRIES = 3  # each try commits the membership that an expiry just ended
+QUARANTINE_LIMIT_MS = 24 * 3600 * 1000
+
+
+async def renew_lease(core, request):
+    """Grants a lease after a confirmation that began after the arrival."""
+    view = await core.leadership.view()
+    start = start_of(request.entry)
+    if request.leaving:
+        return await _leave(core, view, start)
+    view.leases.acknowledge(request)
+    for _ in range(GRANT_TRIES):
+        if not _is_member(core, view, request.entry):
+            result = await core.propose(commands.RegisterEntry(entry=request.entry))
+            if isinstance(result, EntrySuperseded):
+                view.leases.give_back(start)
+                return _superseded(start)
+        await core.confirmation.confirm()
+        core.leadership.require_same(view)
+        if _is_member(core, view, request.entry):
+            return _grant(core, view, start, request)
+    raise OutcomeUnknownError()
+
+
+def _is_member(core, view, entry):
+    """Whether a host is in the membership and no expiry of it is under way."""
+    return (
+        core.state.entries.get(entry.entry_id) == entry
+        and entry.entry_id not in view.expiring
+    )
+
+
+def _grant(core, view, start, request):
+    """Records the lease and returns it; nothing may be awaited in between."""
+    configuration = core.machine.configuration()
+    view.leases.grant(start=start, version=configuration.version, now=core.clock())
+    newer = configuration.version > request.applied_version
+    return control.LeaseGranted(
+        version=configuration.version,
+        lease_ms=LEASE_MS,
+        configuration=configuration if newer else None,
+    )
+
+
+def _superseded(start):
+    return control.RequestRejected(
+        code="entry_superseded",
+        message=f"Another process registered later as entry host {start.entry_id!r}.",
+        remedy="Give each entry host its own --entry-id, or restart this one.",
+    )
+
+
+async def _leave(core, view, start):
+    result = await core.propose(
+        commands.RemoveEntry(
+            entry_id=start.entry_id, incarnation=start.incarnation, left=True
+        )
+    )
+    view.leases.give_back(start)
+    return result
+
+
+async def announce_upstreams(core, request):
+    """Registers changed searchers and notes the heartbeats of all named."""
+    view = await core.leadership.view()
+    state = core.state
+    changed = tuple(item for item in request.upstreams if _is_news(state, item))
+    refused = {}
+    if changed:
+        reply = await core.propose(
+            commands.RegisterUpstreams(upstreams=changed, manifests=request.manifests)
+        )
+        refused = reply.refused
+    now = core.clock()
+    accepted = {item.upstream_id for item in request.upstreams} - set(refused)
+    known = {name for name in request.alive if _is_live_record(state, name)}
+    view.heartbeats.note(accepted | known, now)
+    return control.AnnouncementsTaken(
+        refused=refused,
+        unknown=tuple(name for name in request.alive if name not in known),
+    )
+
+
+def _is_live_record(state, upstream_id):
+    """Whether a heartbeat is enough; a lost searcher has to announce itself."""
+    record = state.upstreams.get(upstream_id)
+    return record is not None and not record.lost
+
+
+def _is_news(state, upstream):
+    """Whether an announcement would change the registry."""
+    if not _is_live_record(state, upstream.upstream_id):
+        return True
+    return state.upstreams[upstream.upstream_id].announced != upstream
+
+
+async def report_quarantine(core, request):
+    """Commits a quarantine that ends after the reported time."""
+    core.leadership.require_leader()
+    if not 0 < request.duration_ms <= QUARANTINE_LIMIT_MS:
+        return control.RequestRejected(
+            code="invalid_duration",
+            message=f"A quarantine of {request.duration_ms} ms is not possible.",
+            remedy=f"Ask for 1 to {QUARANTINE_LIMIT_MS} ms.",
+        )
+    return await core.propose(
+        commands.AddQuarantine(
+            fingerprint=request.fingerprint,
+            expires_ms=core.wall_ms() + request.duration_ms,
+        )
+    )
--- /dev/null
+++ b/src/plantainstage/_control/memory_log.py
@@ -0,0 +1,62 @@
+"""A log of one replica in memory, for trials and benchmarks.
+
+Nothing survives the process, and nothing is replicated.
+"""
+
+from plantainstage._messages.control import ReplicaStatus, RequestRejected
+
+
+class MemoryLog:
+    """Applies each command at once; it always leads."""
+
+    def __init__(self, *, machine, address):
+        self.machine = machine
+        self.address = address
+        self.index = 0
+
+    @property
+    def is_leader(self):
+        """Always true: there is no other replica."""
+        return True
+
+    @property
+    def leader_address(self):
+        """The client address of this replica."""
+        return self.address
+
+    @property
+    def term(self):
+        """The only term."""
+        return 1
+
+    async def propose(self, command):
+        """Applies a command and returns the machine's result."""
+        self.index += 1
+        return self.machine.apply(index=self.index, command=command)
+
+    async def confirm_leadership(self):
+        """Returns the index of the last applied command."""
+        return self.index
+
+    def replica_statuses(self):
+        """Returns the status of this only replica."""
+        return (
+            ReplicaStatus(
+                replica_id="in-memory",
+                incarnation="",
+                client_address=self.address,
+                peer_address="",
+                voter=True,
+                leader=True,
+                match_index=self.index,
+                last_heard_ms=0,
+            ),
+        )
+
+    async def change_member(self, request):
+        """Refuses: the set of replicas is fixed."""
+        return RequestRejected(
+            code="in_memory",
+            message=f"{request.action.value}: this replica is not replicated.",
+            remedy="Start control replicas with --data-folder.",
+        )
--- /dev/null
+++ b/src/plantainstage/_control/reconciler.py
@@ -0,0 +1,56 @@
+"""The leader's task that commits what follows from its view."""
+
+import asyncio
+
+from loguru import logger
+
+from plantainstage._errors import NotLeaderError, OutcomeUnknownError
+from plantainstage._membership import commands
+from plantainstage._membership.reconciliation import plan_commands
+
+RECONCILE_INTERVAL_S = 0.1
+
+
+class Reconciler:
+    """Proposes ownership moves, lost searchers, expired hosts and the like."""
+
+    def __init__(self, *, core):
+        self.core = core
+
+    async def run(self):
+        """Reconciles until cancelled, whenever this replica leads."""
+        while True:
+            await asyncio.sleep(RECONCILE_INTERVAL_S)
+            if self.core.log.is_leader:
+                await self.reconcile()
+
+    async def reconcile(self):
+        """Commits one round; a lost leadership ends the round."""
+        try:
+            view = await self.core.leadership.view()
+            planned = plan_commands(
+                state=self.core.state,
+                view=view,
+                now=self.core.clock(),
+                now_ms=self.core.wall_ms(),
+            )
+            # From here to its commit no lease is granted to an expiring host.
+            view.expiring.update(_expiring(planned))
+            try:
+                await asyncio.gather(*map(self._propose, planned))
+            finally:
+                view.expiring.difference_update(_expiring(planned))
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            logger.info("reconciliation interrupted", reason=str(error))
+
+    async def _propose(self, command):
+        logger.info("reconciling", command=type(command).__name__, detail=str(command))
+        await self.core.propose(command)
+
+
+def _expiring(planned):
+    return {
+        command.entry_id
+        for command in planned
+        if isinstance(command, commands.RemoveEntry)
+    }
--- a/src/plantainstage/_control/service.py
+++ b/src/plantainstage/_control/service.py
@@ -1,106 +1,90 @@
-"""Serves control requests from one in-memory configuration."""
+"""Serves control requests on a replicated log."""
 
+import time
+
+from loguru import logger
+
+from plantainstage._control import (
+    claim_requests,
+    entry_requests,
+    operator_requests,
+)
+from plantainstage._control.core import ControlCore
+from plantainstage._errors import (
+    InvariantViolation,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 from plantainstage._messages import control
-from plantainstage._messages.configuration import Configuration, Ownership
 
-LEASE_MS = 2000
+
+def wall_clock_ms():
+    """Returns Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
 
 
 class ControlService:
-    """Keeps the configuration in memory, without replication."""
+    """Returns a reply for each control request.
 
-    def __init__(self):
-        self.profiles = {}
-        self.upstreams = {}
-        self.manifests = {}
-        self.entries = {}
-        self.out = set()
-        self.version = 1
-        self.next_number = 1
+    Neither a lost leadership nor an unknown outcome becomes a verdict: they
+    have replies of their own, after which the client asks again.
+    """
 
-    def configuration(self):
-        """Returns the configuration of the current version."""
-        owners = sorted(self.entries)
-        return Configuration(
-            version=self.version,
-            profiles=tuple(self.profiles.values()),
-            upstreams=tuple(
-                upstream
-                for upstream in self.upstreams.values()
-                if upstream.upstream_id not in self.out
-            ),
-            manifests=tuple(self.manifests.values()),
-            entry_hosts=tuple(self.entries.values()),
-            ownerships=tuple(
-                Ownership(
-                    upstream_id=upstream_id,
-                    entry_id=owners[position % len(owners)],
-                    epoch=1,
-                    active=True,
-                )
-                for position, upstream_id in enumerate(sorted(self.upstreams))
-                if owners
-            ),
+    def __init__(
+        self,
+        *,
+        log,
+        machine,
+        clock=time.monotonic,
+        wall_ms=wall_clock_ms,
+        count=lambda name: None,
+    ):
+        self.core = ControlCore.build(
+            log=log, machine=machine, clock=clock, wall_ms=wall_ms
         )
+        self.count = count
 
     async def handle(self, request):
         """Returns the reply to one control request."""
+        self.count(f"request.{type(request).__name__}")
+        try:
+            return await self._dispatch(request)
+        except NotLeaderError as error:
+            return control.NotLeader(leader_address=error.leader_address)
+        except OutcomeUnknownError:
+            self.count("outcome_unknown")
+            return control.OutcomeUnknown()
+        except InvariantViolation as error:
+            self.count(f"invariant_violation.{error.invariant.replace(' ', '_')}")
+            logger.critical("request stopped", error=str(error))
+            return control.RequestRejected(
+                code="invariant_violated",
+                message=f"The request was stopped: {error}",
+                remedy="Keep the logs of all control replicas and report this.",
+            )
+
+    async def _dispatch(self, request):
+        core = self.core
         match request:
             case control.RenewEntryLease():
-                return self._renew(request)
+                return await entry_requests.renew_lease(core, request)
             case control.AnnounceUpstreams():
-                return self._announce(request)
-            case control.SubmitChange(change=change):
-                return self._submit(change)
+                return await entry_requests.announce_upstreams(core, request)
+            case control.ReportQuarantine():
+                return await entry_requests.report_quarantine(core, request)
+            case control.ClaimRequest():
+                return await claim_requests.claim_request(core, request)
+            case control.CompleteClaim():
+                return await claim_requests.complete_claim(core, request)
+            case control.SubmitChange():
+                return await operator_requests.submit_change(core, request)
             case control.QueryNextNumber():
-                return control.NextNumber(number=self.next_number, version=self.version)
+                return await operator_requests.next_number(core)
+            case control.QueryChange():
+                return await operator_requests.find_change(core, request)
             case control.QueryConfiguration():
-                return control.CurrentConfiguration(configuration=self.configuration())
-        return control.RequestRejected(
-            code="unsupported",
-            message="This replica does not serve this request.",
-            remedy="Use a later release.",
-        )
-
-    def _renew(self, request):
-        if self.entries.get(request.entry.entry_id) != request.entry:
-            self.entries[request.entry.entry_id] = request.entry
-            self.version += 1
-        newer = self.version > request.applied_version
-        return control.LeaseGranted(
-            version=self.version,
-            lease_ms=LEASE_MS,
-            configuration=self.configuration() if newer else None,
-        )
-
-    def _announce(self, request):
-        for manifest in request.manifests:
-            self.manifests[manifest.index, manifest.snapshot] = manifest
-        for upstream in request.upstreams:
-            if self.upstreams.get(upstream.upstream_id) != upstream:
-                self.upstreams[upstream.upstream_id] = upstream
-                self.version += 1
-        unknown = tuple(name for name in request.alive if name not in self.upstreams)
-        return control.AnnouncementsTaken(unknown=unknown)
-
-    def _submit(self, change):
-        if change.number != self.next_number:
-            return control.ChangeNotConsidered(next_number=self.next_number)
-        match change.body:
-            case control.PublishProfile(profile=profile):
-                self.profiles[profile.name] = profile
-            case control.RetireProfile(name=name):
-                self.profiles.pop(name, None)
-            case control.TakeUpstreamOut(upstream_id=upstream_id):
-                self.out.add(upstream_id)
-            case control.PutUpstreamIn(upstream_id=upstream_id):
-                self.out.discard(upstream_id)
-        self.next_number += 1
-        self.version += 1
-        return control.ChangeVerdict(
-            verdict=control.Verdict(
-                change=change,
-                kind=control.VerdictKind.ACCEPTED,
-                version=self.version,
-            )
-        )
+                return await operator_requests.current_configuration(core)
+            case control.QueryStatus():
+                return await operator_requests.query_status(core, request)
+            case control.ChangeMember():
+                return await operator_requests.change_member(core, request)
--- /dev/null
+++ b/src/plantainstage/_membership/changes.py
@@ -0,0 +1,136 @@
+"""Decides on operators' changes, once for each number."""
+
+import hashlib
+
+import msgspec
+
+from plantainstage._errors import check_invariant
+from plantainstage._membership.profiles import profile_faults
+from plantainstage._membership.state import VERDICTS_KEPT
+from plantainstage._messages import control
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Rejection(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a change is rejected and what its operator can do."""
+
+    reason: str
+    remedy: str
+
+
+def change_digest(change):
+    """Returns the identity of a change under its number: operator and body."""
+    data = _encoder.encode((change.operator, change.body))
+    return hashlib.sha256(data).hexdigest()
+
+
+def apply_change(state, command):
+    """Returns the verdict: the first one whenever the number was decided."""
+    change = command.change
+    if change.number == state.next_number:
+        return control.ChangeVerdict(verdict=_decide(state, change))
+    if change.number > state.next_number:
+        return control.ChangeNotConsidered(next_number=state.next_number)
+    verdict = state.verdicts.get(change.number)
+    if verdict is None:
+        return control.ChangeNotConsidered(next_number=state.next_number, too_old=True)
+    if change_digest(verdict.change) != change_digest(change):
+        return control.ChangeConflict(winner=verdict)
+    return control.ChangeVerdict(verdict=verdict)
+
+
+def _decide(state, change):
+    check_invariant(
+        change.number not in state.verdicts,
+        invariant="one verdict for a change number",
+        detail=f"number {change.number} is decided a second time",
+    )
+    rejection = _rejection(state, change.body)
+    if rejection is None:
+        verdict = control.Verdict(
+            change=change,
+            kind=control.VerdictKind.ACCEPTED,
+            version=_carry_out(state, change.body),
+        )
+    else:
+        verdict = control.Verdict(
+            change=change,
+            kind=control.VerdictKind.REJECTED,
+            version=state.version,
+            reason=rejection.reason,
+            remedy=rejection.remedy,
+        )
+    state.verdicts[change.number] = verdict
+    state.next_number += 1
+    state.verdicts.pop(change.number - VERDICTS_KEPT, None)
+    return verdict
+
+
+def _rejection(state, body):
+    match body:
+        case control.PublishProfile(profile=profile):
+            faults = profile_faults(profile)
+            if faults:
+                return Rejection(
+                    reason="; ".join(fault.describe() for fault in faults),
+                    remedy="Correct these fields and publish with the next number.",
+                )
+        case control.RetireProfile(name=name) if name not in state.profiles:
+            return Rejection(
+                reason=f"no profile {name!r} is published",
+                remedy="List the profiles with: plantainstage-ctl profile list",
+            )
+        case control.TakeUpstreamOut(upstream_id=name) if name not in state.upstreams:
+            return Rejection(
+                reason=f"no upstream {name!r} is registered",
+                remedy="List the upstreams with: plantainstage-ctl upstream list",
+            )
+        case control.PutUpstreamIn(upstream_id=name) if name not in state.out:
+            return Rejection(
+                reason=f"upstream {name!r} was not taken out",
+                remedy="List the upstreams with: plantainstage-ctl upstream list",
+            )
+    return None
+
+
+def _carry_out(state, body):
+    match body:
+        case control.PublishProfile(profile=profile):
+            if state.profiles.get(profile.name) == profile:
+                return state.version
+            _set_profile(state, profile.name, profile)
+        case control.RetireProfile(name=name):
+            _set_profile(state, name, None)
+        case control.TakeUpstreamOut(upstream_id=name):
+            if name in state.out:
+                return state.version
+            state.out.add(name)
+            state.raise_version()
+        case control.PutUpstreamIn(upstream_id=name):
+            state.out.remove(name)
+            state.raise_version()
+    return state.version
+
+
+def _set_profile(state, name, profile):
+    """Sets or removes a profile; keeps a deadline that becomes shorter.
+
+    Requests that started under the old deadline may still be running, and a
+    takeover has to wait for them.
+    """
+    old = state.profiles.pop(name, None)
+    if profile is not None:
+        state.profiles[name] = profile
+    version = state.raise_version()
+    new_deadline_ms = profile.deadline_ms if profile is not None else 0
+    if old is not None and old.deadline_ms > new_deadline_ms:
+        state.retired_deadlines[version] = old.deadline_ms
+
+
+def apply_forget_deadlines(state, command):
+    """Drops deadlines of requests that can no longer be running."""
+    for version in tuple(state.retired_deadlines):
+        if version <= command.up_to_version:
+            del state.retired_deadlines[version]
+    return control.Done(version=state.version)
--- /dev/null
+++ b/src/plantainstage/_membership/claims.py
@@ -0,0 +1,95 @@
+"""Claims of non-idempotent requests, so that each runs at most once."""
+
+import re
+
+import msgspec
+
+from plantainstage._errors import check_invariant
+from plantainstage._membership.state import ClaimKey, ClaimRecord, EntryStart
+from plantainstage._messages.control import (
+    ClaimExists,
+    ClaimGranted,
+    ClaimOutcome,
+    ClaimOutcomeKind,
+    ClaimRefused,
+    Done,
+)
+
+RETENTION_MS = 24 * 3600 * 1000
+FUTURE_LIMIT_MS = 60 * 1000
+_REQUEST_ID = re.compile(r"([0-9]{1,15})-[A-Za-z0-9_-]{8,64}")
+
+
+def request_id_ms(request_id):
+    """Returns the Unix time in a request id, or None when it is malformed."""
+    match = _REQUEST_ID.fullmatch(request_id)
+    return int(match.group(1)) if match else None
+
+
+def apply_claim(state, command):
+    """Grants an attempt, or tells what is known about an earlier one."""
+    id_ms = request_id_ms(command.request_id)
+    if id_ms is None:
+        return ClaimRefused(code="request_id_invalid")
+    _forget_before(state, command.now_ms - RETENTION_MS)
+    if id_ms < state.claims_start_ms or id_ms > command.now_ms + FUTURE_LIMIT_MS:
+        return ClaimRefused(code="request_too_old")
+    record = state.claims.get(command.request_id)
+    if record is None:
+        state.claims_by_time.add(ClaimKey(id_ms, command.request_id))
+        return _grant(state, command, nonces=())
+    if record.digest != command.digest:
+        return ClaimRefused(code="request_id_reused")
+    running = record.outcome.kind is ClaimOutcomeKind.RUNNING
+    if running and record.nonces[-1] == command.nonce:
+        return ClaimGranted(attempt=record.attempt)
+    if (
+        record.outcome.kind is ClaimOutcomeKind.NOT_RUN
+        and command.nonce not in record.nonces
+    ):
+        return _grant(state, command, nonces=record.nonces)
+    return ClaimExists(outcome=record.outcome)
+
+
+def _grant(state, command, *, nonces):
+    old = state.claims.get(command.request_id)
+    check_invariant(
+        old is None or old.outcome.kind is ClaimOutcomeKind.NOT_RUN,
+        invariant="a claim is granted to one holder for each attempt",
+        detail=f"{command.request_id} is {old and old.outcome.kind}",
+    )
+    record = ClaimRecord(
+        digest=command.digest,
+        nonces=(*nonces, command.nonce),
+        holder=EntryStart(entry_id=command.entry_id, incarnation=command.incarnation),
+        deadline_ms=command.deadline_ms,
+        outcome=ClaimOutcome(kind=ClaimOutcomeKind.RUNNING),
+    )
+    state.claims[command.request_id] = record
+    return ClaimGranted(attempt=record.attempt)
+
+
+def apply_complete(state, command):
+    """Records the first outcome of the newest attempt; others are ignored."""
+    record = state.claims.get(command.request_id)
+    if (
+        record is not None
+        and record.attempt == command.attempt
+        and record.outcome.kind is ClaimOutcomeKind.RUNNING
+    ):
+        state.claims[command.request_id] = msgspec.structs.replace(
+            record, outcome=command.outcome
+        )
+    return Done(version=state.version)
+
+
+def _forget_before(state, start_ms):
+    """Drops claims whose ids are too old to be accepted again.
+
+    The start never falls, so that a leader whose clock is behind cannot grant
+    a request whose claim was dropped.
+    """
+    state.claims_start_ms = max(state.claims_start_ms, start_ms)
+    keys = state.claims_by_time
+    while keys and keys[0].id_ms < state.claims_start_ms:
+        del state.claims[keys.pop(0).request_id]
--- /dev/null
+++ b/src/plantainstage/_membership/heartbeats.py
@@ -0,0 +1,42 @@
+"""Heartbeat leases of searchers, in the leader's memory.
+
+Times are seconds on the leader's monotonic clock and are passed in.
+"""
+
+from dataclasses import dataclass, field
+
+HEARTBEAT_LEASE_S = 3.0
+# A lost searcher's record serves operators and the quick return of the same
+# process; after this time the searcher counts as replaced.
+FORGET_LOST_S = 600.0
+
+
+@dataclass(kw_only=True)
+class Heartbeats:
+    """When each searcher was last announced.
+
+    ``baseline`` stands in for searchers that this leader has not heard of, and
+    for a time in which the leader itself stood still.
+    """
+
+    baseline: float
+    heard: dict[str, float] = field(default_factory=dict)
+
+    def note(self, upstream_ids, now):
+        """Records announcements."""
+        for upstream_id in upstream_ids:
+            self.heard[upstream_id] = now
+
+    def restart(self, now):
+        """Gives each searcher a full lease after the leader stood still."""
+        self.baseline = now
+
+    def silent_s(self, upstream_id, now):
+        """Returns the time without an announcement."""
+        return now - max(self.heard.get(upstream_id, self.baseline), self.baseline)
+
+    def forget_unknown(self, known):
+        """Drops the times of searchers that are not registered."""
+        for upstream_id in tuple(self.heard):
+            if upstream_id not in known:
+                del self.heard[upstream_id]
--- /dev/null
+++ b/src/plantainstage/_membership/leader.py
@@ -0,0 +1,91 @@
+"""What a leader derives in memory during one term.
+
+Times are seconds on the leader's monotonic clock and are passed in; nothing
+here reads a clock. A new term starts with a new view.
+"""
+
+from dataclasses import dataclass, field
+
+from plantainstage._membership.heartbeats import Heartbeats
+from plantainstage._membership.leases import FENCE_S, EntryLeases, start_of
+from plantainstage._messages.control import ClaimOutcomeKind
+
+# The reconciliation task looks every 100 ms; a longer pause means that the
+# process stood still, and silence in that time says nothing about others.
+STANDSTILL_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlanKey:
+    """The inputs of an ownership plan."""
+
+    version: int
+    hosts: tuple[str, ...]
+
+
+@dataclass(kw_only=True)
+class LeaderView:
+    """Leases, heartbeats and running claims as this leader knows them."""
+
+    term: int
+    started_at: float
+    leases: EntryLeases
+    heartbeats: Heartbeats
+    last_tick: float
+    baseline: float
+    expiring: set[str] = field(default_factory=set)
+    claims_until: dict[str, float] = field(default_factory=dict)
+    in_force_since: dict[int, float] = field(default_factory=dict)
+    plan_key: PlanKey | None = None
+    plan: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def begin(cls, *, term, state, now):
+        """Returns the view of a leader whose term has just started."""
+        return cls(
+            term=term,
+            started_at=now,
+            leases=EntryLeases(
+                started_at=now,
+                registered=frozenset(
+                    start_of(entry) for entry in state.entries.values()
+                ),
+            ),
+            heartbeats=Heartbeats(baseline=now),
+            last_tick=now,
+            baseline=now,
+        )
+
+    def tick(self, now):
+        """Notes that the leader runs, and whether it stood still before."""
+        if now - self.last_tick > STANDSTILL_S:
+            self.baseline = now
+            self.heartbeats.restart(now)
+        self.last_tick = now
+
+    def may_expire_hosts(self, now):
+        """Whether silence since the baseline is long enough to be a fact."""
+        return now >= self.baseline + FENCE_S and self.leases.settled(now)
+
+    def note_claim(self, *, request_id, deadline_ms, now):
+        """Remembers until when a granted claim may be running."""
+        self.claims_until.setdefault(request_id, now + deadline_ms / 1000)
+
+    def forget_claim(self, request_id):
+        """Drops the time of a claim whose outcome is known."""
+        self.claims_until.pop(request_id, None)
+
+    def claim_in_progress(self, *, request_id, record, now):
+        """Whether a running claim's holder may still answer in time.
+
+        A leader that did not grant the claim counts the deadline from its own
+        start, since it does not know the time of the grant.
+        """
+        until = self.claims_until.get(
+            request_id, self.started_at + record.deadline_ms / 1000
+        )
+        return (
+            record.outcome.kind is ClaimOutcomeKind.RUNNING
+            and now < until
+            and self.leases.holds(record.holder, now)
+        )
--- /dev/null
+++ b/src/plantainstage/_membership/leases.py
@@ -0,0 +1,174 @@
+"""Entry leases as the leader sees them, in memory.
+
+Times are seconds on the leader's monotonic clock and are passed in. The host's
+own lease runs from the time it sent its request, so it ends before the leader's
+view of it, which adds a margin for clock rates.
+"""
+
+from dataclasses import dataclass, field
+
+from plantainstage._errors import check_invariant
+from plantainstage._membership.state import EntryStart
+from plantainstage._messages.configuration import EntryHost
+
+LEASE_MS = 2000
+RENEW_INTERVAL_MS = 400
+CLOCK_RATE_MARGIN = 0.1  # two clocks may differ by this rate during a lease
+FENCE_S = LEASE_MS / 1000 * (1 + CLOCK_RATE_MARGIN)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Grant:
+    """A lease given with a configuration version; it ends at ``until``."""
+
+    version: int
+    until: float
+
+
+@dataclass(kw_only=True)
+class HostLease:
+    """What one start of an entry host was given and has acknowledged.
+
+    ``releasing`` is the host's list of searchers with work in flight that it
+    no longer owns by version ``applied``.
+    """
+
+    entry: EntryHost
+    applied: int = 0
+    releasing: frozenset[str] = frozenset()
+    draining: bool = False
+    grants: list[Grant] = field(default_factory=list)
+
+    @property
+    def until(self):
+        """The time after which the host cannot hold a lease."""
+        return max(grant.until for grant in self.grants)
+
+    def until_below(self, version):
+        """The end of the last lease that does not imply ``version``.
+
+        The host counts a lease as renewed only after it has applied the
+        version of the grant.
+        """
+        return max(
+            (grant.until for grant in self.grants if grant.version < version),
+            default=float("-inf"),
+        )
+
+
+def start_of(entry):
+    """Returns the identity of an entry host's process."""
+    return EntryStart(entry_id=entry.entry_id, incarnation=entry.incarnation)
+
+
+@dataclass(kw_only=True)
+class EntryLeases:
+    """All leases that this leader gave, and those it has to assume.
+
+    An earlier leader may have given a lease with any version to any host until
+    ``unknown_until``. ``settled`` is true from then on; it is true at once when
+    no entry host was registered, since registration precedes the first lease.
+    """
+
+    started_at: float
+    registered: frozenset[EntryStart]
+    hosts: dict[EntryStart, HostLease] = field(default_factory=dict)
+
+    @property
+    def unknown_until(self):
+        """The end of leases that an earlier leader may have given."""
+        return self.started_at + FENCE_S if self.registered else self.started_at
+
+    def settled(self, now):
+        """Whether this leader knows all lease holders."""
+        return now >= self.unknown_until
+
+    def acknowledge(self, request):
+        """Notes what a host says about itself; delayed reports change nothing."""
+        start = start_of(request.entry)
+        lease = self.hosts.get(start)
+        if lease is None:
+            unknown = Grant(version=0, until=self.unknown_until)
+            lease = HostLease(entry=request.entry, grants=[unknown])
+            self.hosts[start] = lease
+        releasing = frozenset(request.releasing)
+        if request.applied_version > lease.applied:
+            lease.applied = request.applied_version
+            lease.releasing = releasing
+        elif request.applied_version == lease.applied:
+            # For one version the list only gets shorter.
+            lease.releasing &= releasing
+        lease.draining = lease.draining or request.draining
+
+    def grant(self, *, start, version, now):
+        """Records a lease before its reply is sent."""
+        lease = self.hosts[start]
+        newest = max((grant.version for grant in lease.grants), default=0)
+        check_invariant(
+            version >= max(newest, lease.applied),
+            invariant="a version never falls on an entry host",
+            detail=f"{start.entry_id} has {max(newest, lease.applied)}, not {version}",
+        )
+        lease.grants = [grant for grant in lease.grants if grant.until > now]
+        lease.grants.append(Grant(version=version, until=now + FENCE_S))
+
+    def give_back(self, start):
+        """Forgets a host that left in a planned stop."""
+        self.hosts.pop(start, None)
+
+    def until(self, start):
+        """Returns the time after which this process cannot hold a lease."""
+        lease = self.hosts.get(start)
+        return lease.until if lease is not None else self.unknown_until
+
+    def until_below(self, start, version):
+        """Returns the end of its leases that do not imply ``version``."""
+        lease = self.hosts.get(start)
+        return lease.until_below(version) if lease is not None else self.unknown_until
+
+    def holds(self, start, now):
+        """Whether this process may hold a lease."""
+        return now < self.until(start)
+
+    def known_holders(self, now):
+        """Returns the leases that were given by this leader and still run."""
+        return [
+            lease
+            for lease in self.hosts.values()
+            if any(grant.version and grant.until > now for grant in lease.grants)
+        ]
+
+    def lacking(self, *, version, now):
+        """Returns the starts that may still act on an earlier version."""
+        candidates = set(self.hosts)
+        if not self.settled(now):
+            candidates |= self.registered
+        return sorted(
+            (start for start in candidates if self._may_lack(start, version, now)),
+            key=lambda start: (start.entry_id, start.incarnation),
+        )
+
+    def in_force(self, *, version, now):
+        """Whether no host can act on an earlier version any more."""
+        return self.settled(now) and not self.lacking(version=version, now=now)
+
+    def released(self, *, start, upstream_id, fenced_version):
+        """Whether a previous owner said that it has no work on a searcher."""
+        lease = self.hosts.get(start)
+        return (
+            lease is not None
+            and lease.applied >= fenced_version
+            and upstream_id not in lease.releasing
+        )
+
+    def forget_expired(self, *, kept, before):
+        """Drops leases that ended before a time, except of ``kept`` starts."""
+        for start, lease in tuple(self.hosts.items()):
+            if start not in kept and lease.until < before:
+                del self.hosts[start]
+
+    def _may_lack(self, start, version, now):
+        lease = self.hosts.get(start)
+        if lease is not None and lease.applied >= version:
+            return False
+        return now < self.until_below(start, version)
--- /dev/null
+++ b/src/plantainstage/_membership/machine.py
@@ -0,0 +1,101 @@
+"""The deterministic state machine that the control replicas replicate."""
+
+import msgspec
+
+from plantainstage._errors import check_invariant
+from plantainstage._membership import (
+    changes,
+    claims,
+    commands,
+    ownership,
+    quarantines,
+    registry,
+)
+from plantainstage._membership.queries import build_configuration
+from plantainstage._membership.state import (
+    ReplicatedState,
+    decode_state,
+    encode_state,
+)
+from plantainstage._messages.control import RequestRejected
+
+
+class MembershipMachine:
+    """Applies committed commands to the replicated state.
+
+    A command that cannot be decoded gets RequestRejected on every replica; it
+    must not stop them all.
+    """
+
+    def __init__(self):
+        self.state = ReplicatedState()
+        self.cached = None
+
+    def apply(self, *, index, command):
+        """Applies a command and returns the reply for the one who sent it."""
+        try:
+            decoded = commands.decode_command(command)
+        except msgspec.MsgspecError as error:
+            return RequestRejected(
+                code="malformed_command",
+                message=f"Entry {index} could not be decoded: {error}.",
+                remedy="Run the same release on all control replicas.",
+            )
+        before = self.state.version
+        result = apply_command(self.state, decoded)
+        check_invariant(
+            self.state.version >= before,
+            invariant="the configuration version never falls",
+            detail=f"{before} to {self.state.version} at index {index}",
+        )
+        return result
+
+    def take_snapshot(self):
+        """Returns the complete state as bytes."""
+        return encode_state(self.state)
+
+    def restore(self, *, snapshot):
+        """Replaces the complete state; an empty snapshot is the first state."""
+        restored = decode_state(snapshot) if snapshot else ReplicatedState()
+        check_invariant(
+            restored.version >= self.state.version,
+            invariant="the configuration version never falls",
+            detail=f"snapshot of {restored.version} over {self.state.version}",
+        )
+        self.state = restored
+
+    def configuration(self):
+        """Returns the configuration of the newest applied version."""
+        if self.cached is None or self.cached.version != self.state.version:
+            self.cached = build_configuration(self.state)
+        return self.cached
+
+
+def apply_command(state, command):
+    """Changes ``state`` by one command and returns the reply."""
+    match command:
+        case commands.ApplyChange():
+            return changes.apply_change(state, command)
+        case commands.RegisterUpstreams():
+            return registry.apply_register(state, command)
+        case commands.MarkUpstreamsLost():
+            return registry.apply_mark_lost(state, command)
+        case commands.ForgetUpstreams():
+            return registry.apply_forget(state, command)
+        case commands.RegisterEntry():
+            return ownership.apply_register_entry(state, command)
+        case commands.RemoveEntry():
+            return ownership.apply_remove_entry(state, command)
+        case commands.MoveOwners():
+            return ownership.apply_move_owners(state, command)
+        case commands.ForgetDeadlines():
+            return changes.apply_forget_deadlines(state, command)
+        case commands.ClaimAttempt():
+            return claims.apply_claim(state, command)
+        case commands.CompleteAttempt():
+            return claims.apply_complete(state, command)
+        case commands.AddQuarantine():
+            return quarantines.apply_add_quarantine(state, command)
+        case commands.ExpireQuarantines():
+            return quarantines.apply_expire_quarantines(state, command)
+    return None
--- /dev/null
+++ b/src/plantainstage/_membership/ownership.py
@@ -0,0 +1,160 @@
+"""Moves searchers between entry hosts, and keeps the entry membership."""
+
+import msgspec
+
+from plantainstage._errors import check_invariant
+from plantainstage._membership.state import EntryStart, OwnershipRecord
+from plantainstage._messages import control
+
+# Renewals of an older start arrive late by seconds; 16 starts cover crash loops.
+INCARNATIONS_KEPT = 16
+LEFT = ""  # stands in the list of incarnations for a planned stop
+
+
+class EntrySuperseded(msgspec.Struct, frozen=True, kw_only=True):
+    """The entry host's id belongs to a later start."""
+
+    entry_id: str
+
+
+def apply_register_entry(state, command):
+    """Adds a host; a new start takes the place of an earlier one."""
+    entry = command.entry
+    known = state.incarnations.get(entry.entry_id, ())
+    if entry.incarnation in known[:-1]:
+        return EntrySuperseded(entry_id=entry.entry_id)
+    if state.entries.get(entry.entry_id) == entry:
+        return control.Done(version=state.version)
+    if not known or known[-1] != entry.incarnation:
+        known = (*known, entry.incarnation)
+        state.incarnations[entry.entry_id] = known[-INCARNATIONS_KEPT:]
+    state.entries[entry.entry_id] = entry
+    version = state.raise_version()
+    start = EntryStart(entry_id=entry.entry_id, incarnation=entry.incarnation)
+    for upstream_id, record in tuple(state.ownerships.items()):
+        owner = record.owner
+        if owner is not None and owner.entry_id == start.entry_id and owner != start:
+            # The earlier process may be frozen with work in flight.
+            fence_searcher(state, upstream_id, owner=start, version=version)
+    return control.Done(version=version)
+
+
+def apply_remove_entry(state, command):
+    """Removes a host from the membership, unless it has restarted."""
+    start = EntryStart(entry_id=command.entry_id, incarnation=command.incarnation)
+    entry = state.entries.get(start.entry_id)
+    if entry is None or entry.incarnation != start.incarnation:
+        return control.Done(version=state.version)
+    del state.entries[start.entry_id]
+    version = state.raise_version()
+    if command.left:
+        known = (*state.incarnations.get(start.entry_id, ()), LEFT)
+        state.incarnations[start.entry_id] = known[-INCARNATIONS_KEPT:]
+        _release_all(state, start)
+    return control.Done(version=version)
+
+
+def _release_all(state, start):
+    """Ends everything that a host had before it left in a planned stop."""
+    for upstream_id, record in tuple(state.ownerships.items()):
+        if record.predecessor == start:
+            record = msgspec.structs.replace(record, predecessor=None)
+        if record.owner == start:
+            record = msgspec.structs.replace(
+                record, owner=None, epoch=state.take_epoch()
+            )
+        _store(state, upstream_id, record)
+
+
+def fence_searcher(state, upstream_id, *, owner, version):
+    """Gives a searcher a new owner, who waits for the last active one.
+
+    The wait ends with a ``Release``. Without an ownership record the new owner
+    is active at once, since nobody can have work on the searcher.
+    """
+    record = state.ownerships.get(upstream_id)
+    predecessor = None
+    fenced_version = 0
+    if record is not None:
+        predecessor = record.predecessor
+        fenced_version = record.fenced_version
+        if record.active:
+            predecessor = record.owner
+            fenced_version = version
+    epoch = state.take_epoch()
+    check_invariant(
+        record is None or epoch > record.epoch,
+        invariant="ownership epochs rise",
+        detail=f"{upstream_id}: epoch {epoch} after {record and record.epoch}",
+    )
+    _store(
+        state,
+        upstream_id,
+        OwnershipRecord(
+            owner=owner,
+            epoch=epoch,
+            predecessor=predecessor,
+            fenced_version=fenced_version,
+        ),
+    )
+
+
+def _store(state, upstream_id, record):
+    if record.owner is None and record.predecessor is None:
+        state.ownerships.pop(upstream_id, None)
+    else:
+        state.ownerships[upstream_id] = record
+
+
+def apply_move_owners(state, command):
+    """Carries out one round of moves; outdated items of it change nothing."""
+    releases = [item for item in command.releases if _may_release(state, item)]
+    assignments = [item for item in command.assignments if _may_assign(state, item)]
+    if not releases and not assignments:
+        return control.Done(version=state.version)
+    version = state.raise_version()
+    for item in releases:
+        record = state.ownerships[item.upstream_id]
+        _store(
+            state,
+            item.upstream_id,
+            msgspec.structs.replace(record, predecessor=None),
+        )
+    for item in assignments:
+        fence_searcher(
+            state,
+            item.upstream_id,
+            owner=current_start(state, item.entry_id),
+            version=version,
+        )
+    return control.Done(version=version)
+
+
+def current_start(state, entry_id):
+    """Returns the registered start of an entry host, or None."""
+    entry = state.entries.get(entry_id)
+    if entry is None:
+        return None
+    return EntryStart(entry_id=entry_id, incarnation=entry.incarnation)
+
+
+def _may_release(state, item):
+    record = state.ownerships.get(item.upstream_id)
+    return (
+        record is not None
+        and record.epoch == item.epoch
+        and record.predecessor is not None
+    )
+
+
+def _may_assign(state, item):
+    record = state.ownerships.get(item.upstream_id)
+    if (record.epoch if record is not None else 0) != item.expected_epoch:
+        return False
+    if not item.entry_id:
+        return record is not None
+    start = current_start(state, item.entry_id)
+    if start is None or item.upstream_id not in state.upstreams:
+        return False
+    # The last active owner cannot report a release of what it owns again.
+    return record is None or record.predecessor != start
--- /dev/null
+++ b/src/plantainstage/_membership/reconciliation.py
@@ -0,0 +1,222 @@
+"""The commands by which a leader brings the state in line with what it knows.
+
+The functions read the state and the leader's view and return commands; the
+control service proposes them.
+"""
+
+from plantainstage._membership import commands
+from plantainstage._membership.heartbeats import FORGET_LOST_S, HEARTBEAT_LEASE_S
+from plantainstage._membership.leases import CLOCK_RATE_MARGIN, start_of
+from plantainstage._membership.leader import PlanKey
+from plantainstage._membership.planner import PlannedSearcher, plan_owners
+from plantainstage._membership.queries import longest_deadline_ms, partitions_of
+from plantainstage._membership.state import EntryStart
+from plantainstage._messages.configuration import UpstreamState
+
+LEASES_KEPT_S = 3600.0
+
+
+def plan_commands(*, state, view, now, now_ms):
+    """Returns the commands to propose now; most times there are none.
+
+    ``now`` is the leader's monotonic time in seconds, ``now_ms`` Unix time.
+    """
+    view.tick(now)
+    planned = [
+        _lost_upstreams(state, view, now),
+        _forgotten_upstreams(state, view, now),
+        *_expired_entries(state, view, now),
+        _owner_moves(state, view, now),
+        _forgotten_deadlines(state, view, now),
+        _expired_quarantines(state, now_ms),
+    ]
+    _forget_memory(state, view, now)
+    return [command for command in planned if command is not None]
+
+
+def _lost_upstreams(state, view, now):
+    lost = tuple(
+        _upstream_start(record)
+        for name, record in sorted(state.upstreams.items())
+        if not record.lost and view.heartbeats.silent_s(name, now) >= HEARTBEAT_LEASE_S
+    )
+    return commands.MarkUpstreamsLost(upstreams=lost) if lost else None
+
+
+def _forgotten_upstreams(state, view, now):
+    forgotten = tuple(
+        _upstream_start(record)
+        for name, record in sorted(state.upstreams.items())
+        if record.lost and view.heartbeats.silent_s(name, now) >= FORGET_LOST_S
+    )
+    return commands.ForgetUpstreams(upstreams=forgotten) if forgotten else None
+
+
+def _upstream_start(record):
+    return commands.UpstreamStart(
+        upstream_id=record.announced.upstream_id,
+        incarnation=record.announced.incarnation,
+    )
+
+
+def _expired_entries(state, view, now):
+    if not view.may_expire_hosts(now):
+        return []
+    return [
+        commands.RemoveEntry(entry_id=entry.entry_id, incarnation=entry.incarnation)
+        for _, entry in sorted(state.entries.items())
+        if not view.leases.holds(start_of(entry), now)
+    ]
+
+
+def _expired_quarantines(state, now_ms):
+    if any(until <= now_ms for until in state.quarantines.values()):
+        return commands.ExpireQuarantines(now_ms=now_ms)
+    return None
+
+
+def _forgotten_deadlines(state, view, now):
+    """Drops a replaced deadline once no request can be running under it."""
+    for version in sorted(state.retired_deadlines):
+        if version in view.in_force_since:
+            continue
+        if not view.leases.in_force(version=version, now=now):
+            break
+        view.in_force_since[version] = now
+    done = 0
+    for version, deadline_ms in sorted(state.retired_deadlines.items()):
+        since = view.in_force_since.get(version)
+        if since is None or now < since + _deadline_s(deadline_ms):
+            break
+        done = version
+    return commands.ForgetDeadlines(up_to_version=done) if done else None
+
+
+def _deadline_s(deadline_ms):
+    """Returns a deadline with the margin for the clock of the host that has it."""
+    return deadline_ms / 1000 * (1 + CLOCK_RATE_MARGIN)
+
+
+def _forget_memory(state, view, now):
+    kept = {start_of(entry) for entry in state.entries.values()}
+    for record in state.ownerships.values():
+        kept.update(start for start in (record.owner, record.predecessor) if start)
+    view.leases.forget_expired(kept=kept, before=now - LEASES_KEPT_S)
+    view.heartbeats.forget_unknown(state.upstreams)
+    for version in tuple(view.in_force_since):
+        if version not in state.retired_deadlines:
+            del view.in_force_since[version]
+    for request_id in tuple(view.claims_until):
+        if view.claims_until[request_id] < now - LEASES_KEPT_S:
+            del view.claims_until[request_id]
+
+
+# ---- Ownership ----------------------------------------------------------------
+
+
+def _owner_moves(state, view, now):
+    releases = _releases(state, view, now)
+    assignments = ()
+    if view.leases.settled(now):
+        assignments = _assignments(state, view, now)
+    if not releases and not assignments:
+        return None
+    return commands.MoveOwners(assignments=assignments, releases=releases)
+
+
+def predecessor_done(*, record, upstream_id, state, view, now):
+    """Whether a previous owner has no work on a searcher any more.
+
+    Either it said so, or its last lease from before the move has ended and the
+    longest deadline in force has passed since: until then it may have sent, and
+    after that nobody waits for an answer.
+    """
+    if view.leases.released(
+        start=record.predecessor,
+        upstream_id=upstream_id,
+        fenced_version=record.fenced_version,
+    ):
+        return True
+    end = view.leases.until_below(record.predecessor, record.fenced_version)
+    return now >= end + _deadline_s(longest_deadline_ms(state))
+
+
+def _releases(state, view, now):
+    return tuple(
+        commands.Release(upstream_id=name, epoch=record.epoch)
+        for name, record in sorted(state.ownerships.items())
+        if record.predecessor is not None
+        and predecessor_done(
+            record=record, upstream_id=name, state=state, view=view, now=now
+        )
+    )
+
+
+def _assignments(state, view, now):
+    """Returns moves towards the plan, at most one willing move a partition.
+
+    A searcher without a live owner gets one at once. Otherwise the replicas of
+    a partition move one after another, so that it stays answered.
+    """
+    live = {start_of(lease.entry): lease for lease in view.leases.known_holders(now)}
+    registered = {start_of(entry) for entry in state.entries.values()}
+    live = {start: lease for start, lease in live.items() if start in registered}
+    hosts = [start.entry_id for start, lease in live.items() if not lease.draining]
+    if not hosts:
+        return ()
+    plan = _cached_plan(state, view, tuple(sorted(hosts)))
+    moving = _partitions_without_active_owner(state, live)
+    assignments = []
+    for name in sorted(plan):
+        record = state.ownerships.get(name)
+        partitions = partitions_of(state.upstreams[name].announced)
+        wished = EntryStart(
+            entry_id=plan[name],
+            incarnation=state.entries[plan[name]].incarnation,
+        )
+        if record is not None:
+            if record.owner in live and record.predecessor is not None:
+                continue
+            if record.owner == wished or record.predecessor == wished:
+                continue
+            if record.owner in live and partitions & moving:
+                continue
+        moving |= partitions
+        assignments.append(
+            commands.Assignment(
+                upstream_id=name,
+                entry_id=wished.entry_id,
+                expected_epoch=record.epoch if record is not None else 0,
+            )
+        )
+    return tuple(assignments)
+
+
+def _cached_plan(state, view, hosts):
+    """Returns the plan, made anew only when its inputs may have changed."""
+    key = PlanKey(version=state.version, hosts=hosts)
+    if view.plan_key != key:
+        view.plan = plan_owners(searchers=_searchers(state), hosts=hosts)
+        view.plan_key = key
+    return view.plan
+
+
+def _searchers(state):
+    return [
+        PlannedSearcher(
+            upstream_id=name,
+            partitions=frozenset(partitions_of(record.announced)),
+        )
+        for name, record in sorted(state.upstreams.items())
+    ]
+
+
+def _partitions_without_active_owner(state, live):
+    """Returns the partitions of which a serving replica cannot be used now."""
+    missing = set()
+    for name, record in state.upstreams.items():
+        ownership = state.ownerships.get(name)
+        usable = ownership is not None and ownership.active and ownership.owner in live
+        if not usable and state.upstream_state(record) is UpstreamState.SERVING:
+            missing |= partitions_of(record.announced)
+    return missing
--- /dev/null
+++ b/src/plantainstage/_membership/state.py
@@ -0,0 +1,213 @@
+"""The data of the replicated state machine, and its snapshots.
+
+The modules of commands change it, the modules of queries only read it.
+"""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from sortedcontainers import SortedSet
+
+from plantainstage._messages.configuration import (
+    EntryHost,
+    Manifest,
+    Profile,
+    Upstream,
+    UpstreamState,
+)
+from plantainstage._messages.control import ClaimOutcome, Verdict
+
+VERDICTS_KEPT = 100_000
+FIRST_VERSION = 1
+
+
+class UpstreamRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A registered searcher as last announced.
+
+    ``superseded`` holds its earlier incarnations, whose late announcements are
+    refused.
+    """
+
+    announced: Upstream
+    lost: bool = False
+    superseded: tuple[str, ...] = ()
+
+
+class EntryStart(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of an entry host; a restart has another incarnation."""
+
+    entry_id: str
+    incarnation: str
+
+
+class OwnershipRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The owner of a searcher, and the one that may still have work on it.
+
+    ``predecessor`` was the last active owner. Its right to send ended in
+    configuration ``fenced_version``. While it is set, nobody may send.
+    """
+
+    owner: EntryStart | None
+    epoch: int
+    predecessor: EntryStart | None = None
+    fenced_version: int = 0
+
+    @property
+    def active(self):
+        """Whether the owner may send."""
+        return self.owner is not None and self.predecessor is None
+
+
+class ClaimRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A claimed request; ``nonces`` holds one nonce for each attempt."""
+
+    digest: str
+    nonces: tuple[str, ...]
+    holder: EntryStart
+    deadline_ms: int
+    outcome: ClaimOutcome
+
+    @property
+    def attempt(self):
+        """The number of the newest attempt, from 1."""
+        return len(self.nonces)
+
+
+class ManifestKey(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """Names a snapshot of an index."""
+
+    index: str
+    snapshot: str
+
+
+class ClaimKey(msgspec.Struct, frozen=True, order=True):
+    """Orders claims by the Unix time in their id."""
+
+    id_ms: int
+    request_id: str
+
+
+@dataclass(kw_only=True)
+class ReplicatedState:
+    """All replicated data; every replica holds the same at the same index.
+
+    ``incarnations`` lists the starts of each entry host, the newest last; an
+    empty one means that the host left. ``retired_deadlines`` maps a version to
+    the longest profile deadline that it shortened (milliseconds). Claims with
+    an id time before ``claims_start_ms`` are no longer kept.
+    """
+
+    version: int = FIRST_VERSION
+    next_number: int = 1
+    next_epoch: int = 1
+    claims_start_ms: int = 0
+    profiles: dict[str, Profile] = field(default_factory=dict)
+    verdicts: dict[int, Verdict] = field(default_factory=dict)
+    upstreams: dict[str, UpstreamRecord] = field(default_factory=dict)
+    out: set[str] = field(default_factory=set)
+    manifests: dict[ManifestKey, Manifest] = field(default_factory=dict)
+    entries: dict[str, EntryHost] = field(default_factory=dict)
+    incarnations: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    ownerships: dict[str, OwnershipRecord] = field(default_factory=dict)
+    retired_deadlines: dict[int, int] = field(default_factory=dict)
+    claims: dict[str, ClaimRecord] = field(default_factory=dict)
+    claims_by_time: SortedSet = field(default_factory=SortedSet)
+    quarantines: dict[str, int] = field(default_factory=dict)
+
+    def raise_version(self):
+        """Starts the next configuration version and returns it."""
+        self.version += 1
+        return self.version
+
+    def take_epoch(self):
+        """Returns an epoch above all earlier ones of any searcher."""
+        epoch = self.next_epoch
+        self.next_epoch += 1
+        return epoch
+
+    def upstream_state(self, record):
+        """Returns the state of a searcher that entry hosts act on."""
+        if record.announced.upstream_id in self.out:
+            return UpstreamState.OUT
+        if record.lost:
+            return UpstreamState.LOST
+        return record.announced.state
+
+
+class StateSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """The complete state in a form that every release can read back."""
+
+    version: int
+    next_number: int
+    next_epoch: int
+    claims_start_ms: int
+    profiles: tuple[Profile, ...]
+    verdicts: tuple[Verdict, ...]
+    upstreams: tuple[UpstreamRecord, ...]
+    out: tuple[str, ...]
+    manifests: tuple[Manifest, ...]
+    entries: tuple[EntryHost, ...]
+    incarnations: dict[str, tuple[str, ...]]
+    ownerships: dict[str, OwnershipRecord]
+    retired_deadlines: dict[int, int]
+    claims: dict[str, ClaimRecord]
+    claims_by_time: tuple[ClaimKey, ...]
+    quarantines: dict[str, int]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(StateSnapshot)
+
+
+def encode_state(state):
+    """Returns the snapshot of a state; equal states give equal bytes."""
+    return _encoder.encode(
+        StateSnapshot(
+            version=state.version,
+            next_number=state.next_number,
+            next_epoch=state.next_epoch,
+            claims_start_ms=state.claims_start_ms,
+            profiles=_values(state.profiles),
+            verdicts=_values(state.verdicts),
+            upstreams=_values(state.upstreams),
+            out=tuple(sorted(state.out)),
+            manifests=_values(state.manifests),
+            entries=_values(state.entries),
+            incarnations=dict(sorted(state.incarnations.items())),
+            ownerships=dict(sorted(state.ownerships.items())),
+            retired_deadlines=dict(sorted(state.retired_deadlines.items())),
+            claims=dict(sorted(state.claims.items())),
+            claims_by_time=tuple(state.claims_by_time),
+            quarantines=dict(sorted(state.quarantines.items())),
+        )
+    )
+
+
+def decode_state(data):
+    """Returns the state in a snapshot; raises msgspec.MsgspecError."""
+    snapshot = _decoder.decode(data)
+    return ReplicatedState(
+        version=snapshot.version,
+        next_number=snapshot.next_number,
+        next_epoch=snapshot.next_epoch,
+        claims_start_ms=snapshot.claims_start_ms,
+        profiles={item.name: item for item in snapshot.profiles},
+        verdicts={item.change.number: item for item in snapshot.verdicts},
+        upstreams={item.announced.upstream_id: item for item in snapshot.upstreams},
+        out=set(snapshot.out),
+        manifests={
+            ManifestKey(index=item.index, snapshot=item.snapshot): item
+            for item in snapshot.manifests
+        },
+        entries={item.entry_id: item for item in snapshot.entries},
+        incarnations=snapshot.incarnations,
+        ownerships=snapshot.ownerships,
+        retired_deadlines=snapshot.retired_deadlines,
+        claims=snapshot.claims,
+        claims_by_time=SortedSet(snapshot.claims_by_time),
+        quarantines=snapshot.quarantines,
+    )
+
+
+def _values(mapping):
+    return tuple(mapping[key] for key in sorted(mapping))
--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -134,6 +134,12 @@
     """Asks for the next free change number and the newest version."""
 
 
+class QueryChange(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks for the recorded verdict of a change number."""
+
+    number: int
+
+
 class QueryConfiguration(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks for the newest committed configuration (a linearizable read)."""
 
@@ -199,6 +205,7 @@
     | AnnounceUpstreams
     | SubmitChange
     | QueryNextNumber
+    | QueryChange
     | QueryConfiguration
     | QueryStatus
     | ClaimRequest
@@ -216,6 +223,10 @@
     leader_address: str = ""
 
 
+class OutcomeUnknown(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The request may or may not take effect; send the same one again."""
+
+
 class LeaseGranted(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """A lease from the time at which its request was sent.
 
@@ -345,6 +356,7 @@
 
 ControlReply = (
     NotLeader
+    | OutcomeUnknown
     | LeaseGranted
     | AnnouncementsTaken
     | ChangeVerdict
--- a/src/plantainstage/_programs/control.py
+++ b/src/plantainstage/_programs/control.py
@@ -5,7 +5,10 @@
 import click
 from loguru import logger
 
+from plantainstage._control.memory_log import MemoryLog
+from plantainstage._control.reconciler import Reconciler
 from plantainstage._control.service import ControlService
+from plantainstage._membership.machine import MembershipMachine
 from plantainstage._programs.logs import configure_logs
 from plantainstage._programs.running import wait_for_stop_signal
 from plantainstage._transport.rpc import RpcServer
@@ -23,10 +26,15 @@
 
 async def run(listen):
     """Serves until a planned stop."""
-    server = RpcServer(address=listen, handler=ControlService().handle)
+    machine = MembershipMachine()
+    log = MemoryLog(machine=machine, address=listen)
+    service = ControlService(log=log, machine=machine)
+    server = RpcServer(address=listen, handler=service.handle)
     server.start()
+    reconciliation = asyncio.create_task(Reconciler(core=service.core).run())
     logger.info("listening", address=listen)
     await wait_for_stop_signal()
+    reconciliation.cancel()
     await server.stop()
     logger.info("stopped")
 
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -185,6 +185,10 @@
                     if address == self.current:
                         await asyncio.sleep(RETRY_PAUSE_S)
                     self.current = address
+                case control.OutcomeUnknown():
+                    last_error = f"{self.current}: outcome unknown"
+                    self._rotate()
+                    await asyncio.sleep(RETRY_PAUSE_S)
                 case _:
                     return reply
         raise ControlUnavailableError(
