--- a/src/plantainstage/_membership/reconciliation.py
+++ b/src/plantainstage/_membership/reconciliation.py
@@ -6,8 +6,8 @@
 
 from plantainstage._membership import commands
 from plantainstage._membership.heartbeats import FORGET_LOST_S, HEARTBEAT_LEASE_S
-from plantainstage._membership.leases import CLOCK_RATE_MARGIN, start_of
 from plantainstage._membership.leader import PlanKey
+from plantainstage._membership.leases import CLOCK_RATE_MARGIN, start_of
 from plantainstage._membership.planner import PlannedSearcher, plan_owners
 from plantainstage._membership.queries import longest_deadline_ms, partitions_of
 from plantainstage._membership.state import EntryStart
