--- /dev/null
+++ b/src/plantainstage/_programs/line_writer.py
@@ -0,0 +1,82 @@
+"""Writes lines to a file descriptor without ever blocking the caller."""
+
+import os
+import threading
+from collections import deque
+
+MAX_WAITING_BYTES = 8 * 1024 * 1024
+CLOSE_TIMEOUT_S = 1.0
+
+
+class LineWriter:
+    """A thread that writes lines; a pipe that nobody reads blocks only it.
+
+    Lines beyond MAX_WAITING_BYTES, and lines that the descriptor refuses, are
+    lost. Their number is written before the next line that goes through.
+    """
+
+    def __init__(self, *, descriptor: int):
+        self.descriptor = descriptor
+        self.waiting = deque()
+        self.waiting_bytes = 0
+        self.lost = 0
+        self.closing = False
+        self.inside_line = False
+        self.changed = threading.Condition()
+        self.thread = threading.Thread(target=self._run, name="log-writer", daemon=True)
+        self.thread.start()
+
+    def put(self, line: str):
+        """Queues one line, given without its line end."""
+        data = line.encode() + b"\n"
+        with self.changed:
+            if self.waiting_bytes + len(data) > MAX_WAITING_BYTES:
+                self.lost += 1
+                return
+            self.waiting.append(data)
+            self.waiting_bytes += len(data)
+            self.changed.notify()
+
+    def close(self, timeout_s=CLOSE_TIMEOUT_S):
+        """Writes what waits, for at most ``timeout_s``."""
+        with self.changed:
+            self.closing = True
+            self.changed.notify()
+        self.thread.join(timeout_s)
+
+    def _run(self):
+        while (data := self._next()) is not None:
+            self._write_line(data)
+
+    def _next(self):
+        with self.changed:
+            while not self.waiting and not self.closing:
+                self.changed.wait()
+            if not self.waiting:
+                return None
+            data = self.waiting.popleft()
+            self.waiting_bytes -= len(data)
+            return data
+
+    def _write_line(self, data):
+        with self.changed:
+            reported = self.lost
+        if reported:
+            data = b'{"event":"log lines lost","lost":%d}\n%b' % (reported, data)
+        try:
+            self._write_all(data)
+        except OSError:
+            with self.changed:
+                self.lost += 1
+            return
+        with self.changed:
+            self.lost -= reported
+
+    def _write_all(self, data):
+        if self.inside_line:
+            # An earlier line was cut by an error; it must not swallow this one.
+            data = b"\n" + data
+        while data:
+            written = os.write(self.descriptor, data)
+            self.inside_line = written < len(data)
+            data = data[written:]
--- /dev/null
+++ b/src/plantainstage/_reports/bounds.py
@@ -0,0 +1,64 @@
+"""Reads the profiles that a burn report judges by."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from plantainstage._errors import ControlUnavailableError, PlantainstageError
+from plantainstage._messages import control
+from plantainstage._messages.configuration import Profile
+from plantainstage._transport.rpc import ControlClient
+
+_file_decoder = msgspec.json.Decoder(tuple[Profile, ...])
+
+
+@dataclass(kw_only=True, eq=False)
+class BoundsUnavailableError(PlantainstageError):
+    """The profiles could not be read, so that nothing can be judged."""
+
+    source: str
+    detail: str
+
+    def describe(self):
+        return (
+            f"The profiles could not be read from {self.source}: {self.detail} "
+            "Check the source, or give the profiles as a file with --profiles."
+        )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """The profiles in force and the entry hosts known to control."""
+
+    profiles: tuple[Profile, ...]
+    entry_hosts: tuple[str, ...] = ()
+
+
+def bounds_from_file(path):
+    """Reads a JSON list of profiles; raises BoundsUnavailableError."""
+    try:
+        with open(path, "rb") as file:
+            return Bounds(profiles=_file_decoder.decode(file.read()))
+    except (OSError, msgspec.MsgspecError) as error:
+        raise BoundsUnavailableError(source=path, detail=f"{error}.") from error
+
+
+async def bounds_from_control(addresses, *, timeout_s):
+    """Asks the control leader; raises BoundsUnavailableError."""
+    source = ", ".join(addresses)
+    client = ControlClient(addresses=addresses)
+    try:
+        reply = await client.call(control.QueryConfiguration(), timeout_s=timeout_s)
+    except ControlUnavailableError as error:
+        raise BoundsUnavailableError(source=source, detail=str(error)) from error
+    finally:
+        client.close()
+    match reply:
+        case control.CurrentConfiguration(configuration=configuration):
+            return Bounds(
+                profiles=configuration.profiles,
+                entry_hosts=tuple(host.entry_id for host in configuration.entry_hosts),
+            )
+        case control.RequestRejected(message=message):
+            raise BoundsUnavailableError(source=source, detail=message)
+    raise BoundsUnavailableError(source=source, detail="An unexpected reply.")
--- /dev/null
+++ b/src/plantainstage/_reports/burn_text.py
@@ -0,0 +1,107 @@
+"""The burn report as text and as JSON."""
+
+from datetime import UTC, datetime
+
+import msgspec
+
+from plantainstage._reports.burn import minute_time
+
+MINUTE_HEADER = (
+    f"  {'minute':<17}{'requests':>9}{'late':>7}{'late %':>8}{'below':>7}"
+    f"{'extra %':>9}{'budget %':>10}{'p50 ms':>9}{'p99 ms':>9}{'max ms':>9}  violated"
+)
+
+
+def report_json(report):
+    """Returns the report as one JSON document."""
+    return msgspec.json.format(msgspec.json.encode(report), indent=1).decode()
+
+
+def report_text(report):
+    """Returns the report as text, the verdict first."""
+    lines = [verdict(report), *_scope_lines(report), ""]
+    for burn in report.profiles:
+        lines += _profile_lines(burn)
+    if report.not_judged:
+        names = ", ".join(
+            name or "(no published profile)" for name in report.not_judged
+        )
+        lines.append(f"Counted, but without bounds to judge by: {names}.")
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def verdict(report):
+    """Returns the first line; it claims nothing about what was not read."""
+    if report.partial:
+        seen = "exceeded" if report.exceeded else "not exceeded"
+        return f"PARTIAL: not all data was read; in what was read the budget is {seen}."
+    if report.exceeded:
+        return "EXCEEDED: at least one profile broke its promise."
+    return "WITHIN BUDGET: every profile kept its promise in every minute."
+
+
+def _scope_lines(report):
+    lines = []
+    if report.hosts:
+        lines.append(
+            f"Period {clock(report.first_minute)} to {clock(report.last_minute)} UTC, "
+            f"{report.last_minute - report.first_minute + 1} minutes, "
+            f"{len(report.hosts)} entry hosts: {', '.join(report.hosts)}."
+        )
+    for problem in report.problems:
+        lines.append(f"Not read: {problem.source}: {problem.reason}.")
+    for gap in report.gaps:
+        lines.append(
+            f"Incomplete: {gap.host} lacks {gap.missing} minutes between "
+            f"{clock(gap.first_minute)} and {clock(gap.last_minute)}."
+        )
+    return lines
+
+
+def _profile_lines(burn):
+    profile = burn.profile
+    lines = [
+        f"{profile.name}: deadline {profile.deadline_ms} ms, late at most "
+        f"{profile.late_fraction:.2%}, coverage at least "
+        f"{profile.minimum_coverage:.2%}, extra load at most "
+        f"{profile.extra_load_limit:.2%}",
+        f"  {burn.requests} requests, {burn.late} late, {burn.below_promise} below the "
+        f"promised coverage; error budget burnt: {percent(burn.budget_burnt)}; "
+        f"violated minutes: {burn.violated_minutes}",
+        "  burn rate: " + "; ".join(_rate_text(rate) for rate in burn.burn_rates),
+    ]
+    if burn.worst_minute is None:
+        return [*lines, "  no requests in the period", ""]
+    worst = burn.worst_minute
+    lines.append(
+        f"  worst minute: {clock(worst.minute)} with {worst.late} of "
+        f"{worst.requests} late ({worst.late_share:.2%}), p99 {worst.p99_ms:.1f} ms"
+    )
+    lines.append(MINUTE_HEADER)
+    return [*lines, *(_minute_line(minute) for minute in burn.minutes), ""]
+
+
+def _rate_text(rate):
+    value = "no budget" if rate.rate is None else f"{rate.rate:.2f}"
+    missing = "" if rate.complete else " (partial)"
+    return f"{rate.window_minutes} min {value}{missing}"
+
+
+def _minute_line(minute):
+    violated = ", ".join(item.value for item in minute.violations)
+    return (
+        f"  {clock(minute.minute):<17}{minute.requests:>9}{minute.late:>7}"
+        f"{minute.late_share:>8.2%}{minute.below_promise:>7}{minute.extra_share:>9.2%}"
+        f"{percent(minute.budget_share):>10}{minute.p50_ms:>9.1f}{minute.p99_ms:>9.1f}"
+        f"{minute.max_ms:>9.1f}  {violated}"
+    ).rstrip()
+
+
+def percent(share):
+    """Returns a share as text; None stands for lateness without a budget."""
+    return "no budget" if share is None else f"{share:.1%}"
+
+
+def clock(minute):
+    """Returns the UTC time at which a minute begins, ``2026-01-31 09:59``."""
+    return datetime.fromtimestamp(minute_time(minute), UTC).strftime("%Y-%m-%d %H:%M")
--- /dev/null
+++ b/src/plantainstage/_reports/plot.py
@@ -0,0 +1,115 @@
+"""The burn report as a picture (PNG or SVG)."""
+
+from datetime import UTC, datetime
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+import matplotlib.dates as mdates
+from matplotlib.figure import Figure
+
+from plantainstage._reports.burn import minute_time
+from plantainstage._reports.burn_text import clock, percent, verdict
+
+MAX_PROFILES = 8  # more rows are too small to read; the worst ones are drawn
+ROW_HEIGHT_IN = 2.6
+MEASURED = "#1f5a94"
+BOUND = "#b3261e"
+VIOLATED = "#e07a1f"
+MEDIAN = "#7fa8cc"
+
+
+def draw_report(report, path):
+    """Writes the picture to ``path``; its suffix chooses the format."""
+    burns = sorted(report.profiles, key=_burnt, reverse=True)[:MAX_PROFILES]
+    rows = max(len(burns), 1)
+    figure = Figure(figsize=(15, 1.4 + ROW_HEIGHT_IN * rows), layout="constrained")
+    figure.suptitle(_title(report, len(burns)), fontsize=12, x=0.01, ha="left")
+    axes = figure.subplots(rows, 3, squeeze=False, sharex="all")
+    for row, burn in zip(axes, burns, strict=False):
+        _draw_profile(row, burn, report)
+    for axis in axes[-1]:
+        axis.set_xlabel("UTC", fontsize=8)
+    if not burns:
+        for axis in axes[0]:
+            axis.set_axis_off()
+    figure.savefig(path, dpi=110)
+
+
+def _burnt(burn):
+    return float("inf") if burn.budget_burnt is None else burn.budget_burnt
+
+
+def _title(report, drawn):
+    period = f"{clock(report.first_minute)} to {clock(report.last_minute)} UTC"
+    hosts = f"{len(report.hosts)} entry hosts"
+    profiles = f"{drawn} of {len(report.profiles)} profiles, most burnt first"
+    return f"{verdict(report)}\n{period}, {hosts}, {profiles}"
+
+
+def _draw_profile(axes, burn, report):
+    profile = burn.profile
+    times = [_time(minute.minute) for minute in burn.minutes]
+    late, latency, extra = axes
+    _draw_share(
+        late,
+        times,
+        [100 * minute.late_share for minute in burn.minutes],
+        100 * profile.late_fraction,
+    )
+    late.set_title(
+        f"{profile.name}: budget burnt {percent(burn.budget_burnt)}\nlate answers, %",
+        fontsize=9,
+        loc="left",
+    )
+    latency.plot(
+        times, [m.p99_ms for m in burn.minutes], color=MEASURED, marker=".", label="p99"
+    )
+    latency.plot(
+        times, [m.p50_ms for m in burn.minutes], color=MEDIAN, ls="-", label="p50"
+    )
+    latency.axhline(profile.deadline_ms, color=BOUND, ls="--", label="deadline")
+    latency.set_title("latency of answers, ms", fontsize=9, loc="left")
+    latency.set_ylim(bottom=0)
+    _draw_share(
+        extra,
+        times,
+        [100 * minute.extra_share for minute in burn.minutes],
+        100 * profile.extra_load_limit,
+    )
+    extra.set_title("extra sub-requests, % of first", fontsize=9, loc="left")
+    for axis in axes:
+        _style(axis, report)
+
+
+def _draw_share(axis, times, values, limit):
+    width = 0.8 / (24 * 60)  # of a day, the unit of the axis
+    colours = [VIOLATED if value > limit else MEASURED for value in values]
+    axis.bar(times, values, width=width, color=colours)
+    axis.axhline(limit, color=BOUND, ls="--", label=f"limit {limit:.3g}%")
+    if VIOLATED in colours:
+        # A bar of no height, for the legend only.
+        axis.bar(times[:1], [0], color=VIOLATED, label="over the limit")
+    axis.set_ylim(0, max([*values, limit]) * 1.15 or 1)
+
+
+def _style(axis, report):
+    first, last = _time(report.first_minute), _time(report.last_minute + 1)
+    axis.set_xlim(first, last)
+    axis.xaxis.set_major_locator(mdates.AutoDateLocator(maxticks=8))
+    axis.xaxis.set_major_formatter(mdates.DateFormatter("%H:%M"))
+    axis.tick_params(labelsize=8)
+    axis.grid(alpha=0.25)
+    # Above the axes, so that it hides no minute.
+    axis.legend(
+        fontsize=7,
+        loc="lower right",
+        bbox_to_anchor=(1, 0.98),
+        ncols=3,
+        frameon=False,
+    )
+
+
+def _time(minute):
+    return datetime.fromtimestamp(minute_time(minute), UTC)
