--- a/features/behaviour/logs.feature
+++ b/features/behaviour/logs.feature
@@ -49,3 +49,9 @@
     Given a log writer on a full pipe
     When more than 8 MiB of lines are logged and then the pipe is read
     Then all lines arrive whole, or the lines that are lost are counted
+
+  Scenario: Logging resumes after a full disk, with the number of lost lines
+    # Guards against a log that stays silent after the first failed write.
+    Given a log writer on a full disk that has lost 3 lines
+    When the disk has room again and one more line is logged
+    Then the log holds that line after a count of 3 lost lines
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -11,7 +11,7 @@
 
 from plantainstage._programs.line_writer import MAX_WAITING_BYTES, LineWriter
 from plantainstage._programs.logs import encode_line
-from support.processes import ROOT
+from support.processes import ROOT, wait_until
 
 WORKER = """
 import sys
@@ -154,3 +154,32 @@
     lost = sum(line.get("lost", 0) for line in context.lines)
     assert 0 < arrived < context.sent
     assert arrived + lost == context.sent, (arrived, lost, context.sent)
+
+
+@given("a log writer on a full disk that has lost {count:d} lines")
+def make_full_writer(context, count):
+    context.pipe = os.open("/dev/full", os.O_WRONLY)
+    context.resources.callback(os.close, context.pipe)
+    context.writer = LineWriter(descriptor=context.pipe)
+    for number in range(count):
+        context.writer.put(json.dumps({"event": "early", "number": number}))
+    wait_until(lambda: context.writer.lost == count, what="the lines are lost")
+
+
+@when("the disk has room again and one more line is logged")
+def make_room(context):
+    reader, writer = os.pipe()
+    os.dup2(writer, context.pipe)
+    os.close(writer)
+    context.writer.put(json.dumps({"event": "late"}))
+    context.writer.close(timeout_s=60)
+    context.lines = [json.loads(x) for x in os.read(reader, 65536).splitlines()]
+    os.close(reader)
+
+
+@then("the log holds that line after a count of {count:d} lost lines")
+def check_resumed(context, count):
+    assert context.lines == [
+        {"event": "log lines lost", "lost": count},
+        {"event": "late"},
+    ], context.lines
