Add metrics by statsd

Cause: operators watch requests, refusals, hedges, leases and queues live. Change: counters, timers and gauges collected in memory and flushed in bounded datagrams on a socket that does not block; a null object without an address.

--- /dev/null
+++ b/src/plantainstage/_reports/metrics.py
@@ -0,0 +1,182 @@
+"""Metrics by statsd over UDP.
+
+Requests only add to counters in memory. ``flush``, called about once a second,
+sends them in a few datagrams on a socket that never blocks; what cannot be
+sent is lost, as is usual with statsd.
+"""
+
+import enum
+import re
+from collections import Counter
+from typing import Protocol
+
+import statsd
+
+PREFIX = "plantainstage"
+FLUSH_INTERVAL_S = 1.0
+# Of more timings within one flush only a number is kept; statsd servers
+# compute the same percentiles from a sample.
+MAX_TIMINGS = 200
+MAX_NAMES = 5000
+MAX_DATAGRAM_BYTES = 1400  # fits an Ethernet frame
+_NOT_IN_A_NAME = re.compile(r"[^A-Za-z0-9_-]")
+
+
+class Metric(enum.Enum):
+    """The names of all metrics, below ``plantainstage.PROGRAM.HOST``.
+
+    Those with a label (a profile, a refusal's code, an outcome) append it, as
+    in ``plantainstage.entry.entry-1.refusals.overloaded``.
+    """
+
+    REQUESTS = "requests"
+    REFUSALS = "refusals"
+    REQUEST_TIME = "request_ms"
+    FIRST_SUB_REQUESTS = "sub_requests.first"
+    EXTRA_SUB_REQUESTS = "sub_requests.extra"
+    SUB_REQUEST_OUTCOMES = "sub_requests.outcome"
+    SUB_REQUEST_TIME = "sub_request_ms"
+    HEDGES = "hedges"
+    RETRIES = "retries"
+    INVARIANT_VIOLATIONS = "invariant_violations"
+    LEASE_HELD = "lease_held"
+    VERSION = "version"
+    QUEUE_LENGTH = "queue_length"
+    IN_FLIGHT = "in_flight"
+    CONTROL_REQUESTS = "control_requests"
+    LEADER = "leader"
+    TERM = "term"
+    COMMIT_INDEX = "commit_index"
+
+
+class Metrics(Protocol):
+    """Counters, timers and gauges; no method blocks or raises."""
+
+    def count(self, metric: Metric, *, label: str = "", value: int = 1):
+        """Adds to a counter."""
+
+    def timing(self, metric: Metric, *, milliseconds: float, label: str = ""):
+        """Adds one duration."""
+
+    def gauge(self, metric: Metric, *, value: float, label: str = ""):
+        """Sets a value that stays until it is set again."""
+
+    def flush(self):
+        """Sends what has been added since the last flush."""
+
+    def close(self):
+        """Flushes and closes the socket."""
+
+
+class NullMetrics:
+    """Metrics without an address: everything is ignored."""
+
+    def count(self, metric, *, label="", value=1):
+        """Does nothing."""
+
+    def timing(self, metric, *, milliseconds, label=""):
+        """Does nothing."""
+
+    def gauge(self, metric, *, value, label=""):
+        """Does nothing."""
+
+    def flush(self):
+        """Does nothing."""
+
+    def close(self):
+        """Does nothing."""
+
+
+class StatsdMetrics:
+    """Collects metrics and sends them to a statsd server.
+
+    For example::
+
+        metrics = StatsdMetrics(
+            address="127.0.0.1:8125", program="entry", host_id="entry-1"
+        )
+        metrics.count(Metric.REFUSALS, label="overloaded")
+        metrics.flush()
+    """
+
+    def __init__(self, *, address: str, program: str, host_id: str):
+        ip, _, port = address.rpartition(":")
+        ip = ip.strip("[]")
+        self.client = statsd.StatsClient(
+            host=ip,
+            port=int(port),
+            prefix=f"{PREFIX}.{name_part(program)}.{name_part(host_id)}",
+            maxudpsize=MAX_DATAGRAM_BYTES,
+            ipv6=":" in ip,
+        )
+        # The client has no public setting for this. A full send buffer then
+        # fails at once, and the client drops the datagram.
+        self.client._sock.setblocking(False)
+        self.counts = Counter()
+        self.timings = {}
+        self.gauges = {}
+        self.closed = False
+
+    def count(self, metric, *, label="", value=1):
+        """Adds to a counter."""
+        name = metric_name(metric, label)
+        if name in self.counts or len(self.counts) < MAX_NAMES:
+            self.counts[name] += value
+
+    def timing(self, metric, *, milliseconds, label=""):
+        """Adds one duration; of many in one flush a sample is kept."""
+        name = metric_name(metric, label)
+        if name not in self.timings and len(self.timings) >= MAX_NAMES:
+            return
+        seen, sample = self.timings.get(name, (0, []))
+        if seen < MAX_TIMINGS:
+            sample.append(milliseconds)
+        else:
+            # Overwriting in turn keeps the newest ones, without random numbers.
+            sample[seen % MAX_TIMINGS] = milliseconds
+        self.timings[name] = (seen + 1, sample)
+
+    def gauge(self, metric, *, value, label=""):
+        """Sets a value, which is sent with each flush until it is set again."""
+        name = metric_name(metric, label)
+        if name in self.gauges or len(self.gauges) < MAX_NAMES:
+            self.gauges[name] = value
+
+    def flush(self):
+        """Sends everything; a name that is too long for a datagram is lost."""
+        if self.closed:
+            return
+        pipeline = self.client.pipeline()
+        for name, value in self.counts.items():
+            pipeline.incr(name, value)
+        for name, (_, sample) in self.timings.items():
+            for milliseconds in sample:
+                pipeline.timing(name, milliseconds)
+        for name, value in self.gauges.items():
+            pipeline.gauge(name, value)
+        self.counts.clear()
+        self.timings.clear()
+        pipeline.send()
+
+    def close(self):
+        """Flushes and closes the socket."""
+        self.flush()
+        self.closed = True
+        self.client.close()
+
+
+def make_metrics(*, address, program, host_id):
+    """Returns Metrics for an address ``IP:port``, or without one if empty."""
+    if not address:
+        return NullMetrics()
+    return StatsdMetrics(address=address, program=program, host_id=host_id)
+
+
+def metric_name(metric, label):
+    """Returns the name below the prefix."""
+    return f"{metric.value}.{name_part(label)}" if label else metric.value
+
+
+def name_part(text):
+    """Returns a text without the characters that statsd gives a meaning."""
+    return _NOT_IN_A_NAME.sub("_", text)[:100] or "_"
--- a/src/plantainstage/reports.py
+++ b/src/plantainstage/reports.py
@@ -1,5 +1,12 @@
 """Minute records, service-level burn and metrics."""
 
+from plantainstage._reports.metrics import (
+    Metric,
+    Metrics,
+    NullMetrics,
+    StatsdMetrics,
+    make_metrics,
+)
 from plantainstage._reports.minute_log import (
     log_all_minutes,
     log_due_minutes,
@@ -17,6 +24,11 @@
 
 __all__ = [
     "HostMinute",
+    "Metric",
+    "Metrics",
+    "NullMetrics",
+    "StatsdMetrics",
+    "make_metrics",
     "HostMinutes",
     "MinuteRecord",
     "MinuteRecorder",
