Add the operator's command and the settings of the control replica

Cause: Operators had no command, and wrong settings of a control replica showed up one at a time or as a traceback.

Change: plantainstage-ctl submits changes under one number, waits until they are in force and has documented exit codes; its logic is in _operator.

--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -164,6 +164,21 @@
         return f"{self.address}: {self.reason}; the sub-request {sent}."
 
 
+@dataclass(kw_only=True, eq=False)
+class ListenError(PlantainstageError):
+    """An address cannot be listened on; the program does not start."""
+
+    flag: str
+    address: str
+    detail: str
+
+    def describe(self):
+        return (
+            f"{self.flag}: cannot listen on {self.address}: {self.detail}. "
+            "End the process that uses the address, or choose another one."
+        )
+
+
 # ---- Invariants ----------------------------------------------------------------------
 
 
--- /dev/null
+++ b/src/plantainstage/_operator/__init__.py
@@ -0,0 +1,1 @@
+"""What ``plantainstage-ctl`` does, without its command line."""
--- /dev/null
+++ b/src/plantainstage/_operator/replicas.py
@@ -0,0 +1,112 @@
+"""Changes the set of control replicas, one step at a time."""
+
+import asyncio
+
+import msgspec
+
+from plantainstage._errors import ControlUnavailableError
+from plantainstage._messages import control
+from plantainstage._messages.control import MemberAction, ReplicaStatus
+from plantainstage._operator.outcomes import ExitCode
+
+POLL_INTERVAL_S = 0.2
+
+
+class ReplicaReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The result of a member command; ``done_steps`` are committed."""
+
+    outcome: str
+    exit_code: ExitCode
+    done_steps: tuple[str, ...] = ()
+    message: str = ""
+    remedy: str = ""
+    replicas: tuple[ReplicaStatus, ...] = ()
+
+
+def describe_replicas(report):
+    """Returns a member report as lines of text."""
+    lines = [f"done: {step}" for step in report.done_steps]
+    lines.append(f"replicas: {report.outcome}")
+    lines.extend(line for line in (report.message, report.remedy) if line)
+    lines.extend(describe_replica(item) for item in report.replicas)
+    return lines
+
+
+def describe_replica(item):
+    """Returns one line about a control replica."""
+    role = "leader" if item.leader else "voter" if item.voter else "learner"
+    return (
+        f"  {item.replica_id} {item.incarnation} {role} client {item.client_address} "
+        f"peer {item.peer_address} synced up to {item.match_index}, "
+        f"heard {item.last_heard_ms} ms ago"
+    )
+
+
+def step_name(request):
+    """Returns a step as text, for example ``promote control-4 3f2a``."""
+    return f"{request.action.value} {request.replica_id} {request.incarnation}"
+
+
+async def take_steps(session, steps):
+    """Takes the steps in order and stops at the first that is not done.
+
+    A step that was already taken is done at once, so that an interrupted
+    replacement goes on where it stopped when the same command is given again.
+    """
+    done = []
+    deadline = asyncio.get_running_loop().time() + session.timeout_s
+    for step in steps:
+        try:
+            reply = await _take_step(session, step, deadline)
+        except ControlUnavailableError as error:
+            return ReplicaReport(
+                outcome="unknown",
+                exit_code=ExitCode.UNAVAILABLE,
+                done_steps=tuple(done),
+                message=f"{step_name(step)}: {error}",
+                remedy="Look at replica list, then give the same command again.",
+            )
+        if not isinstance(reply, control.Done):
+            return ReplicaReport(
+                outcome="rejected",
+                exit_code=ExitCode.REJECTED,
+                done_steps=tuple(done),
+                message=f"{step_name(step)}: {reply.message}",
+                remedy=reply.remedy,
+            )
+        done.append(step_name(step))
+    return ReplicaReport(
+        outcome="done", exit_code=ExitCode.DONE, done_steps=tuple(done)
+    )
+
+
+async def _take_step(session, step, deadline):
+    """Repeats a step that has to wait, such as the promotion of a learner."""
+    while True:
+        reply = await session.call(step)
+        waits = isinstance(reply, control.RequestRejected) and reply.code in (
+            "not_caught_up",
+            "change_pending",
+            "term_not_started",
+        )
+        if not waits or asyncio.get_running_loop().time() >= deadline:
+            return reply
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def replacement_steps(*, old_id, old_incarnation, new_id, new_incarnation, addresses):
+    """Returns the steps that replace a control replica by another folder."""
+    new = {"replica_id": new_id, "incarnation": new_incarnation}
+    client_address, peer_address = addresses
+    return (
+        control.ChangeMember(
+            action=MemberAction.ADD_LEARNER,
+            client_address=client_address,
+            peer_address=peer_address,
+            **new,
+        ),
+        control.ChangeMember(action=MemberAction.PROMOTE, **new),
+        control.ChangeMember(
+            action=MemberAction.REMOVE, replica_id=old_id, incarnation=old_incarnation
+        ),
+    )
--- /dev/null
+++ b/src/plantainstage/_programs/ctl.py
@@ -0,0 +1,36 @@
+"""``plantainstage-ctl``: the operator's command."""
+
+import click
+
+from plantainstage._operator.outcomes import EXIT_CODE_HELP
+from plantainstage._programs.ctl_profiles import profile_group
+from plantainstage._programs.ctl_replicas import replica_group
+from plantainstage._programs.ctl_status import (
+    change_group,
+    status_command,
+    wait_command,
+)
+from plantainstage._programs.ctl_upstreams import upstream_group
+
+
+@click.group(epilog=EXIT_CODE_HELP)
+def main():
+    """Change and watch a plantainstage tier.
+
+    Each command takes --control, --timeout and --json; see its own --help.
+    """
+
+
+for command in (
+    profile_group,
+    upstream_group,
+    replica_group,
+    change_group,
+    status_command,
+    wait_command,
+):
+    main.add_command(command)
+
+
+if __name__ == "__main__":
+    main()
