--- a/src/plantainstage/_programs/burn.py
+++ b/src/plantainstage/_programs/burn.py
@@ -46,7 +46,14 @@
 @click.option("--profiles", default="", help="JSON file with bounds.")
 @click.option("--minutes", default="180", show_default=True, help="Length judged.")
 @click.option("--timeout", default="10", show_default=True, help="Seconds a host.")
-@click.option("--format", "output_format", default="text", show_default=True)
+@click.option(
+    "--format",
+    "output_format",
+    default="text",
+    show_default=True,
+    envvar="PLANTAINSTAGE_BURN_FORMAT",
+    help="text or json.",
+)
 @click.option("--plot", default="", help="Picture to write, .png or .svg.")
 def main(**flags):
     """Report how much of each profile's error budget is burnt."""
--- a/src/plantainstage/_settings/base.py
+++ b/src/plantainstage/_settings/base.py
@@ -3,6 +3,7 @@
 import ipaddress
 import os
 import re
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -23,6 +24,22 @@
     )
 
 
+def can_listen(address):
+    """Whether a TCP socket can be bound to ``address`` at the moment."""
+    ip, _, port = address.rpartition(":")
+    ip = ip.strip("[]")
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as probe:
+        # As the programs do: connections of an ended process do not block it.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, int(port)))
+            probe.listen(1)
+        except OSError:
+            return False
+    return True
+
+
 @dataclass(kw_only=True)
 class SettingsCheck:
     """Collects the errors of all settings, so that none hides another.
@@ -55,6 +72,22 @@
             remedy="Give the numeric address, for example 127.0.0.1:8080.",
         )
 
+    def listen_address(self, *, flag, value):
+        """Checks an ``IP:port`` that this process is going to listen on.
+
+        The port is bound for a moment. Another process may still take it before
+        the program listens, which then fails at the start.
+        """
+        self.address(flag=flag, value=value)
+        if is_address(value):
+            self.require(
+                flag=flag,
+                value=value,
+                condition=can_listen(value),
+                expected="an address of this host with a free port",
+                remedy="Stop the process that listens there, or choose another port.",
+            )
+
     def addresses(self, *, flag, values, minimum=1):
         """Checks a list of at least ``minimum`` distinct addresses."""
         for value in values:
--- a/src/plantainstage/_settings/burn.py
+++ b/src/plantainstage/_settings/burn.py
@@ -88,7 +88,7 @@
         flag=flag,
         value=path,
         condition=path == STANDARD_INPUT
-        or (os.path.isfile(path) and os.access(path, os.R_OK)),
+        or (not os.path.isdir(path) and os.access(path, os.R_OK)),
         expected="a file that this process may read",
         remedy="Check the path and its mode.",
     )
