Add links for scenarios that cut, slow or break connections

Cause: failure scenarios need silent partitions between real processes. Change: a TCP link (hold, silence existing connections, drop a direction, delay, reset) in a thread of the test, and a launcher that sends a program's outgoing connections through links without changes to the program.

--- /dev/null
+++ b/features/support/dial_through.py
@@ -0,0 +1,51 @@
+"""Starts a program whose outgoing connections go through the links of a test.
+
+Usage: ``python dial_through.py MAP MODULE ARGUMENTS``. MAP is a JSON file from
+an address to the address to dial in its place; it is read at each dial, and an
+address that is not in it is dialled as it is. The program's own code runs
+unchanged: only the two library calls that open connections are wrapped.
+"""
+
+import json
+import runpy
+import sys
+from pathlib import Path
+
+import pynng
+from tornado.tcpclient import TCPClient
+
+
+def install(path):
+    """Wraps the dial calls of pynng and tornado."""
+
+    def translate(address):
+        return json.loads(path.read_text(encoding="utf-8")).get(address, address)
+
+    nng_dial = pynng.Socket.dial
+    tcp_connect = TCPClient.connect
+
+    def dial(self, address, **options):
+        scheme, _, rest = address.partition("://")
+        return nng_dial(self, f"{scheme}://{translate(rest)}", **options)
+
+    async def connect(self, host, port, *arguments, **options):
+        host, _, port = translate(f"{host}:{port}").rpartition(":")
+        return await tcp_connect(self, host, int(port), *arguments, **options)
+
+    pynng.Socket.dial = dial
+    TCPClient.connect = connect
+
+
+def main():
+    install(Path(sys.argv[1]))
+    sys.argv = sys.argv[2:]
+    # As ``python -m`` and ``python FILE`` do.
+    if sys.argv[0].endswith(".py"):
+        sys.path.insert(0, str(Path(sys.argv[0]).resolve().parent))
+        runpy.run_path(sys.argv[0], run_name="__main__")
+    else:
+        runpy.run_module(sys.argv[0], run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/support/proxy.py
@@ -0,0 +1,208 @@
+"""A TCP link between two programs that a scenario can cut, slow or break.
+
+All links run in one thread with its own event loop. A held link keeps its
+connections open and delivers nothing, as a network partition does: the bytes
+stay with the sender, and arrive late when the link is released.
+"""
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+import threading
+from dataclasses import dataclass, field
+
+CHUNK_BYTES = 65536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time: RST
+
+
+class Direction(enum.Enum):
+    """Seen from the program that opened the connection."""
+
+    TO_SERVER = "to_server"
+    TO_CLIENT = "to_client"
+
+
+@dataclass(eq=False, kw_only=True)
+class _Connection:
+    writers: list = field(default_factory=list)
+    silent: bool = False
+
+
+class Link:
+    """Listens on ``address`` and passes connections on to ``target``."""
+
+    def __init__(self, network, *, target: str):
+        self.network = network
+        self.target = target
+        self.address = ""
+        self.server = None
+        self.connections = set()
+        self.tasks = set()
+        self.opened = 0
+        self.resets = 0
+        self.held = False
+        self.dropped = frozenset()
+        self.delay_s = 0.0
+        self.changed = asyncio.Event()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def close(self):
+        self.server.close()
+        self._reset_all()
+        self._wake()
+
+    def hold(self):
+        """Cuts the link silently, for present and new connections."""
+        self.network.call(self._set, "held", True)
+
+    def release(self):
+        """Ends hold, drop and delay; held bytes are delivered now."""
+        self.network.call(self._release)
+
+    def silence_existing(self):
+        """Cuts the present connections for good; new ones work."""
+        self.network.call(self._silence_existing)
+
+    def drop(self, *directions):
+        """Swallows all bytes of these directions."""
+        self.network.call(self._set, "dropped", frozenset(directions))
+
+    def delay(self, seconds):
+        """Delays each chunk by ``seconds``, in both directions."""
+        self.network.call(self._set, "delay_s", seconds)
+
+    def reset(self):
+        """Resets the present connections; new ones work."""
+        self.network.call(self._reset_all)
+
+    def carrying(self):
+        """Returns how many connections are open that can carry bytes."""
+        return sum(not connection.silent for connection in list(self.connections))
+
+    def _set(self, name, value):
+        setattr(self, name, value)
+        self._wake()
+
+    def _release(self):
+        self.held, self.dropped, self.delay_s = False, frozenset(), 0.0
+        self._wake()
+
+    def _silence_existing(self):
+        for connection in self.connections:
+            connection.silent = True
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _reset_all(self):
+        for connection in self.connections:
+            for writer in connection.writers:
+                raw = writer.get_extra_info("socket")
+                if raw is not None and raw.fileno() >= 0:
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+                writer.transport.abort()
+
+    def _accept(self, reader, writer):
+        # A plain callback: asyncio logs an error when it cancels a coroutine here.
+        task = asyncio.ensure_future(self._carry(reader, writer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _carry(self, reader, writer):
+        connection = _Connection(writers=[writer])
+        self.connections.add(connection)
+        self.opened += 1
+        try:
+            # Nothing of a new connection reaches the server through a cut link.
+            await self._passable(connection)
+            host, _, port = self.target.rpartition(":")
+            server_reader, server_writer = await asyncio.open_connection(host, port)
+            connection.writers.append(server_writer)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._pump(connection, reader, server_writer, Direction.TO_SERVER)
+                )
+                group.create_task(
+                    self._pump(connection, server_reader, writer, Direction.TO_CLIENT)
+                )
+        except* OSError:
+            # One side reset the connection; the other is closed below.
+            self.resets += 1
+        finally:
+            self.connections.discard(connection)
+            for item in connection.writers:
+                item.close()
+
+    async def _passable(self, connection):
+        while self.held or connection.silent:
+            await self.changed.wait()
+
+    async def _pump(self, connection, reader, writer, direction):
+        while data := await reader.read(CHUNK_BYTES):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            await self._passable(connection)
+            if direction in self.dropped:
+                continue
+            writer.write(data)
+            await writer.drain()
+        await self._passable(connection)
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+
+class Network:
+    """All links of a scenario, in a thread; close it at the end."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.links = []
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def call(self, function, *arguments):
+        """Runs a function in the network's thread and waits for it."""
+
+        async def run():
+            return function(*arguments)
+
+        return self.run(run())
+
+    def run(self, coroutine):
+        """Runs a coroutine in the network's thread and returns its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(60)
+
+    def link(self, target):
+        """Opens a link to ``target`` (``IP:port``)."""
+
+        async def open_link():
+            link = Link(self, target=target)
+            await link.listen()
+            return link
+
+        link = self.run(open_link())
+        self.links.append(link)
+        return link
+
+    def close(self):
+        """Ends all links and the thread."""
+        self.run(self._close())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    async def _close(self):
+        for link in self.links:
+            await link.close()
+        current = asyncio.current_task()
+        tasks = [task for task in asyncio.all_tasks() if task is not current]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
