--- a/src/plantainstage/_membership/planner.py
+++ b/src/plantainstage/_membership/planner.py
@@ -21,7 +21,7 @@
 
 def pair_weight(upstream_id, entry_id):
     """Returns the rendezvous weight of a pair, the same on every machine."""
-    return xxhash.xxh3_64_intdigest(f"{upstream_id}\0{entry_id}")
+    return xxhash.xxh3_64_intdigest(f"{upstream_id}\0{entry_id}".encode())
 
 
 def plan_owners(*, searchers, hosts):
