--- a/src/plantainstage/errors.py
+++ b/src/plantainstage/errors.py
@@ -1,11 +1,13 @@
 """The errors that this package raises."""
 
 from plantainstage._errors import (
+    BootstrapRefusedError,
     ControlUnavailableError,
     CorruptLogError,
     ExchangeError,
     FolderInUseError,
     InvariantViolation,
+    ListenError,
     NotLeaderError,
     OutcomeUnknownError,
     PlantainstageError,
@@ -19,11 +21,13 @@
 )
 
 __all__ = [
+    "BootstrapRefusedError",
     "ControlUnavailableError",
     "CorruptLogError",
     "ExchangeError",
     "FolderInUseError",
     "InvariantViolation",
+    "ListenError",
     "NotLeaderError",
     "OutcomeUnknownError",
     "PlantainstageError",
