Move hedges towards the last useful moment when the budget is scarce

Cause: the trace of refused requests (5% stragglers, Kogi Basin) showed 142 + 126 of 342 missing partitions with a single sub-request, and 4,922 refusals of the extra-load budget: it was spent on sub-requests that were about to answer. Change: the hedge time moves from the learnt 95th percentile towards the last moment at which a hedge still helps, by the used share of the budget; above half of the budget, requests that already reach their minimum coverage do not hedge.

--- a/bench/tier_model/entry.py
+++ b/bench/tier_model/entry.py
@@ -85,6 +85,10 @@
                     )
                 case FinishRequest():
                     request.wake_time = -1.0
+                    if action.refusal is not None and self.tier.trace is not None:
+                        self.tier.trace.refused(
+                            request.gather, action.refusal, self.loop.now
+                        )
                     request.record.finish(action, self.loop.now)
 
     def _wake(self, request, wake_time):
--- a/bench/tier_model/scenarios.py
+++ b/bench/tier_model/scenarios.py
@@ -136,7 +136,7 @@
 }
 
 
-def run_scenario(*, name, deployment, policy_class, seed, plan):
+def run_scenario(*, name, deployment, policy_class, seed, plan, trace=None):
     """Runs one scenario to its end and returns the tier."""
     setup, load = SCENARIOS[name]
     tier = Tier(
@@ -148,6 +148,7 @@
     )
     for number, searcher in enumerate(tier.searchers.values()):
         searcher.lies = number % round(1 / LYING_SHARE) == 0
+    tier.trace = trace
     setup(tier, plan)
     share = plan.load if load is None else load
     rate = tier.capacity(MEAN_SERVICE_S) * share
--- a/bench/tier_model/tier.py
+++ b/bench/tier_model/tier.py
@@ -28,6 +28,7 @@
         self.random = random
         self.profiles = (deployment.profile,)
         self.records = []
+        self.trace = None
         self.sub_request_upstream = {}
         shapes = searcher_shapes(deployment)
         hosts = entry_hosts(deployment)
--- a/src/plantainstage/_limits/extra_load.py
+++ b/src/plantainstage/_limits/extra_load.py
@@ -38,10 +38,11 @@
             self._bucket(now)[1] += count
             self.first += count
 
-    def has_room(self, now):
-        """Whether ``take`` would grant one extra sub-request now."""
+    def pressure(self, now):
+        """Returns the used share of the budget, from 0 (unused) to 1."""
         self._bucket(now)
-        return self.extra + 1 <= self.limit * self._whole_first(now)
+        allowed = self.limit * self._whole_first(now)
+        return min(1.0, self.extra / allowed) if allowed > 0 else 1.0
 
     def take(self, now):
         """Takes room for one extra sub-request; false when there is none."""
--- a/src/plantainstage/_routing/estimates.py
+++ b/src/plantainstage/_routing/estimates.py
@@ -23,17 +23,19 @@
 MAXIMUM_SERVICE_S = 2.0
 HEDGE_QUANTILE = 0.95
 HEDGE_STEP = 0.1
+MEDIAN_STEP = 0.02
 MINIMUM_HEDGE_DELAY_S = 0.001
 INITIAL_HEDGE_DELAY_S = 0.02
 
 
 class HedgeDelay:
-    """The learnt 95th percentile of a partition's latency, in seconds."""
+    """The learnt 95th percentile (``value``) and median latency of a partition."""
 
-    __slots__ = ("value",)
+    __slots__ = ("value", "median")
 
     def __init__(self):
         self.value = INITIAL_HEDGE_DELAY_S
+        self.median = INITIAL_SERVICE_S
 
     def observe(self, latency_s):
         """Moves the estimate by a small step towards the quantile."""
@@ -41,6 +43,7 @@
             self.value *= 1 + HEDGE_STEP * HEDGE_QUANTILE
         elif self.value > MINIMUM_HEDGE_DELAY_S:
             self.value *= 1 - HEDGE_STEP * (1 - HEDGE_QUANTILE)
+        self.median *= 1 + MEDIAN_STEP if latency_s > self.median else 1 - MEDIAN_STEP
 
 
 class SearcherEstimate:
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -40,6 +40,12 @@
 # most two sub-requests of a partition may be running or have run.
 POSSIBLE_RUNS_PER_PARTITION = 2
 FLOAT_TOLERANCE = 1e-9
+# A hedge that is sent less than this many median latencies before the end
+# rarely answers in time.
+HEDGE_MEDIANS = 2.0
+# Beyond this used share of the budget, hedges go only to requests that would
+# otherwise miss the minimum coverage.
+SPARING_PRESSURE = 0.5
 
 _ANSWERED = SubOutcome.ANSWERED
 _NOT_SENT = SubOutcome.NOT_SENT
@@ -166,6 +172,8 @@
         while due and due[0][0] <= now:
             part = heapq.heappop(due)[2]
             if part.result is None and not part.given_up:
+                if part.outstanding and self._may_spare(now):
+                    continue
                 self._send_extra(part, actions, now)
         if self._settled():
             self._finish(actions, now)
@@ -201,6 +209,7 @@
         self.unresolved = len(self.parts)
         self.attainable = self.total
         hedges = self.body.idempotent
+        pressure = self.budget.pressure(now)
         choose = self.routing.choose
         for part in self.parts:
             view = part.view
@@ -210,7 +219,7 @@
                 continue
             self._send(part, replica, actions, now, extra=False)
             if hedges and len(view.replicas) > 1:
-                self._add_due(now + view.delay.value, part)
+                self._add_due(self._hedge_time(view.delay, pressure, now), part)
         if self._settled():
             self._finish(actions, now)
         else:
@@ -307,6 +316,24 @@
         elif part.outstanding == 0:
             self._give_up(part)
 
+    def _hedge_time(self, delay, pressure, now):
+        """The learnt delay, moved towards the last useful moment under pressure.
+
+        A scarce budget goes to the slowest sub-requests, and those are known
+        only late.
+        """
+        early = now + delay.value
+        latest = self.finish_at - HEDGE_MEDIANS * delay.median
+        if latest <= early:
+            return max(latest, now + HEDGE_MEDIANS * delay.median)
+        return early + (latest - early) * pressure
+
+    def _may_spare(self, now):
+        return (
+            self.answered >= self.needed
+            and self.budget.pressure(now) > SPARING_PRESSURE
+        )
+
     def _add_due(self, time, part):
         self.due_count += 1
         heapq.heappush(self.due, (time, self.due_count, part))
