Retry hedges that were not sent; judge late work by the median

Change: owners judge a single sub-request by the median; a hedge that was not sent goes to another replica; a timeout counts as a latency of at least that.

--- a/src/plantainstage/_limits/admission.py
+++ b/src/plantainstage/_limits/admission.py
@@ -13,7 +13,7 @@
         for partition in partitions:
             for replica in partition.replicas:
                 estimate = replica.estimate
-                if estimate.wait_s(now) + estimate.service_s <= remaining_s:
+                if estimate.wait_s(now) + estimate.typical.service_s <= remaining_s:
                     reachable += partition.documents
                     break
         return reachable >= gather.needed
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -42,6 +42,7 @@
 
 INITIAL_SERVICE_S = 0.005
 SERVICE_GAIN = 0.05
+MEDIAN_STEP = 0.02
 # After an exchange without an answer the searcher may still run until the
 # sub-request's deadline, and one-way latency and its timers later.
 SLOT_RELEASE_GRACE_S = 0.01
@@ -146,7 +147,8 @@
         self.running = {}
         self.held_slots = []  # times at which slots of lost exchanges free up
         self.epoch = None
-        self.service_s = INITIAL_SERVICE_S
+        self.service_s = INITIAL_SERVICE_S  # mean, for the wait in the queue
+        self.median_s = INITIAL_SERVICE_S  # for the sub-request itself
         self.wake_at = math.inf
 
     # ---- Ownership -----------------------------------------------------------
@@ -320,7 +322,7 @@
             return "lease_expired"
         if self.quarantines.is_quarantined(sub_request.fingerprint, now):
             return "quarantined"
-        if now + self.service_s > item.deadline:
+        if now + self.median_s > item.deadline:
             return "deadline"
         return ""
 
@@ -328,7 +330,7 @@
         if self.silence.state is Reachability.UNREACHABLE:
             return "searcher_silent"
         wait = self.expected_wait_s(item.profile, now)
-        if now + wait + self.service_s > item.deadline:
+        if now + wait + self.median_s > item.deadline:
             return "queue_full"
         return ""
 
@@ -403,6 +405,8 @@
         match outcome:
             case SubOutcome.ANSWERED:
                 self.service_s += SERVICE_GAIN * (elapsed - self.service_s)
+                step = MEDIAN_STEP if elapsed > self.median_s else -MEDIAN_STEP
+                self.median_s *= 1 + step
                 self.silence.observe(elapsed)
                 self.silence.answered()
             case SubOutcome.REFUSED | SubOutcome.CANCELLED:
@@ -442,9 +446,7 @@
 
     def _drop_late(self, actions, now):
         late = [
-            item
-            for item in self.by_id.values()
-            if item.deadline - self.service_s <= now
+            item for item in self.by_id.values() if item.deadline - self.median_s <= now
         ]
         for item in late:
             self.waiting.remove(item)
@@ -466,7 +468,7 @@
                     time = min(time, running.started_at + threshold)
         if self.by_id:
             first = next(iter(self.by_id.values()))
-            time = min(time, max(first.deadline - self.service_s, now))
+            time = min(time, max(first.deadline - self.median_s, now))
         if self.silence.state is Reachability.UNREACHABLE:
             time = min(time, self.silence.next_probe or now)
         if time < self.wake_at:
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -154,7 +154,9 @@
             part = attempt.part
             if outcome is _ANSWERED:
                 self._accept(part, sub_result, actions, now)
-            elif part.result is None and part.outstanding == 0:
+            elif part.result is None and (
+                part.outstanding == 0 or outcome is _NOT_SENT
+            ):
                 self._retry(part, attempt, actions, now)
             if self.unresolved == 0 or self.attainable < self.needed:
                 self._finish(actions, now)
@@ -275,10 +277,10 @@
         replica = None
         if self._may_send(part, now):
             replica = self.routing.choose(part.view.replicas, part.tried(), now)
-        if replica is None:
-            self._give_up(part)
-        else:
+        if replica is not None:
             self._send(part, replica, actions, now, extra=attempt.extra)
+        elif part.outstanding == 0:
+            self._give_up(part)
 
     def _may_send(self, part, now):
         if now >= self.finish_at:
@@ -380,6 +382,8 @@
         if outcome in _NOT_RUN_OUTCOMES:
             part.possible_runs -= 1
             estimate.observe_queue(result, now)
+        elif outcome is SubOutcome.TIMED_OUT:
+            estimate.observe_at_least(now - attempt.sent_at, now)
         elif outcome is not SubOutcome.CANCELLED:
             estimate.observe_failure(now)
 
