Count the extra-load budget exactly and report work in the system

Cause: extra load stayed at 4.4% of an allowed 5% while hedges were refused: unsent hedges kept their room and first sub-requests that ended after their request were never counted. Owners reported only waiting work, so that a searcher with all slots busy looked idle to the other hosts. Change: unsent hedges give their room back, late ends of first sub-requests count, owners report waiting and running work, hedges move only above half of the budget.

--- a/src/plantainstage/_limits/extra_load.py
+++ b/src/plantainstage/_limits/extra_load.py
@@ -11,6 +11,7 @@
 
 WINDOW_S = 60.0
 BUCKETS = 120  # the oldest bucket costs at most 1/120 of the budget
+EXPIRED = -1
 
 
 class ExtraLoadBudget:
@@ -21,7 +22,7 @@
 
         budget = ExtraLoadBudget(limit=0.05)
         budget.record_first(40, now=1.0)
-        budget.take(now=1.0)   # True, the first of two
+        taken = budget.take(now=1.0)   # the first of two
     """
 
     def __init__(self, *, limit: float, window_s: float = WINDOW_S):
@@ -45,11 +46,11 @@
         return min(1.0, self.extra / allowed) if allowed > 0 else 1.0
 
     def take(self, now):
-        """Takes room for one extra sub-request; false when there is none."""
+        """Takes room for one extra sub-request; returns it, or None if full."""
         bucket = self._bucket(now)
         allowed = self.limit * self._whole_first(now)
         if self.extra + 1 > allowed:
-            return False
+            return None
         bucket[2] += 1
         self.extra += 1
         check_invariant(
@@ -57,7 +58,13 @@
             invariant="extra_load_limit",
             detail=f"{self.extra} extra sub-requests, {allowed} allowed",
         )
-        return True
+        return bucket
+
+    def give_back(self, taken):
+        """Returns what ``take`` gave for a sub-request that was not sent."""
+        if taken[0] != EXPIRED:
+            taken[2] -= 1
+            self.extra -= 1
 
     def _bucket(self, now):
         number = int(now / self.bucket_s)
@@ -66,9 +73,10 @@
             return buckets[-1]
         oldest = number - BUCKETS
         while buckets and buckets[0][0] < oldest:
-            _, first, extra = buckets.popleft()
-            self.first -= first
-            self.extra -= extra
+            bucket = buckets.popleft()
+            self.first -= bucket[1]
+            self.extra -= bucket[2]
+            bucket[0] = EXPIRED
         buckets.append([number, 0, 0])
         return buckets[-1]
 
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -265,7 +265,7 @@
                     snapshot=result.snapshot,
                     documents=result.documents,
                     hits=result.hits,
-                    queued=len(self.waiting),
+                    queued=len(self.waiting) + len(self.running),
                     service_ms=elapsed * 1000,
                     reported_load=result.reported_load,
                 ),
@@ -390,7 +390,7 @@
                     partition=sub_request.partition,
                     outcome=SubOutcome.NOT_SENT,
                     reason=reason,
-                    queued=len(self.waiting),
+                    queued=len(self.waiting) + len(self.running),
                 ),
             )
         )
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -146,6 +146,8 @@
         crashed = outcome is SubOutcome.RESET and self._record_reset(attempt, now)
         if self.finished:
             self.routing.counters.late_results += 1
+            if attempt.extra is None and outcome is not _NOT_SENT:
+                self.budget.record_first(1, now)
             return []
         actions = []
         if crashed or sub_result.reason == "quarantined":
@@ -219,7 +221,7 @@
             if replica is None:
                 self._give_up(part)
                 continue
-            self._send(part, replica, actions, now, extra=False)
+            self._send(part, replica, actions, now, extra=None)
             if hedges and len(view.replicas) > 1:
                 self._add_due(self._hedge_time(view.delay, pressure, now), part)
         if self._settled():
@@ -261,7 +263,7 @@
             query=self.query,
             remaining_ms=(self.finish_at - now - 2 * replica.hop_s) * 1000,
             idempotent=idempotent,
-            extra=extra,
+            extra=extra is not None,
         )
         actions.append(
             SendSubRequest(owner_id=replica.owner_id, sub_request=sub_request)
@@ -279,7 +281,10 @@
             replica = self.routing.choose(part.view.replicas, part.tried(), now)
         if replica is not None:
             self._send(part, replica, actions, now, extra=attempt.extra)
-        elif part.outstanding == 0:
+            return
+        if attempt.extra is not None:
+            self.budget.give_back(attempt.extra)
+        if part.outstanding == 0:
             self._give_up(part)
 
     def _may_send(self, part, now):
@@ -303,12 +308,13 @@
         ):
             return  # a hedge would hand one more searcher to a crashing request
         counters = self.routing.counters
-        if self.budget.take(now):
+        taken = self.budget.take(now)
+        if taken is not None:
             if part.outstanding:
                 counters.hedges += 1
             else:
                 counters.retries += 1
-            self._send(part, replica, actions, now, extra=True)
+            self._send(part, replica, actions, now, extra=taken)
             return
         counters.budget_denials += 1
         again = now + part.view.delay.value
@@ -328,7 +334,7 @@
         latest = self.finish_at - HEDGE_MEDIANS * delay.median
         if latest <= early:
             return max(latest, now + HEDGE_MEDIANS * delay.median)
-        return early + (latest - early) * pressure
+        return early + (latest - early) * max(0.0, 2 * pressure - 1)
 
     def _may_spare(self, now):
         return (
@@ -499,7 +505,7 @@
                 self._cancel(attempt, actions, now)
                 attempt.part.outstanding -= 1
                 attempt.replica.estimate.outstanding -= 1
-            elif not attempt.extra and attempt.outcome is not _NOT_SENT:
+            elif attempt.extra is None and attempt.outcome is not _NOT_SENT:
                 first += 1
         self.budget.record_first(first, now)
         actions.append(finish)
--- a/src/plantainstage/_routing/progress.py
+++ b/src/plantainstage/_routing/progress.py
@@ -2,7 +2,10 @@
 
 
 class Attempt:
-    """One sub-request that was sent; ``outcome`` is None while outstanding."""
+    """One sub-request that was sent; ``outcome`` is None while outstanding.
+
+    ``extra`` is what the extra-load budget gave for it, or None.
+    """
 
     __slots__ = (
         "sub_request_id",
