Admit requests by the smoothed wait of the partitions they need

Cause: the trace at twice the capacity showed 1,370 requests that were scattered and then missed 2 to 27 partitions (5,847 sub-requests cancelled when young): their slots were wasted. Queue news faded within 50 ms, so that the receiving hosts saw no overload. Change: each partition keeps a smoothed wait; between 15% and 45% of the deadline the admitted share falls from all to none and is divided between the profiles by weighted max-min fairness; no hedges meanwhile.

--- a/src/plantainstage/_limits/admission.py
+++ b/src/plantainstage/_limits/admission.py
@@ -1,19 +1,115 @@
-"""Early refusal of requests at the entry host that received them."""
+"""Early refusal of requests at the entry host that received them.
+
+The measure of overload is the wait in the owners' queues, smoothed for each
+partition. Between a low and a high share of the request's time the admitted
+share of requests falls from all to none, and what is admitted is divided
+between the profiles in proportion to their weights (max-min fairness).
+"""
+
+LOW_WAIT_SHARE = 0.15
+HIGH_WAIT_SHARE = 0.45
+# Without requests there is no news of the queues, which empty within this time.
+NEWS_DECAY_S = 0.2
+REFRESH_S = 0.02
+OFFERED_DECAY = 0.9  # for each refresh; a memory of about 200 ms
+
+
+class PartitionWait:
+    """The smoothed wait for a slot of one partition's searchers."""
+
+    __slots__ = ("wait_s", "time")
+
+    GAIN = 0.1
+
+    def __init__(self):
+        self.wait_s = 0.0
+        self.time = 0.0
+
+    def observe(self, wait_s, now):
+        """Takes the wait that a result reports."""
+        self.wait_s += self.GAIN * (wait_s - self.wait_s)
+        self.time = now
+
+    def at(self, now):
+        """Returns the wait in seconds, fading while there is no news."""
+        fade = 1 - (now - self.time) / NEWS_DECAY_S
+        return self.wait_s * fade if fade > 0 else 0.0
+
+
+class _Offered:
+    __slots__ = ("weight", "rate", "arrivals", "admitted_share")
+
+    def __init__(self):
+        self.weight = 1
+        self.rate = 0.0
+        self.arrivals = 0
+        self.admitted_share = 1.0
 
 
 class HostAdmission:
-    """Refuses a request whose partitions cannot answer in time."""
-
-    def admits(self, *, gather, partitions, remaining_s, now):
-        """Whether the minimum coverage can be reached within ``remaining_s``.
-
-        The expected wait of a partition is the shortest of its replicas'.
-        """
-        reachable = 0
-        for partition in partitions:
-            for replica in partition.replicas:
-                estimate = replica.estimate
-                if estimate.wait_s(now) + estimate.typical.service_s <= remaining_s:
-                    reachable += partition.documents
-                    break
-        return reachable >= gather.needed
+    """Decides whether a request is scattered at all.
+
+    ``random`` returns numbers from 0 to 1. For example, when the wait is at the
+    middle of the range, half of the offered requests are admitted; a profile
+    that offers less than its weighted share of them loses none.
+    """
+
+    def __init__(self, *, random):
+        self.random = random
+        self.profiles = {}
+        self.refreshed_at = float("-inf")
+        self.overload = 0.0
+
+    def admits(self, *, profile, partitions, needed, remaining_s, now):
+        """Whether to run a request whose partitions need this many documents."""
+        offered = self.profiles.get(profile.name)
+        if offered is None:
+            offered = self.profiles[profile.name] = _Offered()
+        offered.weight = profile.weight
+        offered.arrivals += 1
+        if now - self.refreshed_at >= REFRESH_S:
+            self.overload = overload_level(partitions, needed, remaining_s, now)
+            self.refreshed_at = now
+            self._divide()
+        share = offered.admitted_share
+        return share >= 1.0 or self.random() < share
+
+    def _divide(self):
+        """Divides the admitted total between the profiles by weight."""
+        total = 0.0
+        for offered in self.profiles.values():
+            offered.rate = OFFERED_DECAY * offered.rate + offered.arrivals
+            offered.arrivals = 0
+            total += offered.rate
+        left = (1 - self.overload) * total
+        # The profile with the least demand for its weight is satisfied first.
+        by_demand = sorted(
+            self.profiles.values(), key=lambda item: item.rate / item.weight
+        )
+        weights = sum(item.weight for item in by_demand)
+        for offered in by_demand:
+            granted = min(offered.rate, left * offered.weight / weights)
+            left -= granted
+            weights -= offered.weight
+            offered.admitted_share = granted / offered.rate if offered.rate else 1.0
+
+
+def overload_level(partitions, needed, remaining_s, now):
+    """Returns 0 to 1 from the longest wait among the partitions needed.
+
+    Partitions with the longest waits are left out as far as the minimum
+    coverage allows it.
+    """
+    waits = sorted(
+        ((item.wait.at(now), item.documents) for item in partitions), reverse=True
+    )
+    spare = sum(item.documents for item in partitions) - needed
+    longest = 0.0
+    for wait_s, documents in waits:
+        spare -= documents
+        if spare < 0:
+            longest = wait_s
+            break
+    low = LOW_WAIT_SHARE * remaining_s
+    high = HIGH_WAIT_SHARE * remaining_s
+    return min(1.0, max(0.0, (longest - low) / (high - low)))
--- a/src/plantainstage/_messages/forward.py
+++ b/src/plantainstage/_messages/forward.py
@@ -50,8 +50,8 @@
 
     ``reason`` is a code such as ``shed``, ``snapshot_gone``, ``not_owner``,
     ``lease_expired``, ``quarantined``, ``queue_full`` or
-    ``connection_refused``. ``queued`` is the owner's queue length for this
-    searcher, ``service_ms`` the time from first byte to answer, and
+    ``connection_refused``. ``queued`` counts what waits and runs at the owner
+    for this searcher, ``service_ms`` the time from first byte to answer, and
     ``reported_load`` the searcher's own word.
     """
 
--- a/src/plantainstage/_routing/answering.py
+++ b/src/plantainstage/_routing/answering.py
@@ -3,7 +3,31 @@
 import msgspec
 
 from plantainstage._errors import check_invariant
-from plantainstage._messages.callers import AnswerBody, Coverage
+from plantainstage._messages.callers import AnswerBody, Coverage, RunState
+from plantainstage._messages.forward import SubOutcome
+from plantainstage._routing import refusals
+
+NOT_RUN_OUTCOMES = frozenset({SubOutcome.NOT_SENT, SubOutcome.REFUSED})
+
+
+def run_state(attempts):
+    """Returns NOT_RUN only if every attempt ended without having run."""
+    if all(attempt.outcome in NOT_RUN_OUTCOMES for attempt in attempts):
+        return RunState.NOT_RUN
+    return RunState.UNKNOWN
+
+
+def build_shortfall(gather):
+    """Returns the refusal of a request below its minimum coverage."""
+    run = run_state(gather.attempts.values())
+    if run is RunState.NOT_RUN and gather.attempts:
+        return refusals.overloaded()
+    return refusals.coverage_not_met(
+        answered=gather.answered,
+        total=gather.total,
+        minimum=gather.profile.minimum_coverage,
+        run=run,
+    )
 
 
 def build_answer(gather, now):
--- a/src/plantainstage/_routing/estimates.py
+++ b/src/plantainstage/_routing/estimates.py
@@ -7,7 +7,7 @@
 import math
 import random as random_module
 
-from plantainstage._limits.admission import HostAdmission
+from plantainstage._limits.admission import HostAdmission, PartitionWait
 from plantainstage._limits.quarantine import QuarantineTable
 
 SAME_ZONE_HOP_S = 0.0002
@@ -83,8 +83,7 @@
         service = result.service_ms / 1000 or elapsed_s
         self.service_s += SERVICE_GAIN * (service - self.service_s)
         self.typical.observe(service)
-        self.updated = self.queue_time = now
-        self.queued = result.queued
+        self.updated = now
         self.reported_load = result.reported_load
 
     def observe_at_least(self, elapsed_s, now):
@@ -94,9 +93,11 @@
             self.updated = now
 
     def observe_queue(self, result, now):
-        """Learns the queue length from a result that carries no latency."""
+        """Learns the owner's queue; returns the wait that it means."""
         self.queued = result.queued
         self.queue_time = now
+        waiting = result.queued + 1 - self.slots
+        return waiting * self.service_s / self.slots if waiting > 0 else 0.0
 
     def observe_failure(self, now):
         """Makes the searcher unattractive until the estimate has decayed."""
@@ -179,13 +180,14 @@
         self.data_centre = data_centre
         self.random = (random or random_module.Random()).random
         self.quarantines = quarantines or QuarantineTable()
-        self.admission = HostAdmission()
+        self.admission = HostAdmission(random=self.random)
         self.counters = RoutingCounters()
         self.cross_zone_hop_s = cross_zone_hop_s
         self.sub_request_prefix = f"{entry_id}.{incarnation}."
         self.sub_request_count = 0
         self.estimates = {}
         self.hedge_delays = {}
+        self.waits = {}
         self.typical = {}
 
     def next_sub_request_id(self):
@@ -203,6 +205,10 @@
         """Returns the HedgeDelay of a partition, kept across versions."""
         return self.hedge_delays.setdefault((index, partition), HedgeDelay())
 
+    def partition_wait(self, index, partition):
+        """Returns the PartitionWait of a partition, kept across versions."""
+        return self.waits.setdefault((index, partition), PartitionWait())
+
     def estimate(self, upstream, owner_zone):
         """Returns the searcher's estimate; a restarted searcher gets a new one."""
         estimate = self.estimates.get(upstream.upstream_id)
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -19,9 +19,15 @@
     SendSubRequest,
     WakeAt,
 )
-from plantainstage._routing.answering import build_answer
+from plantainstage._routing.answering import (
+    NOT_RUN_OUTCOMES,
+    build_answer,
+    build_shortfall,
+    run_state,
+)
+from plantainstage._routing.hedging import SPARING_PRESSURE, hedge_time
 from plantainstage._routing.progress import Attempt, Part
-from plantainstage._routing.view import choose_snapshot
+from plantainstage._routing.view import available_documents, choose_snapshot
 
 __all__ = [
     "CancelSubRequest",
@@ -40,16 +46,9 @@
 # most two sub-requests of a partition may be running or have run.
 POSSIBLE_RUNS_PER_PARTITION = 2
 FLOAT_TOLERANCE = 1e-9
-# A hedge that is sent less than this many median latencies before the end
-# rarely answers in time.
-HEDGE_MEDIANS = 2.0
-# Beyond this used share of the budget, hedges go only to requests that would
-# otherwise miss the minimum coverage.
-SPARING_PRESSURE = 0.5
 
 _ANSWERED = SubOutcome.ANSWERED
 _NOT_SENT = SubOutcome.NOT_SENT
-_NOT_RUN_OUTCOMES = frozenset({SubOutcome.NOT_SENT, SubOutcome.REFUSED})
 _NO_REPLICAS_TRIED = frozenset()
 
 
@@ -113,19 +112,28 @@
         if self.routing.quarantines.is_quarantined(self.fingerprint, now):
             self.routing.counters.quarantine_refusals += 1
             return self._refuse(refusals.quarantined(RunState.NOT_RUN), now)
+        names = self.body.partitions
         chosen = choose_snapshot(
-            self.view, profile.index, self.body.partitions, profile.minimum_coverage
+            self.view, profile.index, names, profile.minimum_coverage
         )
         if chosen is None:
             refusal = refusals.index_unavailable(profile.index)
             if self.view.snapshots.get(profile.index):
-                refusal = refusals.unknown_partition(self.body.partitions)
+                refusal = refusals.unknown_partition(names)
             return self._refuse(refusal, now)
-        self.snapshot, wanted = chosen
+        snapshot, wanted = chosen
+        self.snapshot = snapshot
         self.total = sum([item.documents for item in wanted])
         self.needed = (profile.minimum_coverage - FLOAT_TOLERANCE) * self.total
+        available = available_documents(wanted) if names else snapshot.available
+        if available < self.needed:
+            return self._refuse(build_shortfall(self), now)
         if not self.routing.admission.admits(
-            gather=self, partitions=wanted, remaining_s=self.finish_at - now, now=now
+            profile=profile,
+            partitions=wanted,
+            needed=self.needed,
+            remaining_s=self.finish_at - now,
+            now=now,
         ):
             self.routing.counters.overload_refusals += 1
             return self._refuse(refusals.overloaded(), now)
@@ -223,7 +231,9 @@
                 continue
             self._send(part, replica, actions, now, extra=None)
             if hedges and len(view.replicas) > 1:
-                self._add_due(self._hedge_time(view.delay, pressure, now), part)
+                self._add_due(
+                    hedge_time(view.delay, pressure, self.finish_at, now), part
+                )
         if self._settled():
             self._finish(actions, now)
         else:
@@ -324,19 +334,9 @@
         elif part.outstanding == 0:
             self._give_up(part)
 
-    def _hedge_time(self, delay, pressure, now):
-        """The learnt delay, moved towards the last useful moment under pressure.
-
-        A scarce budget goes to the slowest sub-requests, and those are known
-        only late.
-        """
-        early = now + delay.value
-        latest = self.finish_at - HEDGE_MEDIANS * delay.median
-        if latest <= early:
-            return max(latest, now + HEDGE_MEDIANS * delay.median)
-        return early + (latest - early) * max(0.0, 2 * pressure - 1)
-
     def _may_spare(self, now):
+        if self.routing.admission.overload > 0:
+            return True  # a hedge would only lengthen the queues
         return (
             self.answered >= self.needed
             and self.budget.pressure(now) > SPARING_PRESSURE
@@ -377,6 +377,8 @@
         if not self.finished:
             part.outstanding -= 1
             estimate.outstanding -= 1
+        if outcome is _ANSWERED or outcome in NOT_RUN_OUTCOMES:
+            part.view.wait.observe(estimate.observe_queue(result, now), now)
         if outcome is _ANSWERED:
             part.bytes_left = True
             elapsed = now - attempt.sent_at
@@ -385,9 +387,8 @@
             return
         if outcome is not _NOT_SENT:
             part.bytes_left = True
-        if outcome in _NOT_RUN_OUTCOMES:
+        if outcome in NOT_RUN_OUTCOMES:
             part.possible_runs -= 1
-            estimate.observe_queue(result, now)
         elif outcome is SubOutcome.TIMED_OUT:
             estimate.observe_at_least(now - attempt.sent_at, now)
         elif outcome is not SubOutcome.CANCELLED:
@@ -463,31 +464,15 @@
 
     def _finish(self, actions, now):
         if self.recording_crashes:
-            finish = FinishRequest(refusal=refusals.quarantined(self._run_state()))
+            finish = FinishRequest(
+                refusal=refusals.quarantined(run_state(self.attempts.values()))
+            )
         elif self.answered >= self.needed:
             finish = FinishRequest(answer=build_answer(self, now))
         else:
-            finish = FinishRequest(refusal=self._shortfall())
+            finish = FinishRequest(refusal=build_shortfall(self))
         self._seal(actions, finish, now)
 
-    def _shortfall(self):
-        run = self._run_state()
-        if run is RunState.NOT_RUN and self.attempts:
-            return refusals.overloaded()
-        return refusals.coverage_not_met(
-            answered=self.answered,
-            total=self.total,
-            minimum=self.profile.minimum_coverage,
-            run=run,
-        )
-
-    def _run_state(self):
-        """NOT_RUN only if every attempt ended without having run."""
-        certain = all(
-            attempt.outcome in _NOT_RUN_OUTCOMES for attempt in self.attempts.values()
-        )
-        return RunState.NOT_RUN if certain else RunState.UNKNOWN
-
     def _refuse(self, refusal, now):
         actions = []
         self._seal(actions, FinishRequest(refusal=refusal), now)
--- a/src/plantainstage/_routing/view.py
+++ b/src/plantainstage/_routing/view.py
@@ -23,13 +23,14 @@
 class PartitionView:
     """A partition of a snapshot with its documents and eligible replicas."""
 
-    __slots__ = ("name", "documents", "replicas", "delay")
+    __slots__ = ("name", "documents", "replicas", "delay", "wait")
 
-    def __init__(self, *, name, documents, replicas, delay):
+    def __init__(self, *, name, documents, replicas, delay, wait):
         self.name = name
         self.documents = documents
         self.replicas = replicas
         self.delay = delay
+        self.wait = wait
 
 
 class SnapshotView:
@@ -82,6 +83,7 @@
                         holders.get((manifest.index, manifest.snapshot, name), ())
                     ),
                     delay=routing.hedge_delay(manifest.index, name),
+                    wait=routing.partition_wait(manifest.index, name),
                 )
                 for name, documents in manifest.documents.items()
             )
