--- a/src/plantainstage/_control/memory_log.py
+++ b/src/plantainstage/_control/memory_log.py
@@ -3,7 +3,11 @@
 Nothing survives the process, and nothing is replicated.
 """
 
-from plantainstage._messages.control import ReplicaStatus, RequestRejected
+from plantainstage._agreement.membership import (
+    MemberChangeProblem,
+    MemberChangeRefusedError,
+)
+from plantainstage._messages.control import ReplicaStatus
 
 
 class MemoryLog:
@@ -38,7 +42,7 @@
         """Returns the index of the last applied command."""
         return self.index
 
-    def replica_statuses(self):
+    def members(self):
         """Returns the status of this only replica."""
         return (
             ReplicaStatus(
@@ -53,10 +57,10 @@
             ),
         )
 
-    async def change_member(self, request):
+    async def change_member(self, action, replica):
         """Refuses: the set of replicas is fixed."""
-        return RequestRejected(
-            code="in_memory",
-            message=f"{request.action.value}: this replica is not replicated.",
-            remedy="Start control replicas with --data-folder.",
+        raise MemberChangeRefusedError(
+            action=action,
+            member_id=replica.member_id,
+            problem=MemberChangeProblem.LAST_VOTER,
         )
--- a/src/plantainstage/_control/operator_requests.py
+++ b/src/plantainstage/_control/operator_requests.py
@@ -1,8 +1,13 @@
 """Requests of operators: changes and reads of the state."""
 
+from plantainstage._agreement.membership import (
+    MemberChangeProblem,
+    MemberChangeRefusedError,
+)
 from plantainstage._membership import commands
 from plantainstage._membership.leases import start_of
 from plantainstage._messages import control
+from plantainstage._messages.agreement import Member, MemberId
 
 
 async def submit_change(core, request):
@@ -54,7 +59,7 @@
             _entry_status(view, entry, now)
             for _, entry in sorted(core.state.entries.items())
         ),
-        replicas=core.log.replica_statuses(),
+        replicas=core.log.members(),
     )
 
 
@@ -70,6 +75,49 @@
 
 
 async def change_member(core, request):
-    """Carries out one step of a change of the control replicas."""
+    """Carries out one step of a change of the control replicas.
+
+    A step whose result is already the committed membership is done, so that a
+    step whose reply was lost can be sent again. The removal of a replica that
+    is no member is refused: a misspelt incarnation must not read as done.
+    """
     core.leadership.require_leader()
-    return await core.log.change_member(request)
+    member = Member(
+        member_id=MemberId(
+            replica_id=request.replica_id, incarnation=request.incarnation
+        ),
+        client_address=request.client_address,
+        peer_address=request.peer_address,
+        voter=False,
+    )
+    try:
+        await core.log.change_member(request.action, member)
+    except MemberChangeRefusedError as error:
+        if not _is_taken(core, request, error.problem):
+            return _refused_step(error)
+        await core.confirmation.confirm()
+    return control.Done(version=core.state.version)
+
+
+def _is_taken(core, request, problem):
+    """Whether an earlier delivery of the same step was committed."""
+    match problem:
+        case MemberChangeProblem.ALREADY_MEMBER:
+            return any(
+                (item.replica_id, item.incarnation)
+                == (request.replica_id, request.incarnation)
+                and (item.client_address, item.peer_address)
+                == (request.client_address, request.peer_address)
+                for item in core.log.members()
+            )
+        case MemberChangeProblem.NOT_LEARNER:
+            return True
+    return False
+
+
+def _refused_step(error):
+    return control.RequestRejected(
+        code=error.problem.name.lower(),
+        message=str(error),
+        remedy="List the control replicas with: plantainstage-ctl replica list",
+    )
--- a/src/plantainstage/_programs/control.py
+++ b/src/plantainstage/_programs/control.py
@@ -3,20 +3,14 @@
 import asyncio
 
 import click
-import pynng
 from loguru import logger
 
-from plantainstage._control.memory_log import MemoryLog
-from plantainstage._control.metrics import make_counter
-from plantainstage._control.reconciler import Reconciler
-from plantainstage._control.service import ControlService
-from plantainstage._errors import ListenError, PlantainstageError
-from plantainstage._membership.machine import MembershipMachine
+from plantainstage._control.daemon import ControlDaemon
+from plantainstage._errors import PlantainstageError
 from plantainstage._programs.logs import configure_logs
 from plantainstage._programs.running import wait_for_stop_signal
 from plantainstage._settings.base import build_settings
 from plantainstage._settings.control import check_control_settings
-from plantainstage._transport.rpc import RpcServer
 
 EXIT_CANNOT_RUN = 1
 
@@ -34,6 +28,31 @@
     show_default=True,
     help="IP:port for entry hosts and operators.",
 )
+@click.option(
+    "--peer-listen",
+    default="127.0.0.1:7150",
+    show_default=True,
+    help="IP:port for the other control replicas.",
+)
+@click.option(
+    "--data-folder",
+    default="",
+    help="Folder of the log on a local disk; without it one replica runs in "
+    "memory and keeps nothing.",
+)
+@click.option(
+    "--bootstrap/--join",
+    "bootstrap",
+    default=None,
+    help="What an empty folder does: found a new group with --peers, or wait "
+    "until an operator adds it. A folder of a group ignores both.",
+)
+@click.option(
+    "--peers",
+    multiple=True,
+    help="Another replica of the new group as ID=CLIENT,PEER (two addresses of "
+    "IP:port); repeat for each one. Only with --bootstrap.",
+)
 @click.option(
     "--statsd-address",
     default="",
@@ -46,52 +65,22 @@
     help="DEBUG, INFO, WARNING or ERROR.",
 )
 def main(**options):
-    """Run one control replica."""
-    settings = build_settings(
-        lambda: check_control_settings(
-            peer_listen="", data_folder="", mode="memory", peers=(), **options
-        )
-    )
+    """Run one control replica.
+
+    Exit codes: 0 after a planned stop, 1 when the replica cannot run (the last
+    log line says why), 2 for wrong settings.
+    """
+    settings = build_settings(lambda: check_control_settings(**options))
     configure_logs(
         level=settings.log_level, program="control", host_id=settings.replica_id
     )
+    daemon = ControlDaemon(settings=settings)
     try:
-        asyncio.run(run(settings))
+        asyncio.run(daemon.run(wait_for_stop_signal()))
     except PlantainstageError as error:
         logger.critical("cannot run", error=str(error), type=type(error).__name__)
         raise SystemExit(EXIT_CANNOT_RUN) from None
 
 
-async def run(settings):
-    """Serves until a planned stop."""
-    machine = MembershipMachine()
-    log = MemoryLog(machine=machine, address=settings.listen)
-    service = ControlService(
-        log=log,
-        machine=machine,
-        count=make_counter(
-            address=settings.statsd_address, replica_id=settings.replica_id
-        ),
-    )
-    server = RpcServer(address=settings.listen, handler=service.handle)
-    start_listening(server)
-    reconciliation = asyncio.create_task(Reconciler(core=service.core).run())
-    logger.info("listening", address=settings.listen)
-    await wait_for_stop_signal()
-    reconciliation.cancel()
-    await server.stop()
-    logger.info("stopped")
-
-
-def start_listening(server):
-    """Starts the server; raises ListenError."""
-    try:
-        server.start()
-    except pynng.NNGException as error:
-        raise ListenError(
-            flag="--listen", address=server.address, detail=str(error)
-        ) from error
-
-
 if __name__ == "__main__":
     main()
--- a/src/plantainstage/_settings/base.py
+++ b/src/plantainstage/_settings/base.py
@@ -23,6 +23,11 @@
     )
 
 
+def is_name(value):
+    """Whether ``value`` can name a host, a data centre or the like."""
+    return bool(_NAME.fullmatch(value))
+
+
 @dataclass(kw_only=True)
 class SettingsCheck:
     """Collects the errors of all settings, so that none hides another.
@@ -72,7 +77,7 @@
         self.require(
             flag=flag,
             value=value,
-            condition=bool(_NAME.fullmatch(value)),
+            condition=is_name(value),
             expected="1 to 63 of [A-Za-z0-9_.-], the first a letter or a digit",
             remedy="Choose a short name that is unique in the deployment.",
         )
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -49,6 +50,9 @@
         self.handler = handler
         self.socket = None
         self.tasks = []
+        self.busy = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
 
     def start(self):
         """Listens and starts the workers; raises pynng.AddressInUse."""
@@ -62,6 +66,12 @@
             asyncio.create_task(self._serve()) for _ in range(SERVER_CONTEXTS)
         ]
 
+    async def finish_requests(self, *, timeout_s):
+        """Waits until no request is being handled, at most for a time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.idle.wait()
+
     async def stop(self):
         """Cancels the workers and closes the socket."""
         for task in self.tasks:
@@ -81,13 +91,20 @@
             context.close()
 
     async def _serve_one(self, context):
-        reply = await self._handle(await context.arecv())
+        data = await context.arecv()
+        self.busy += 1
+        self.idle.clear()
         try:
+            reply = await self._handle(data)
             await context.asend(_encoder.encode(reply))
         except pynng.Closed:
             raise
         except pynng.NNGException as error:
             logger.warning("reply could not be sent", error=repr(error))
+        finally:
+            self.busy -= 1
+            if not self.busy:
+                self.idle.set()
 
     async def _handle(self, data):
         try:
