--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -50,6 +50,7 @@
         self.handler = handler
         self.socket = None
         self.tasks = []
+        self.stopping = False
         self.busy = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -73,17 +74,22 @@
                 await self.idle.wait()
 
     async def stop(self):
-        """Cancels the workers and closes the socket."""
+        """Closes the socket and ends the workers.
+
+        pynng drops a cancellation that arrives together with the result of the
+        operation, so that the workers also look at ``stopping``.
+        """
+        self.stopping = True
+        if self.socket is not None:
+            self.socket.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        if self.socket is not None:
-            self.socket.close()
 
     async def _serve(self):
         context = self.socket.new_context()
         try:
-            while True:
+            while not self.stopping:
                 await self._serve_one(context)
         except pynng.Closed:
             return
@@ -145,10 +151,16 @@
         """Returns the decoded reply; raises TimeoutError or NNGException."""
         socket = self._connected_socket()
         context = socket.new_context()
+        limit = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
+            # One limit for each operation: pynng drops a cancellation that
+            # arrives together with a result, and the next would have no limit.
+            async with asyncio.timeout_at(limit):
                 await context.asend(_encoder.encode(request))
+            async with asyncio.timeout_at(limit):
                 data = await context.arecv()
+            if asyncio.current_task().cancelling():
+                raise asyncio.CancelledError
         except TimeoutError:
             if self.socket is socket:
                 self.close()
