Keep a cut-off leader running when its reads are refused

Cause: LeaderChanged refuses all reads and clears them; ReadFailed for the same reads follows in the step and raised KeyError, which ended the process. Change: replica.py skips reads that were refused already.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,5 +1,6 @@
 """Starts the programs on loopback and waits for conditions, never for time."""
 
+import itertools
 import json
 import os
 import signal
@@ -16,11 +17,33 @@
 CONDITION_TIMEOUT_S = 60  # generous: a limit for hangs, not a tested bound
 
 
+# Below the ports that the kernel gives to outgoing connections (32768 and up on
+# Linux): one of those could take a port between its choice and its use. The
+# start differs between test runs on the same machine.
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+_ports = itertools.count(os.getpid() * 211)
+
+
 def free_port():
-    """Returns a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that is free, and was not returned before."""
+    for number in _ports:
+        port = LOWEST_PORT + number % (HIGHEST_PORT - LOWEST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+def free_ports(count):
+    """Returns the first of ``count`` free ports in a row."""
+    ports = [free_port()]
+    while len(ports) < count:
+        port = free_port()
+        ports = [*ports, port] if port == ports[-1] + 1 else [port]
+    return ports[0]
 
 
 def free_address():
--- a/features/support/proxy.py
+++ b/features/support/proxy.py
@@ -206,3 +206,6 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        # Transports close their sockets in the loop's next turns.
+        for _ in range(3):
+            await asyncio.sleep(0)
--- a/src/plantainstage/_control/replica.py
+++ b/src/plantainstage/_control/replica.py
@@ -461,11 +461,13 @@
                     self.machine.restore(snapshot=snapshot.data)
                 self.applied_index = snapshot.index
             case actions.ReadReady(request=request):
-                future = self.reads.pop(request)
-                if not future.done():
+                future = self.reads.pop(request, None)
+                if future is not None and not future.done():
                     future.set_result(self.applied_index)
             case actions.ReadFailed(request=request):
-                self._refuse(self.reads.pop(request))
+                # A change of leader in the same step has refused all reads.
+                if request in self.reads:
+                    self._refuse(self.reads.pop(request))
             case actions.LeaderChanged():
                 self._leader_changed(action)
             case actions.Stop(error=error):
