--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,155 @@
+"""Decisions under load and faults, against two kept baselines, in virtual time.
+
+Latencies and deadlines are not scaled. A minute (the extra-load window and the
+worst minute) is scaled to ``minute_s`` virtual seconds: 4 s in the quick run, and
+20 s with ``--full``. Each event checks the searchers' caps, and each answer's
+coverage is recomputed from the searcher models' own records.
+
+Prints one JSON line for each run, then a table of targets as ratios to the
+random-replica baseline of the same scenario, seed and load.
+"""
+
+import dataclasses
+import multiprocessing
+import sys
+
+import click
+import msgspec
+
+from tier_model.deployment import DEPLOYMENTS
+from tier_model.policies import POLICIES
+from tier_model.records import Measures, measure
+from tier_model.scenarios import SCENARIOS, Plan, run_scenario
+from tier_model.targets import judge
+
+BASE_LOAD = 0.35  # share of capacity where a scenario does not say otherwise
+QUICK = Plan(warm_up_s=1.0, minutes=1, minute_s=4.0, load=BASE_LOAD)
+QUICK_OVERLOAD = Plan(warm_up_s=0.7, minutes=1, minute_s=1.5, load=BASE_LOAD)
+FULL = Plan(warm_up_s=3.0, minutes=2, minute_s=20.0, load=BASE_LOAD)
+FULL_OVERLOAD = Plan(warm_up_s=2.0, minutes=2, minute_s=5.0, load=BASE_LOAD)
+# A baseline's queues grow without bound, which the larger factors only repeat.
+PLAINTAINSTAGE_ONLY = frozenset({"overload-2x", "overload-5x"})
+QUICK_SECOND_DEPLOYMENT = frozenset({"stragglers", "crashing-request"})
+PROCESSES = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Task:
+    """One run of one policy."""
+
+    scenario: str
+    deployment: str
+    policy: str
+    seed: int
+    plan: Plan
+
+
+def run_task(task):
+    """Runs one task and returns its Measures."""
+    tier = run_scenario(
+        name=task.scenario,
+        deployment=DEPLOYMENTS[task.deployment],
+        policy_class=POLICIES[task.policy],
+        seed=task.seed,
+        plan=task.plan,
+    )
+    return measure(
+        tier,
+        scenario=task.scenario,
+        policy=task.policy,
+        start=task.plan.warm_up_s,
+        end=task.plan.end_s,
+        window_s=task.plan.minute_s,
+    )
+
+
+def make_tasks(*, full, seed, scenarios, deployments):
+    """Returns the tasks of a quick or a full run."""
+    tasks = []
+    for scenario in scenarios:
+        overload = scenario.startswith("overload")
+        if full:
+            plan = FULL_OVERLOAD if overload else FULL
+        else:
+            plan = QUICK_OVERLOAD if overload else QUICK
+        for number, deployment in enumerate(deployments):
+            if number and not full and scenario not in QUICK_SECOND_DEPLOYMENT:
+                continue
+            for policy in POLICIES:
+                if policy != "plantainstage" and scenario in PLAINTAINSTAGE_ONLY:
+                    continue
+                tasks.append(
+                    Task(
+                        scenario=scenario,
+                        deployment=deployment,
+                        policy=policy,
+                        seed=seed,
+                        plan=plan,
+                    )
+                )
+    return tasks
+
+
+def print_table(results):
+    """Prints the measures of all runs, one line each."""
+    print(
+        f"{'scenario':20}{'deployment':13}{'policy':15}{'bad/min':>8}{'cover':>8}"
+        f"{'extra':>8}{'p50':>8}{'p99':>8}{'p99.9':>8}{'good/s':>8}{'cpu us':>8}"
+    )
+    for item in results:
+        print(
+            f"{item.scenario:20}{item.deployment:13}{item.policy:15}"
+            f"{item.bad_worst_minute:8.4f}{item.coverage_mean:8.4f}"
+            f"{item.extra_load:8.4f}{item.p50_ms:8.1f}{item.p99_ms:8.1f}"
+            f"{item.p999_ms:8.1f}{item.good_per_s:8.1f}"
+            f"{item.cpu_us_per_sub_request:8.1f}"
+        )
+
+
+def print_targets(results):
+    """Prints each target with its figure; returns how many are not met."""
+    missed = 0
+    print()
+    for verdict in judge(results):
+        missed += not verdict.met
+        print(
+            f"target met {'yes' if verdict.met else 'NO ':3} {verdict.scenario:20}"
+            f"{verdict.deployment:13}{verdict.target}: {verdict.figure}"
+        )
+    return missed
+
+
+def main(
+    *,
+    full=False,
+    seed=1,
+    scenarios=tuple(SCENARIOS),
+    deployments=tuple(DEPLOYMENTS),
+):
+    """Runs all scenarios; returns the number of targets that are not met."""
+    tasks = make_tasks(
+        full=full, seed=seed, scenarios=scenarios, deployments=deployments
+    )
+    results: list[Measures] = []
+    with multiprocessing.get_context("spawn").Pool(PROCESSES) as pool:
+        for result in pool.imap(run_task, tasks):
+            results.append(result)
+            print(msgspec.json.encode(dataclasses.asdict(result)).decode())
+            sys.stdout.flush()
+    print()
+    print_table(results)
+    return print_targets(results)
+
+
+@click.command()
+@click.option("--full", is_flag=True, help="Both deployments and longer runs.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--scenario", "scenarios", multiple=True, default=tuple(SCENARIOS))
+@click.option("--deployment", "deployments", multiple=True, default=tuple(DEPLOYMENTS))
+def command(full, seed, scenarios, deployments):
+    """Run the decision benchmark."""
+    main(full=full, seed=seed, scenarios=scenarios, deployments=deployments)
+
+
+if __name__ == "__main__":
+    command()
--- /dev/null
+++ b/bench/run_all.py
@@ -0,0 +1,40 @@
+"""Runs all benchmarks that exist in this folder; quick by default."""
+
+import importlib
+import inspect
+import sys
+import time
+from pathlib import Path
+
+import click
+
+FOLDER = Path(__file__).resolve().parent
+BENCHMARKS = ("decisions", "restart_time", "commit_cost", "claim_cost")
+
+
+def run(name, full):
+    """Imports one benchmark and calls its ``main``."""
+    main = importlib.import_module(name).main
+    if full and "full" in inspect.signature(main).parameters:
+        return main(full=True)
+    return main()
+
+
+@click.command()
+@click.option("--full", is_flag=True, help="Longer runs of those that have them.")
+def command(full):
+    """Run all benchmarks; each is a ratio to a baseline of the same run."""
+    sys.path.insert(0, str(FOLDER))
+    sys.path.insert(0, str(FOLDER.parent / "src"))
+    for name in BENCHMARKS:
+        if not (FOLDER / f"{name}.py").exists():
+            print(f"== {name}: not in this tree")
+            continue
+        print(f"== {name}", flush=True)
+        started = time.monotonic()
+        run(name, full)
+        print(f"== {name}: {time.monotonic() - started:.0f} s", flush=True)
+
+
+if __name__ == "__main__":
+    command()
--- a/bench/tier_model/records.py
+++ b/bench/tier_model/records.py
@@ -1,6 +1,7 @@
 """What happened to each request, and the measures over all of them."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 
 import msgspec
@@ -84,7 +85,10 @@
     p999_ms: float
     cpu_us_per_sub_request: float
     sub_requests: int
-    upstreams_crashed: int
+    crashed_first: int
+    crashed_further: int
+    crashed_further_partition: int
+    crashed_resend: int
 
 
 def measure(tier, *, scenario, policy, start, end, window_s):
@@ -129,10 +133,32 @@
         p999_ms=histogram.get_value_at_percentile(99.9) / 1000,
         cpu_us_per_sub_request=cpu_ns / 1000 / max(1, sent),
         sub_requests=sent,
-        upstreams_crashed=sum(len(item.crashes) for item in tier.searchers.values()),
+        **_crashes(tier),
     )
 
 
+def _crashes(tier):
+    """Counts crashed searchers: by first sends, further sends and resends.
+
+    The request that crashed first is the original; others are its resends.
+    """
+    crashes = sorted(
+        crash for item in tier.searchers.values() for crash in item.crashes
+    )
+    original = crashes[0][1] if crashes else ""
+    further = Counter(
+        partition
+        for _, request_id, partition, extra in crashes
+        if request_id == original and extra
+    )
+    return {
+        "crashed_first": sum(item[1] == original and not item[3] for item in crashes),
+        "crashed_further": sum(further.values()),
+        "crashed_further_partition": max(further.values(), default=0),
+        "crashed_resend": sum(item[1] != original for item in crashes),
+    }
+
+
 def coverage_errors(tier):
     """Counts answers whose coverage differs from the searchers' own records.
 
--- /dev/null
+++ b/bench/tier_model/targets.py
@@ -0,0 +1,115 @@
+"""The targets of docs/design.md, section 9, applied to measures."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from .deployment import DEPLOYMENTS
+
+LATE_RATIO = 0.1
+EXTRA_LOAD = 0.05
+GOODPUT_SHARE = 0.9
+CPU_US = 150.0
+PARTITIONS = 27
+# Scenarios in which a fault makes the baseline late; in the others the ratio
+# would divide by almost nothing.
+LATE_RATIO_SCENARIOS = frozenset({"stragglers", "slow-searchers", "slow-data-centre"})
+
+
+@dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """Whether one target is met in one scenario."""
+
+    scenario: str
+    deployment: str
+    target: str
+    figure: str
+    met: bool
+
+
+def judge(results):
+    """Yields a Verdict for each target that applies to the results."""
+    runs = defaultdict(dict)
+    for item in results:
+        runs[item.scenario, item.deployment][item.policy] = item
+    for policies in runs.values():
+        yield from _judge_scenario(policies)
+    for deployment in DEPLOYMENTS:
+        yield from _judge_goodput(runs, deployment)
+
+
+def _judge_scenario(policies):
+    own = policies["plantainstage"]
+
+    def verdict(target, figure, met):
+        return Verdict(
+            scenario=own.scenario,
+            deployment=own.deployment,
+            target=target,
+            figure=figure,
+            met=met,
+        )
+
+    baseline = policies.get("random")
+    if baseline is not None and own.scenario in LATE_RATIO_SCENARIOS:
+        ratio = own.bad_worst_minute / max(baseline.bad_worst_minute, 1e-9)
+        yield verdict(
+            "late or refused at most 0.1 of random",
+            f"{ratio:.3f} ({own.bad_worst_minute:.4f} / "
+            f"{baseline.bad_worst_minute:.4f})",
+            ratio <= LATE_RATIO,
+        )
+    hedging = policies.get("fixed-hedge")
+    if hedging is not None and own.scenario in LATE_RATIO_SCENARIOS:
+        ratio = own.bad_worst_minute / max(hedging.bad_worst_minute, 1e-9)
+        yield verdict(
+            "late or refused, ratio to fixed-hedge (no target)", f"{ratio:.3f}", True
+        )
+    yield verdict(
+        "extra load in any window at most 5%",
+        f"{own.extra_load_worst_window:.4f}",
+        own.extra_load_worst_window <= EXTRA_LOAD,
+    )
+    yield verdict(
+        "no answer later than deadline + 5 ms",
+        str(own.late_beyond_slack),
+        own.late_beyond_slack == 0,
+    )
+    yield verdict(
+        "coverage stated equals coverage recomputed",
+        f"{own.coverage_errors} errors",
+        own.coverage_errors == 0,
+    )
+    yield verdict("no cap exceeded", "checked at every event", True)
+    yield verdict(
+        "CPU of the logic below 150 us per sub-request",
+        f"{own.cpu_us_per_sub_request:.1f}",
+        own.cpu_us_per_sub_request <= CPU_US,
+    )
+    if own.scenario == "crashing-request":
+        yield verdict(
+            "at most one further upstream per partition, none to resends",
+            f"{own.crashed_first} first, {own.crashed_further} further "
+            f"(at most {own.crashed_further_partition} per partition), "
+            f"{own.crashed_resend} to resends",
+            own.crashed_further_partition <= 1 and own.crashed_resend == 0,
+        )
+
+
+def _judge_goodput(runs, deployment):
+    names = ("overload-1x", "overload-2x", "overload-5x")
+    levels = [
+        runs[name, deployment]["plantainstage"].good_per_s
+        for name in names
+        if (name, deployment) in runs
+    ]
+    if len(levels) != len(names):
+        return
+    peak = max(levels)
+    for name, good_per_s in zip(names[1:], levels[1:], strict=True):
+        yield Verdict(
+            scenario=name,
+            deployment=deployment,
+            target="goodput above 0.9 of its peak",
+            figure=f"{good_per_s / peak:.3f} ({good_per_s:.0f} of {peak:.0f} per s)",
+            met=good_per_s > GOODPUT_SHARE * peak,
+        )
