Let owners decline a sub-request that would wait and has alternatives

Cause: at 14 requests a second for each entry host, news of a queue is about 200 ms old, so that the choice of a replica is nearly blind, and first sub-requests wait behind stragglers (trace: hedges spent on waiting work). Change: a sub-request states how many other searchers its sender would try; an owner whose slots are busy or stuck returns it at once as not sent (busy). Under overload no alternatives are stated, so that nothing is sent around in circles.

--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -43,6 +43,8 @@
 INITIAL_SERVICE_S = 0.005
 SERVICE_GAIN = 0.05
 MEDIAN_STEP = 0.02
+# An exchange that runs longer than this many medians is taken for a straggler.
+STUCK_MEDIANS = 2.5
 # After an exchange without an answer the searcher may still run until the
 # sub-request's deadline, and one-way latency and its timers later.
 SLOT_RELEASE_GRACE_S = 0.01
@@ -338,10 +340,24 @@
         if self.silence.state is Reachability.UNREACHABLE:
             return "searcher_silent"
         wait = self.expected_wait_s(item.profile, now)
+        if wait > 0 and item.sub_request.alternatives > 0 and self._declines(now):
+            return "busy"
         if now + wait + self.median_s > item.deadline:
             return "queue_full"
         return ""
 
+    def _declines(self, now):
+        """Whether a sub-request with alternatives should use one of them.
+
+        A slot whose exchange runs for several medians will not free up soon.
+        """
+        threshold = now - STUCK_MEDIANS * self.median_s
+        moving = self.slots - len(self.held_slots)
+        for running in self.running.values():
+            if running.started_at < threshold:
+                moving -= 1
+        return len(self.waiting) >= moving
+
     # ---- Sending -------------------------------------------------------------
 
     def _dispatch(self, actions, now):
--- a/src/plantainstage/_messages/forward.py
+++ b/src/plantainstage/_messages/forward.py
@@ -10,6 +10,8 @@
 
     ``remaining_ms`` counts from the moment of sending, so that hosts need no
     common clock. ``epoch`` is the ownership epoch that the sender knows.
+    ``alternatives`` counts the searchers that the sender would try instead, so
+    that an owner whose slots are busy may decline (``NOT_SENT``, ``busy``).
     """
 
     sub_request_id: str
@@ -25,6 +27,7 @@
     remaining_ms: float
     idempotent: bool
     extra: bool = False
+    alternatives: int = 0
 
 
 class SubOutcome(enum.Enum):
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -274,6 +274,11 @@
             remaining_ms=(self.finish_at - now - 2 * replica.hop_s) * 1000,
             idempotent=idempotent,
             extra=extra is not None,
+            alternatives=(
+                0
+                if routing.admission.overload > 0
+                else len(part.view.replicas) - len(part.attempts)
+            ),
         )
         actions.append(
             SendSubRequest(owner_id=replica.owner_id, sub_request=sub_request)
