Decline as soon as all moving slots are taken; hedge to any searcher not reached

Cause: the trace showed 12 of 64 missing partitions whose first sub-request was declined twice and then straggled: the searchers that had declined counted as tried, so that no hedge was possible. Change: a hedge or retry may go to a searcher that only declined before; owners decline when the waiting work takes all slots that move; hedges go 2.3 instead of 2 medians before the end; a slot counts as stuck after 2 instead of 2.5 medians.

--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -44,7 +44,7 @@
 SERVICE_GAIN = 0.05
 MEDIAN_STEP = 0.02
 # An exchange that runs longer than this many medians is taken for a straggler.
-STUCK_MEDIANS = 2.5
+STUCK_MEDIANS = 2.0
 # After an exchange without an answer the searcher may still run until the
 # sub-request's deadline, and one-way latency and its timers later.
 SLOT_RELEASE_GRACE_S = 0.01
@@ -356,7 +356,7 @@
         for running in self.running.values():
             if running.started_at < threshold:
                 moving -= 1
-        return len(self.waiting) >= moving
+        return len(self.waiting) >= moving - 1
 
     # ---- Sending -------------------------------------------------------------
 
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -313,7 +313,7 @@
         """Sends a hedge or a retry within the budget, or waits for room."""
         replica = None
         if self._may_send(part, now):
-            replica = self.routing.choose(part.view.replicas, part.tried(), now)
+            replica = self.routing.choose(part.view.replicas, part.reached(), now)
         if replica is None:
             if part.outstanding == 0:
                 self._give_up(part)
--- a/src/plantainstage/_routing/hedging.py
+++ b/src/plantainstage/_routing/hedging.py
@@ -2,7 +2,7 @@
 
 # A hedge that is sent less than this many median latencies before the end
 # rarely answers in time.
-HEDGE_MEDIANS = 2.0
+HEDGE_MEDIANS = 2.3
 # Beyond this used share of the budget, hedges go only to requests that would
 # otherwise miss the minimum coverage.
 SPARING_PRESSURE = 0.5
--- a/src/plantainstage/_routing/progress.py
+++ b/src/plantainstage/_routing/progress.py
@@ -1,5 +1,7 @@
 """What a gather knows of its sub-requests and partitions."""
 
+from plantainstage._messages.forward import SubOutcome
+
 
 class Attempt:
     """One sub-request that was sent; ``outcome`` is None while outstanding.
@@ -58,3 +60,11 @@
     def tried(self):
         """Returns the ids of the searchers that were tried."""
         return {attempt.replica.upstream_id for attempt in self.attempts}
+
+    def reached(self):
+        """Returns the ids of the searchers that may have got a byte."""
+        return {
+            attempt.replica.upstream_id
+            for attempt in self.attempts
+            if attempt.outcome is not SubOutcome.NOT_SENT
+        }
