Simulate the control service with hosts, operators, callers and faults

Cause: The state machine and the leader's logic had no randomised check.

The simulation found that an owner's ended lease was forgotten at once, so that its searcher got a second owner while requests sent under that lease were still running; the last lease of each version is now kept as long as they may run.

--- /dev/null
+++ b/features/support/membership_actors.py
@@ -0,0 +1,333 @@
+"""Entry hosts, searchers, operators and callers around a simulated group."""
+
+import itertools
+
+from plantainstage._messages import configuration, control
+from support.membership_world import call
+
+RENEW_S = 0.4
+UPSTREAMS = tuple(f"p{partition}-{replica}" for partition in (1, 2) for replica in (1, 2))
+DEADLINES_MS = (100, 500, 2000)
+
+
+class Checks:
+    """What must hold over all hosts together."""
+
+    def __init__(self, world):
+        self.world = world
+        self.in_force = 0
+        self.running = {}
+        self.verdicts = {}
+        self.runs = {}
+
+    def version_in_use(self, host):
+        assert host.applied.version >= self.in_force, (
+            f"{host.name} acts on {host.applied.version}, but {self.in_force} was "
+            "said to be in force everywhere"
+        )
+
+    def sending(self, host, upstream_id, until):
+        """No other process may have work on the searcher at the same time."""
+        running = self.running.setdefault(upstream_id, {})
+        for process, end in tuple(running.items()):
+            if end <= self.world.now:
+                del running[process]
+        others = [process for process in running if process != host.process]
+        assert not others, f"{host.process} and {others} send to {upstream_id}"
+        running[host.process] = max(until, running.get(host.process, 0.0))
+
+    def work_left(self, host, upstream_id):
+        end = self.running.get(upstream_id, {}).get(host.process, 0.0)
+        return end > self.world.now
+
+    def verdict(self, verdict):
+        first = self.verdicts.setdefault(verdict.change.number, verdict)
+        assert first == verdict, f"two verdicts: {first} and {verdict}"
+
+
+class Host:
+    """An entry host as section 7.2 describes it, with its own clock rate."""
+
+    def __init__(self, world, group, checks, name):
+        self.world = world
+        self.group = group
+        self.checks = checks
+        self.name = name
+        self.starts = itertools.count(1)
+        self.rate = world.random.uniform(0.955, 1.045)
+        self.frozen_until = 0.0
+        self.cut_until = 0.0
+        self.start()
+        world.at(world.random.uniform(0, RENEW_S), self.tick)
+
+    def start(self):
+        """Starts the process with empty memory."""
+        self.process = f"{self.name}/{next(self.starts)}"
+        self.applied = configuration.Configuration(version=0)
+        self.lease_until = 0.0
+
+    @property
+    def clock(self):
+        return self.world.now * self.rate
+
+    @property
+    def frozen(self):
+        return self.world.now < self.frozen_until
+
+    def cut(self):
+        return self.world.now < self.cut_until or self.frozen
+
+    def record(self):
+        return configuration.EntryHost(
+            entry_id=self.name,
+            incarnation=self.process,
+            data_centre="upper-canal",
+            caller_address="127.0.0.1:7200",
+            forward_address="127.0.0.1:7300",
+        )
+
+    def tick(self):
+        """Renews and sends; a frozen host does neither."""
+        self.world.at(RENEW_S / self.rate / 4, self.tick)
+        if self.frozen:
+            return
+        if self.world.random.random() < 0.25:
+            self.renew()
+        self.send()
+
+    def owned(self):
+        return {item.upstream_id: item for item in self.applied.ownerships}
+
+    def renew(self):
+        sent_at = self.clock
+        process = self.process
+        owned = self.owned()
+        releasing = tuple(
+            name
+            for name in UPSTREAMS
+            if self.checks.work_left(self, name)
+            and (name not in owned or owned[name].entry_id != self.name)
+        )
+        request = control.RenewEntryLease(
+            entry=self.record(),
+            applied_version=self.applied.version,
+            releasing=releasing,
+        )
+
+        def granted(reply):
+            if self.process != process or not isinstance(reply, control.LeaseGranted):
+                return
+            if self.clock >= sent_at + reply.lease_ms / 1000:
+                return
+            newer = reply.configuration
+            if newer is not None and newer.version > self.applied.version:
+                self.applied = newer
+            # A grant counts only when its version is applied.
+            if self.applied.version >= reply.version:
+                self.lease_until = max(
+                    self.lease_until, sent_at + reply.lease_ms / 1000
+                )
+                self.checks.version_in_use(self)
+
+        call(self.world, self.group, request, granted, cut=self.cut)
+
+    def send(self):
+        """Sends to a random searcher if lease and ownership allow it."""
+        if self.clock >= self.lease_until:
+            return
+        self.checks.version_in_use(self)
+        name = self.world.random.choice(UPSTREAMS)
+        ownership = self.owned().get(name)
+        if ownership is None or not ownership.active:
+            return
+        if ownership.entry_id != self.name or not self.applied.profiles:
+            return
+        self.world.count("sub-request")
+        profile = self.world.random.choice(self.applied.profiles)
+        duration = self.world.random.uniform(0.001, profile.deadline_ms / 1000)
+        self.checks.sending(self, name, self.world.now + duration / self.rate)
+
+    def disturb(self):
+        """Freezes, cuts or restarts the host."""
+        match self.world.random.randrange(3):
+            case 0:
+                self.world.count("host frozen")
+                self.frozen_until = self.world.now + self.world.random.uniform(0.1, 8)
+            case 1:
+                self.world.count("host cut")
+                self.cut_until = self.world.now + self.world.random.uniform(0.1, 8)
+            case 2:
+                self.world.count("host restarted")
+                self.start()
+
+
+def announce(world, group):
+    """Announces all searchers; one of them may restart, drain or conflict."""
+    odd = world.random.choice(UPSTREAMS)
+    upstreams = []
+    for name in UPSTREAMS:
+        partition = name.partition("-")[0]
+        changed = name == odd and world.random.random() < 0.05
+        upstreams.append(
+            configuration.Upstream(
+                upstream_id=name,
+                incarnation=f"{name}-{int(world.now) // 40 if changed else 0}",
+                address="127.0.0.1:7400",
+                data_centre="upper-canal",
+                index="ditch-turns",
+                slots=3,
+                connections=30,
+                holdings=(
+                    configuration.SnapshotHolding(
+                        snapshot="s1", partitions=(partition,)
+                    ),
+                ),
+            )
+        )
+    documents = {"p1": 10, "p2": 20 if world.random.random() < 0.95 else 21}
+    manifest = configuration.Manifest(
+        index="ditch-turns", snapshot="s1", sequence=1, documents=documents
+    )
+    if world.random.random() < 0.9:
+        request = control.AnnounceUpstreams(
+            upstreams=tuple(upstreams), manifests=(manifest,)
+        )
+        call(world, group, request, lambda reply: None)
+
+
+class Operators:
+    """Operators who race with equal numbers and resend changes."""
+
+    def __init__(self, world, group, checks):
+        self.world = world
+        self.group = group
+        self.checks = checks
+        self.sent = []
+        self.next_number = 1
+
+    def act(self):
+        random = self.world.random
+        if self.sent and random.random() < 0.4:
+            self.world.count("change resent")
+            change = random.choice(self.sent[-20:])
+        else:
+            body = control.PublishProfile(
+                profile=configuration.Profile(
+                    name=random.choice(("rider-gate", "ward")),
+                    index="ditch-turns",
+                    deadline_ms=random.choice((*DEADLINES_MS, 0)),
+                )
+            )
+            change = control.Change(
+                number=self.next_number + random.choice((0, 0, 0, 1, -1)),
+                operator=random.choice(("ada", "bo")),
+                body=body,
+            )
+            if change.number < 1:
+                return
+            self.sent.append(change)
+        call(
+            self.world,
+            self.group,
+            control.SubmitChange(change=change),
+            lambda reply: None,
+            on_decided=lambda reply: self.decided(change, reply),
+        )
+
+    def decided(self, change, reply):
+        match reply:
+            case control.ChangeVerdict(verdict=verdict):
+                self.world.count("change decided")
+                assert verdict.change == change
+                self.checks.verdict(verdict)
+                self.next_number = max(self.next_number, change.number + 1)
+                self.ask_status(verdict.version)
+            case control.ChangeConflict(winner=winner):
+                self.world.count("change in conflict")
+                assert winner.change != change
+                self.checks.verdict(winner)
+                self.next_number = max(self.next_number, change.number + 1)
+
+    def ask_status(self, version):
+        def decided(reply):
+            in_force = reply.settled and not reply.lacking
+            if in_force and reply.version >= version:
+                self.world.count("in force")
+                self.checks.in_force = max(self.checks.in_force, version)
+
+        for delay in (0.1, 0.5, 1.5, 3.0):
+            self.world.at(
+                delay,
+                lambda: call(
+                    self.world,
+                    self.group,
+                    control.QueryStatus(version=version),
+                    lambda reply: None,
+                    on_decided=decided,
+                ),
+            )
+
+
+class Callers:
+    """Callers of non-idempotent requests, through any entry host."""
+
+    def __init__(self, world, group, checks, hosts):
+        self.world = world
+        self.group = group
+        self.checks = checks
+        self.hosts = hosts
+        self.ids = []
+        self.nonces = itertools.count()
+
+    def act(self):
+        random = self.world.random
+        if not self.ids or random.random() < 0.3:
+            self.ids.append(f"{self.world.wall_ms()}-booking-{len(self.ids):04}")
+        request_id = random.choice(self.ids[-6:])
+        host = random.choice(self.hosts)
+        if host.frozen:
+            return
+        nonce = str(next(self.nonces))
+        process = host.process
+        request = control.ClaimRequest(
+            request_id=request_id,
+            nonce=nonce,
+            digest=request_id,
+            entry_id=host.name,
+            incarnation=process,
+            deadline_ms=1000,
+        )
+        handled = []
+
+        def answered(reply):
+            # One holder acts once, even when two deliveries are granted.
+            if handled or host.process != process:
+                return
+            if isinstance(reply, control.ClaimGranted):
+                handled.append(True)
+                self.granted(host, request_id, reply.attempt)
+
+        call(self.world, self.group, request, answered, cut=host.cut)
+
+    def granted(self, host, request_id, attempt):
+        kind = self.world.random.choice(
+            (
+                control.ClaimOutcomeKind.ANSWERED,
+                control.ClaimOutcomeKind.NOT_RUN,
+                control.ClaimOutcomeKind.UNKNOWN,
+            )
+        )
+        self.world.count(f"claim {kind.value}")
+        if kind is not control.ClaimOutcomeKind.NOT_RUN:
+            first = self.checks.runs.setdefault(request_id, attempt)
+            assert first == attempt, f"{request_id} ran as {first} and {attempt}"
+            runs = self.checks.runs.setdefault((request_id, "count"), 0) + 1
+            self.checks.runs[request_id, "count"] = runs
+            assert runs == 1, f"{request_id} ran {runs} times"
+        request = control.CompleteClaim(
+            request_id=request_id,
+            attempt=attempt,
+            outcome=control.ClaimOutcome(kind=kind),
+        )
+        for _ in range(2):
+            call(self.world, self.group, request, lambda reply: None, cut=host.cut)
--- /dev/null
+++ b/features/support/membership_simulation.py
@@ -0,0 +1,42 @@
+"""Runs the control service with hosts, operators and faults in simulated time."""
+
+import asyncio
+
+from support.membership_actors import Callers, Checks, Host, Operators, announce
+from support.membership_world import Group, World
+
+
+def run_simulation(*, seed, steps, faults=True):
+    """Runs ``steps`` events and returns what happened, as counts by name."""
+    return asyncio.run(_run(seed, steps, faults))
+
+
+async def _run(seed, steps, faults):
+    world = World(seed)
+    group = Group(world)
+    checks = Checks(world)
+    hosts = [Host(world, group, checks, f"e{number}") for number in range(1, 5)]
+    operators = Operators(world, group, checks)
+    callers = Callers(world, group, checks, hosts)
+    _repeat(world, lambda: announce(world, group), mean_s=0.7)
+    _repeat(world, operators.act, mean_s=0.8)
+    _repeat(world, callers.act, mean_s=0.3)
+    if faults:
+        _repeat(world, lambda: world.random.choice(hosts).disturb(), mean_s=2.0)
+        _repeat(world, group.elect_other, mean_s=9.0)
+        _repeat(world, group.freeze, mean_s=8.0)
+        _repeat(world, group.restart, mean_s=15.0)
+    started = world.now
+    await world.run(steps)
+    group.check_equal_states()
+    world.counts["simulated seconds"] = round(world.now - started)
+    world.counts["entries"] = len(group.entries)
+    return dict(sorted(world.counts.items()))
+
+
+def _repeat(world, action, *, mean_s):
+    def fire():
+        world.at(world.random.expovariate(1 / mean_s), fire)
+        action()
+
+    world.at(world.random.uniform(0, mean_s), fire)
--- a/src/plantainstage/_membership/leases.py
+++ b/src/plantainstage/_membership/leases.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from plantainstage._errors import check_invariant
+from plantainstage._membership.profiles import DEADLINE_RANGE_MS
 from plantainstage._membership.state import EntryStart
 from plantainstage._messages.configuration import EntryHost
 
@@ -15,6 +16,7 @@
 RENEW_INTERVAL_MS = 400
 CLOCK_RATE_MARGIN = 0.1  # two clocks may differ by this rate during a lease
 FENCE_S = LEASE_MS / 1000 * (1 + CLOCK_RATE_MARGIN)
+GRANTS_KEPT_S = DEADLINE_RANGE_MS[1] / 1000 * (1 + CLOCK_RATE_MARGIN) + FENCE_S
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -109,7 +111,13 @@
             invariant="a version never falls on an entry host",
             detail=f"{start.entry_id} has {max(newest, lease.applied)}, not {version}",
         )
-        lease.grants = [grant for grant in lease.grants if grant.until > now]
+        # Ended leases are kept as long as requests sent under them may be running,
+        # the last one of each version.
+        lease.grants = [
+            grant
+            for grant in lease.grants
+            if grant.until > now - GRANTS_KEPT_S and grant.version != version
+        ]
         lease.grants.append(Grant(version=version, until=now + FENCE_S))
 
     def give_back(self, start):
