Check the control service by fixed seeds of the simulation

Cause: The simulation ran by hand only.

The simulation now fails at the first error in any task; before, errors in replies went unnoticed.

--- /dev/null
+++ b/features/steps/membership_steps.py
@@ -0,0 +1,239 @@
+"""Steps for the simulated control service and its pure parts."""
+
+import random
+
+from behave import given, then, when
+
+from plantainstage._membership import commands
+from plantainstage._membership.machine import MembershipMachine
+from plantainstage._membership.planner import PlannedSearcher, plan_owners
+from plantainstage._messages import configuration, control
+from support.membership_simulation import run_simulation
+
+
+@when(
+    "the control service is simulated for {steps:d} events with faults and seed {seed:d}"
+)
+def simulate_with_faults(context, steps, seed):
+    context.counts = run_simulation(seed=seed, steps=steps)
+
+
+@when(
+    "the control service is simulated for {steps:d} events without faults and seed {seed:d}"
+)
+def simulate_without_faults(context, steps, seed):
+    context.counts = run_simulation(seed=seed, steps=steps, faults=False)
+
+
+def require(context, *names):
+    missing = [name for name in names if not context.counts.get(name)]
+    assert not missing, f"{missing} did not happen in {context.counts}"
+
+
+@then("changes were decided, resent, in conflict and said to be in force")
+def check_changes(context):
+    require(
+        context, "change decided", "change resent", "change in conflict", "in force"
+    )
+
+
+@then("hosts were frozen, cut and restarted while leaders changed")
+def check_faults(context):
+    require(context, "host frozen", "host cut", "host restarted", "election")
+
+
+@then("sub-requests and claims of every outcome took place")
+def check_claims(context):
+    require(context, "sub-request", "claim answered", "claim not_run", "claim unknown")
+
+
+@then("no outcome was unknown")
+def check_known(context):
+    assert "outcome_unknown" not in context.counts, context.counts
+
+
+@then("at least {count:d} sub-requests took place")
+def check_sub_requests(context, count):
+    assert context.counts["sub-request"] >= count, context.counts
+
+
+def random_command(source):
+    name = f"e{source.randrange(4)}"
+    upstream_id = f"u{source.randrange(6)}"
+    incarnation = str(source.randrange(3))
+    start = commands.UpstreamStart(upstream_id=upstream_id, incarnation=incarnation)
+    upstream = configuration.Upstream(
+        upstream_id=upstream_id,
+        incarnation=incarnation,
+        address="127.0.0.1:7400",
+        data_centre="a",
+        index="i",
+        slots=3,
+        connections=30,
+        holdings=(
+            configuration.SnapshotHolding(
+                snapshot=f"s{source.randrange(2)}", partitions=("p",)
+            ),
+        ),
+    )
+    manifests = tuple(
+        configuration.Manifest(
+            index="i", snapshot=f"s{n}", sequence=n, documents={"p": 1}
+        )
+        for n in range(2)
+    )
+    entry = configuration.EntryHost(
+        entry_id=name,
+        incarnation=incarnation,
+        data_centre="a",
+        caller_address="127.0.0.1:1",
+        forward_address="127.0.0.1:2",
+    )
+    body = source.choice(
+        (
+            control.PublishProfile(
+                profile=configuration.Profile(
+                    name="x", index="i", deadline_ms=source.randrange(3000)
+                )
+            ),
+            control.RetireProfile(name="x"),
+            control.TakeUpstreamOut(upstream_id=upstream_id),
+            control.PutUpstreamIn(upstream_id=upstream_id),
+        )
+    )
+    now_ms = 1_700_000_000_000 + source.randrange(3) * 13 * 3600 * 1000
+    request_id = f"{now_ms - source.randrange(1000)}-booking-{source.randrange(5)}"
+    kind = source.choice(tuple(control.ClaimOutcomeKind))
+    return source.choice(
+        (
+            commands.ApplyChange(
+                change=control.Change(
+                    number=source.randrange(1, 400), operator="ada", body=body
+                )
+            ),
+            commands.RegisterUpstreams(upstreams=(upstream,), manifests=manifests),
+            commands.MarkUpstreamsLost(upstreams=(start,)),
+            commands.ForgetUpstreams(upstreams=(start,)),
+            commands.RegisterEntry(entry=entry),
+            commands.RemoveEntry(
+                entry_id=name, incarnation=incarnation, left=source.random() < 0.2
+            ),
+            commands.MoveOwners(
+                assignments=(
+                    commands.Assignment(
+                        upstream_id=upstream_id,
+                        entry_id=name,
+                        expected_epoch=source.randrange(60),
+                    ),
+                ),
+                releases=(
+                    commands.Release(
+                        upstream_id=upstream_id, epoch=source.randrange(60)
+                    ),
+                ),
+            ),
+            commands.ForgetDeadlines(up_to_version=source.randrange(200)),
+            commands.ClaimAttempt(
+                request_id=request_id,
+                nonce=str(source.randrange(4)),
+                digest=str(source.random() < 0.9),
+                entry_id=name,
+                incarnation=incarnation,
+                deadline_ms=100,
+                now_ms=now_ms,
+            ),
+            commands.CompleteAttempt(
+                request_id=request_id,
+                attempt=source.randrange(1, 3),
+                outcome=control.ClaimOutcome(kind=kind),
+            ),
+            commands.AddQuarantine(
+                fingerprint=str(source.randrange(5)), expires_ms=source.randrange(99)
+            ),
+            commands.ExpireQuarantines(now_ms=source.randrange(99)),
+        )
+    )
+
+
+@given("{count:d} random commands with seed {seed:d}")
+def make_commands(context, count, seed):
+    source = random.Random(seed)
+    context.commands = [
+        commands.encode_command(random_command(source)) for _ in range(count)
+    ]
+
+
+@when("one machine applies them all and others start from snapshots on the way")
+def apply_commands(context):
+    first = MembershipMachine()
+    context.machines = [first]
+    for index, command in enumerate(context.commands, 1):
+        results = [
+            machine.apply(index=index, command=command) for machine in context.machines
+        ]
+        assert all(result == results[0] for result in results), (index, results)
+        if index % 500 == 0:
+            restored = MembershipMachine()
+            restored.restore(snapshot=first.take_snapshot())
+            context.machines.append(restored)
+
+
+@then("all machines hold equal states")
+def compare_machines(context):
+    snapshots = {machine.take_snapshot() for machine in context.machines}
+    assert len(snapshots) == 1
+    assert context.machines[0].state.version > 100
+
+
+@given("{partitions:d} partitions of {replicas:d} searchers and {hosts:d} entry hosts")
+def make_plan(context, partitions, replicas, hosts):
+    context.searchers = [
+        PlannedSearcher(
+            upstream_id=f"rider-desk-{partition:02}-{replica}",
+            partitions=frozenset({f"ditch-turns/{partition}"}),
+        )
+        for partition in range(partitions)
+        for replica in range(replicas)
+    ]
+    context.plan_hosts = tuple(f"entry-{number}" for number in range(1, hosts + 1))
+    context.plans = [plan_owners(searchers=context.searchers, hosts=context.plan_hosts)]
+
+
+@then("no host owns two replicas of a partition")
+def check_spread(context):
+    for plan in context.plans:
+        assert len(plan) == len(context.searchers)
+        pairs = {
+            (plan[item.upstream_id], partition)
+            for item in context.searchers
+            for partition in item.partitions
+        }
+        assert len(pairs) == len(context.searchers)
+
+
+@then("no host owns more than {most:d} searchers")
+def check_balance(context, most):
+    for plan in context.plans:
+        owners = list(plan.values())
+        assert max(owners.count(host) for host in context.plan_hosts) <= most
+
+
+@when("one of the hosts goes")
+def remove_each_host(context):
+    context.first = context.plans[0]
+    context.plans = [
+        plan_owners(
+            searchers=context.searchers,
+            hosts=[host for host in context.plan_hosts if host != gone],
+        )
+        for gone in context.plan_hosts
+    ]
+
+
+@then("at most {most:d} searchers move in the mean over all hosts")
+def check_moves(context, most):
+    moves = [
+        sum(plan[name] != owner for name, owner in context.first.items())
+        for plan in context.plans
+    ]
+    assert sum(moves) / len(moves) <= most, moves
--- a/features/support/membership_actors.py
+++ b/features/support/membership_actors.py
@@ -6,7 +6,9 @@
 from support.membership_world import call
 
 RENEW_S = 0.4
-UPSTREAMS = tuple(f"p{partition}-{replica}" for partition in (1, 2) for replica in (1, 2))
+UPSTREAMS = tuple(
+    f"p{partition}-{replica}" for partition in (1, 2) for replica in (1, 2)
+)
 DEADLINES_MS = (100, 500, 2000)
 
 
--- a/features/support/membership_world.py
+++ b/features/support/membership_world.py
@@ -30,6 +30,7 @@
         self.queue = []
         self.sequence = itertools.count()
         self.tasks = set()
+        self.failures = []
         self.counts = {}
 
     def count(self, name):
@@ -37,9 +38,7 @@
 
     def at(self, delay, callback):
         """Calls ``callback`` after a simulated delay in seconds."""
-        heapq.heappush(
-            self.queue, (self.now + delay, next(self.sequence), callback)
-        )
+        heapq.heappush(self.queue, (self.now + delay, next(self.sequence), callback))
 
     def wall_ms(self):
         return 1_700_000_000_000 + int(self.now * 1000)
@@ -47,15 +46,16 @@
     def spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._finished)
         return task
 
+    def _finished(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.failures.append(task.exception())
+
     async def run(self, steps):
         """Runs events in order of time; failures of tasks end the run."""
-        failures = []
-        asyncio.get_running_loop().set_exception_handler(
-            lambda loop, context: failures.append(context.get("exception"))
-        )
         logger.disable("plantainstage")
         try:
             for _ in range(steps):
@@ -63,9 +63,8 @@
                 callback()
                 for _ in range(LOOP_TURNS):
                     await asyncio.sleep(0)
-                done = [task for task in self.tasks if task.done()]
-                for task in done:
-                    task.result()
+                if self.failures:
+                    raise self.failures[0]
         finally:
             logger.enable("plantainstage")
             for task in tuple(self.tasks):
