--- /dev/null
+++ b/tools/check_mutations.py
@@ -0,0 +1,89 @@
+"""Shows that the randomised run finds each named mutation of the agreement.
+
+Each mutation is applied to a copy of the sources; the simulation then runs with
+one seed after the other until a check fails. The output has one JSON line for
+each mutation; the exit code is 1 if one was not found. For example::
+
+    python tools/check_mutations.py --only "vote is not synced"
+"""
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+from agreement_mutations import MUTATIONS
+
+ROOT = Path(__file__).resolve().parent.parent
+PARTS = ("src", "features", "tools")
+RUN_TIMEOUT_S = 300
+
+
+def apply(mutation, root):
+    """Replaces the text of one mutation; it must occur exactly once."""
+    path = root / "src" / "plantainstage" / mutation.file
+    text = path.read_text(encoding="utf-8")
+    if text.count(mutation.old) != 1:
+        raise click.ClickException(f"{mutation.name}: {mutation.file} has changed")
+    path.write_text(text.replace(mutation.old, mutation.new), encoding="utf-8")
+
+
+def run_seed(root, seed, steps):
+    """Returns the last line of the error, or an empty text if all held."""
+    command = [
+        sys.executable,
+        str(root / "tools" / "run_agreement.py"),
+        *("--seed", str(seed), "--steps", str(steps)),
+    ]
+    try:
+        done = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=RUN_TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired:
+        return f"no end within {RUN_TIMEOUT_S} s"
+    if done.returncode == 0:
+        return ""
+    lines = [line for line in done.stderr.splitlines() if line.strip()]
+    return lines[-1] if lines else f"exit code {done.returncode}"
+
+
+def check(mutation, *, seeds, steps):
+    """Returns the report of one mutation."""
+    with tempfile.TemporaryDirectory(prefix="mutation-") as folder:
+        root = Path(folder)
+        for part in PARTS:
+            shutil.copytree(
+                ROOT / part, root / part, ignore=shutil.ignore_patterns("__pycache__")
+            )
+        apply(mutation, root)
+        for seed in range(1, seeds + 1):
+            seen = run_seed(root, seed, steps)
+            if seen:
+                return {"mutation": mutation.name, "seed": seed, "seen": seen}
+    return {"mutation": mutation.name, "seed": None, "seen": "not found"}
+
+
+@click.command()
+@click.option("--seeds", default=40, show_default=True, type=int)
+@click.option("--steps", default=50_000, show_default=True, type=int)
+@click.option("--only", default="", help="Part of a mutation's name.")
+def main(seeds, steps, only):
+    """Check all mutations, or some."""
+    missed = 0
+    for mutation in MUTATIONS:
+        if only in mutation.name:
+            report = check(mutation, seeds=seeds, steps=steps)
+            missed += report["seed"] is None
+            click.echo(json.dumps(report))
+    sys.exit(int(missed > 0))
+
+
+if __name__ == "__main__":
+    main()
