--- a/src/plantainstage/_settings/base.py
+++ b/src/plantainstage/_settings/base.py
@@ -24,6 +24,11 @@
     )
 
 
+def is_name(value):
+    """Whether ``value`` can name a host, a data centre or the like."""
+    return bool(_NAME.fullmatch(value))
+
+
 def can_listen(address):
     """Whether a TCP socket can be bound to ``address`` at the moment."""
     ip, _, port = address.rpartition(":")
@@ -105,7 +110,7 @@
         self.require(
             flag=flag,
             value=value,
-            condition=bool(_NAME.fullmatch(value)),
+            condition=is_name(value),
             expected="1 to 63 of [A-Za-z0-9_.-], the first a letter or a digit",
             remedy="Choose a short name that is unique in the deployment.",
         )
