--- a/src/plantainstage/_control/peer_links.py
+++ b/src/plantainstage/_control/peer_links.py
@@ -122,10 +122,7 @@
 
 
 class PeerLinks:
-    """All links of one replica.
-
-    ``on_frame`` gets each decoded envelope that is addressed to this replica.
-    """
+    """All links of one replica."""
 
     def __init__(
         self,
@@ -134,20 +131,23 @@
         process: str,
         address: str,
         clock: Callable[[], float],
-        on_frame: Callable[[Envelope], None],
     ):
         self.member_id = member_id
         self.process = process
         self.address = address
         self.clock = clock
-        self.on_frame = on_frame
+        self.on_frame = None
         self.links = {}
         self.known_addresses = {}
         self.socket = None
         self.task = None
 
-    def start(self):
-        """Listens for peers; raises pynng.AddressInUse."""
+    def start(self, on_frame: Callable[[Envelope], None]):
+        """Listens for peers and passes on each frame for this replica.
+
+        Raises pynng.AddressInUse.
+        """
+        self.on_frame = on_frame
         self.socket = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
         try:
             self.socket.listen(nng_url(self.address))
--- a/src/plantainstage/_control/replica_events.py
+++ b/src/plantainstage/_control/replica_events.py
@@ -48,11 +48,3 @@
 @dataclass(frozen=True, kw_only=True)
 class StopNow:
     """End the task after this batch."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class Pending:
-    """A proposal that waits for its index to be applied."""
-
-    term: int
-    future: asyncio.Future
