--- /dev/null
+++ b/examples/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the stand-in searcher; not part of the product."""
--- /dev/null
+++ b/examples/standin/control.py
@@ -0,0 +1,134 @@
+"""HTTP path on which tests and demos steer stand-in searchers.
+
+It listens on its own port, since an operator's tool would not share the
+searchers' connections either.
+"""
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from standin.searcher import Behaviour, Run, SearcherRecord
+
+
+class SnapshotOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """A snapshot to take over, with the documents of each partition."""
+
+    snapshot: str
+    sequence: int
+    manifest: dict[str, int]
+
+
+class Order(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What to change, for the upstream ids listed or for all.
+
+    ``behaviour`` holds members of Behaviour. ``silence`` is the number of open
+    connections that go silent, -1 for all. ``crash`` crashes at once.
+    """
+
+    upstream_ids: tuple[str, ...] = ()
+    behaviour: dict[str, msgspec.Raw] = {}
+    take: SnapshotOrder | None = None
+    drop: str = ""
+    silence: int = 0
+    crash: bool = False
+
+
+class Records(msgspec.Struct, frozen=True, kw_only=True):
+    """Records of all searchers of the process."""
+
+    searchers: tuple[SearcherRecord, ...]
+
+
+class Runs(msgspec.Struct, frozen=True, kw_only=True):
+    """Sub-requests that reached the searchers of the process."""
+
+    runs: tuple[Run, ...]
+
+
+def changed(behaviour, members):
+    """Returns a Behaviour with some members replaced; raises MsgspecError."""
+    merged = {**msgspec.structs.asdict(behaviour), **members}
+    return msgspec.json.decode(msgspec.json.encode(merged), type=Behaviour)
+
+
+class ControlHandler(RequestHandler):
+    """Base of the control path's handlers."""
+
+    def initialize(self, services):
+        self.services = services
+
+    def reply(self, body):
+        """Finishes the request with a JSON body."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+
+class RecordsHandler(ControlHandler):
+    """``GET /control/searchers``."""
+
+    def get(self):
+        records = tuple(service.record() for service in self.services)
+        self.reply(Records(searchers=records))
+
+
+class RunsHandler(ControlHandler):
+    """``GET /control/runs?request_id=``; all runs without a request id."""
+
+    def get(self):
+        wanted = self.get_query_argument("request_id", "")
+        runs = tuple(
+            run
+            for service in self.services
+            for run in service.searcher.runs
+            if not wanted or run.request_id == wanted
+        )
+        self.reply(Runs(runs=runs))
+
+
+class OrderHandler(ControlHandler):
+    """``POST /control/order``."""
+
+    def post(self):
+        order = msgspec.json.decode(self.request.body, type=Order)
+        silenced = 0
+        for service in self.services:
+            wanted = order.upstream_ids
+            if not wanted or service.searcher.placement.upstream_id in wanted:
+                silenced += apply_order(service, order)
+        self.reply({"silenced": silenced})
+
+
+def apply_order(service, order):
+    """Carries out an order on one searcher; returns connections silenced."""
+    searcher = service.searcher
+    if order.behaviour:
+        searcher.behaviour = changed(searcher.behaviour, order.behaviour)
+    if order.take is not None:
+        take = order.take
+        searcher.take_snapshot(take.snapshot, take.sequence, take.manifest)
+    if order.drop:
+        searcher.drop_snapshot(order.drop)
+    service.announce_soon()
+    if order.crash:
+        service.crash()
+    if order.silence:
+        return service.go_silent(None if order.silence < 0 else order.silence)
+    return 0
+
+
+def start_control(services, address):
+    """Listens on ``address`` for orders; returns the server."""
+    arguments = {"services": services}
+    application = Application(
+        [
+            ("/control/searchers", RecordsHandler, arguments),
+            ("/control/runs", RunsHandler, arguments),
+            ("/control/order", OrderHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    server = HTTPServer(application)
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), address=host)
+    return server
--- /dev/null
+++ b/examples/standin/searcher.py
@@ -0,0 +1,336 @@
+"""The state and behaviour of one stand-in searcher."""
+
+import asyncio
+import random
+import time
+import uuid
+from dataclasses import dataclass, field
+
+import msgspec
+
+from plantainstage.messages import upstreams
+
+# Runs kept for the record; a test or a demo stays far below.
+MAX_RUNS = 500_000
+
+
+class Behaviour(msgspec.Struct, kw_only=True):
+    """What tests and flags may change while the searcher runs.
+
+    Times are in milliseconds. ``slow_fraction`` of sub-requests take
+    ``slow_factor`` times as long; ``load`` is honest, lag (the value of a
+    second ago) or lie (always zero). A cold searcher takes ``cold_factor``
+    times as long, falling to one over ``cold_ms`` after its start.
+    """
+
+    service_ms: float = 3.0
+    jitter_ms: float = 2.0
+    slow_fraction: float = 0.0
+    slow_factor: float = 10.0
+    shed_fraction: float = 0.0
+    refuse_cancel: bool = False
+    load: str = "honest"
+    state: str = "serving"
+    announce: bool = True
+    cold_factor: float = 1.0
+    cold_ms: float = 0.0
+    crash_ms: float = 1000.0
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """One sub-request that reached the searcher, with how it ended.
+
+    ``started`` and ``ended`` are seconds on the machine's monotonic clock.
+    """
+
+    upstream_id: str
+    request_id: str
+    sub_request_id: str
+    snapshot: str
+    partition: str
+    documents: int
+    started: float
+    ended: float
+    outcome: str
+
+
+class SearcherRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What a searcher has seen since it was started."""
+
+    upstream_id: str
+    incarnation: str
+    address: str
+    partition: str
+    snapshots: tuple[str, ...]
+    slots: int
+    connections: int
+    max_slots: int
+    max_connections: int
+    open_connections: int
+    received: int
+    answered: int
+    cancelled: int
+    shed: int
+    expired: int
+    crashes: int
+    silenced: int
+    last_received: float
+
+
+class QueryOptions(msgspec.Struct, kw_only=True):
+    """Members of a query object that steer the stand-in.
+
+    ``crash`` crashes each searcher that runs the query, ``sleep_ms`` replaces
+    the service time, ``only`` limits both to one partition.
+    """
+
+    crash: bool = False
+    sleep_ms: float | None = None
+    only: str = ""
+
+
+_options_decoder = msgspec.json.Decoder(QueryOptions)
+
+
+def options_of(query, partition):
+    """Returns the QueryOptions of an encoded query; any JSON value is a query."""
+    try:
+        options = _options_decoder.decode(query)
+    except msgspec.MsgspecError:
+        return QueryOptions()
+    if options.only and options.only != partition:
+        return QueryOptions()
+    return options
+
+
+@dataclass(kw_only=True)
+class Counters:
+    """Counts since the start of the process; they survive a crash."""
+
+    max_slots: int = 0
+    max_connections: int = 0
+    received: int = 0
+    answered: int = 0
+    cancelled: int = 0
+    shed: int = 0
+    expired: int = 0
+    crashes: int = 0
+    silenced: int = 0
+    last_received: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """Status code and body of a reply to a sub-request."""
+
+    status: int
+    body: object
+
+
+@dataclass(kw_only=True)
+class _Execution:
+    cancelled: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def refusal(status, error):
+    """Returns a Reply that says that nothing ran, or why it ended."""
+    return Reply(status=status, body=upstreams.SearchRefusal(error=error))
+
+
+class Searcher:
+    """One searcher that holds one partition of one or more snapshots."""
+
+    def __init__(self, *, placement, address, index, manifest, seed, behaviour):
+        self.placement = placement
+        self.address = address
+        self.index = index
+        self.snapshots = {
+            "s1": upstreams.AnnouncedSnapshot(
+                snapshot="s1",
+                sequence=1,
+                partitions=(placement.partition,),
+                manifest=manifest,
+            )
+        }
+        self.behaviour = behaviour
+        self.random = random.Random(f"{seed}:{placement.upstream_id}")
+        self.counters = Counters()
+        self.running = {}
+        self.runs = []
+        self.load_before = (0.0, 0)
+        self.load_now = (0.0, 0)
+        self.start_again()
+
+    def start_again(self):
+        """Begins a new incarnation with nothing running and cold caches."""
+        self.incarnation = uuid.uuid4().hex
+        self.started = time.monotonic()
+
+    # ---- What it tells about itself ------------------------------------------
+
+    def announcement(self):
+        """Returns what the searcher tells about itself."""
+        return upstreams.Announcement(
+            upstream_id=self.placement.upstream_id,
+            incarnation=self.incarnation,
+            address=self.address,
+            data_centre=self.placement.data_centre,
+            index=self.index,
+            slots=self.placement.slots,
+            connections=self.placement.connections,
+            snapshots=tuple(self.snapshots.values()),
+            state=self.behaviour.state,
+            in_flight=self.reported_load(),
+        )
+
+    def reported_load(self):
+        """Returns the load that the searcher admits to."""
+        now = time.monotonic()
+        if now - self.load_now[0] >= 1.0:
+            self.load_before = self.load_now
+            self.load_now = (now, len(self.running))
+        match self.behaviour.load:
+            case "lie":
+                return 0
+            case "lag":
+                return self.load_before[1]
+        return len(self.running)
+
+    def record(self, open_connections):
+        """Returns the SearcherRecord."""
+        counters = self.counters
+        return SearcherRecord(
+            upstream_id=self.placement.upstream_id,
+            incarnation=self.incarnation,
+            address=self.address,
+            partition=self.placement.partition,
+            snapshots=tuple(self.snapshots),
+            slots=self.placement.slots,
+            connections=self.placement.connections,
+            open_connections=open_connections,
+            **vars(counters),
+        )
+
+    # ---- Sub-requests --------------------------------------------------------
+
+    async def search(self, body):
+        """Runs one sub-request within the caps; returns a Reply.
+
+        Raises SearcherCrashed for a marked query.
+        """
+        counters = self.counters
+        counters.received += 1
+        counters.last_received = time.monotonic()
+        counters.max_slots = max(counters.max_slots, len(self.running) + 1)
+        snapshot = self.snapshots.get(body.snapshot)
+        if snapshot is None or body.partition not in snapshot.partitions:
+            return refusal(409, "snapshot_not_held")
+        shed = self.random.random() < self.behaviour.shed_fraction
+        if shed or len(self.running) >= self.placement.slots:
+            counters.shed += 1
+            return refusal(503, "shed")
+        return await self._run(body, snapshot)
+
+    async def _run(self, body, snapshot):
+        options = options_of(body.query, body.partition)
+        execution = _Execution()
+        self.running[body.sub_request_id] = execution
+        started = time.monotonic()
+        outcome = "crashed"
+        try:
+            if options.crash:
+                raise SearcherCrashed
+            outcome = await self._work(body, options, execution)
+        finally:
+            self.running.pop(body.sub_request_id, None)
+            self._keep(body, snapshot, started, outcome)
+        return self._reply(body, snapshot, outcome)
+
+    async def _work(self, body, options, execution):
+        """Takes the service time; returns how it ended."""
+        remaining_s = body.remaining_ms / 1000
+        service_s = self._service_s(options)
+        try:
+            async with asyncio.timeout(min(service_s, remaining_s)):
+                await execution.cancelled.wait()
+                return "cancelled"
+        except TimeoutError:
+            return "answered" if service_s <= remaining_s else "expired"
+
+    def _service_s(self, options):
+        behaviour = self.behaviour
+        if options.sleep_ms is not None:
+            return options.sleep_ms / 1000
+        service_ms = behaviour.service_ms + self.random.random() * behaviour.jitter_ms
+        if self.random.random() < behaviour.slow_fraction:
+            service_ms *= behaviour.slow_factor
+        age_ms = (time.monotonic() - self.started) * 1000
+        if age_ms < behaviour.cold_ms:
+            coldness = 1 - age_ms / behaviour.cold_ms
+            service_ms *= 1 + (behaviour.cold_factor - 1) * coldness
+        return service_ms / 1000
+
+    def _keep(self, body, snapshot, started, outcome):
+        if len(self.runs) < MAX_RUNS:
+            self.runs.append(
+                Run(
+                    upstream_id=self.placement.upstream_id,
+                    request_id=body.request_id,
+                    sub_request_id=body.sub_request_id,
+                    snapshot=body.snapshot,
+                    partition=body.partition,
+                    documents=snapshot.manifest[body.partition],
+                    started=started,
+                    ended=time.monotonic(),
+                    outcome=outcome,
+                )
+            )
+
+    def _reply(self, body, snapshot, outcome):
+        match outcome:
+            case "cancelled":
+                self.counters.cancelled += 1
+                return refusal(499, "cancelled")
+            case "expired":
+                self.counters.expired += 1
+                return refusal(504, "deadline_passed")
+        self.counters.answered += 1
+        hits = [{"echo": body.query, "searcher": self.placement.upstream_id}]
+        return Reply(
+            status=200,
+            body=upstreams.SearchAnswer(
+                sub_request_id=body.sub_request_id,
+                snapshot=body.snapshot,
+                partition=body.partition,
+                documents=snapshot.manifest[body.partition],
+                hits=msgspec.Raw(msgspec.json.encode(hits)),
+                in_flight=self.reported_load(),
+            ),
+        )
+
+    def cancel(self, sub_request_id):
+        """Ends a running sub-request; returns whether it was running."""
+        execution = self.running.get(sub_request_id)
+        if execution is None or self.behaviour.refuse_cancel:
+            return False
+        execution.cancelled.set()
+        return True
+
+    # ---- Snapshots -----------------------------------------------------------
+
+    def take_snapshot(self, snapshot, sequence, manifest):
+        """Adds a snapshot in which the searcher holds its partition."""
+        self.snapshots[snapshot] = upstreams.AnnouncedSnapshot(
+            snapshot=snapshot,
+            sequence=sequence,
+            partitions=(self.placement.partition,),
+            manifest=manifest,
+        )
+
+    def drop_snapshot(self, snapshot):
+        """Stops holding a snapshot; sub-requests for it get 409."""
+        self.snapshots.pop(snapshot, None)
+
+
+class SearcherCrashed(Exception):  # noqa: N818 - an event, not a fault of the code
+    """The searcher's process would have died now."""
--- /dev/null
+++ b/examples/standin/server.py
@@ -0,0 +1,224 @@
+"""Sockets of a stand-in searcher: the upstream protocol and announcements."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from plantainstage.messages import upstreams
+from standin.searcher import SearcherCrashed
+
+ANNOUNCE_INTERVAL_S = 1.0
+# A draining searcher stops once nothing has arrived for the first time, and
+# after the second one in any case; 3 s is the bound on new work for it.
+DRAIN_QUIET_S = 1.0
+DRAIN_LIMIT_S = 5.0
+DRAIN_POLL_S = 0.05
+_search_decoder = msgspec.json.Decoder(upstreams.SearchBody)
+_cancel_decoder = msgspec.json.Decoder(upstreams.CancelBody)
+
+
+class CountingServer(HTTPServer):
+    """Tracks the open connections of one searcher."""
+
+    def initialize(self, *args, **kwargs):
+        self.streams = set()
+        self.on_connection = None
+        super().initialize(*args, **kwargs)
+
+    def handle_stream(self, stream, address):
+        self.streams = {item for item in self.streams if not item.closed()}
+        self.streams.add(stream)
+        self.on_connection(len(self.streams))
+        super().handle_stream(stream, address)
+
+    @property
+    def open_streams(self):
+        """The connections that are not closed."""
+        return [item for item in self.streams if not item.closed()]
+
+
+class SearcherHandler(RequestHandler):
+    """Base of the upstream protocol's handlers."""
+
+    def initialize(self, service):
+        self.service = service
+        self.gone = asyncio.Event()
+
+    def on_connection_close(self):
+        self.gone.set()
+
+    async def pass_connection(self):
+        """Returns false when the connection has gone silent."""
+        stream = self.request.connection.stream
+        if stream in self.service.silent:
+            self.service.searcher.counters.silenced += 1
+            await self.gone.wait()
+            return False
+        if stream not in self.service.warm:
+            # The time that opening a connection takes shows on first use.
+            self.service.warm.add(stream)
+            await asyncio.sleep(self.service.searcher.placement.connect_ms / 1000)
+        return True
+
+    def reply(self, status, body):
+        """Finishes the request, unless the connection is gone or silent."""
+        if self.request.connection.stream in self.service.silent:
+            return
+        self.set_status(status, reason="Reply")
+        self.set_header("Content-Type", "application/json")
+        with contextlib.suppress(StreamClosedError):
+            self.finish(msgspec.json.encode(body))
+
+
+class SearchHandler(SearcherHandler):
+    """``POST /v1/search``."""
+
+    async def post(self):
+        if not await self.pass_connection():
+            return
+        try:
+            body = _search_decoder.decode(self.request.body)
+        except msgspec.MsgspecError as error:
+            self.reply(400, upstreams.SearchRefusal(error=str(error)))
+            return
+        try:
+            reply = await self.service.searcher.search(body)
+        except SearcherCrashed:
+            self.service.crash()
+            return
+        if self.request.connection.stream in self.service.silent:
+            await self.gone.wait()
+            return
+        self.reply(reply.status, reply.body)
+
+
+class CancelHandler(SearcherHandler):
+    """``POST /v1/cancel``."""
+
+    async def post(self):
+        if not await self.pass_connection():
+            return
+        body = _cancel_decoder.decode(self.request.body)
+        cancelled = self.service.searcher.cancel(body.sub_request_id)
+        self.reply(200, {"cancelled": cancelled})
+
+
+class SearcherService:
+    """Listens for one searcher and announces it."""
+
+    def __init__(self, *, searcher, entries):
+        self.searcher = searcher
+        self.entries = itertools.cycle(entries)
+        self.entry = next(self.entries)
+        self.server = None
+        self.silent = set()
+        self.warm = set()
+        self.announced = asyncio.Event()
+        self.down_until = 0.0
+        self.drain_started = 0.0
+
+    def listen(self):
+        """Starts to listen; raises OSError."""
+        host, _, port = self.searcher.address.rpartition(":")
+        application = Application(
+            [
+                ("/v1/search", SearchHandler, {"service": self}),
+                ("/v1/cancel", CancelHandler, {"service": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        self.server = CountingServer(application)
+        self.server.on_connection = self._count_connections
+        self.server.listen(int(port), address=host)
+
+    def _count_connections(self, count):
+        counters = self.searcher.counters
+        counters.max_connections = max(counters.max_connections, count)
+        self.silent = {item for item in self.silent if not item.closed()}
+        self.warm = {item for item in self.warm if not item.closed()}
+
+    def crash(self):
+        """Closes all connections and stops listening for ``crash_ms``."""
+        if self.server is None:
+            return
+        self.searcher.counters.crashes += 1
+        self.down_until = time.monotonic() + self.searcher.behaviour.crash_ms / 1000
+        self.server.stop()
+        for stream in self.server.open_streams:
+            stream.close()
+        self.server = None
+
+    def go_silent(self, count=None):
+        """Makes ``count`` open connections (or all) silent for good."""
+        streams = self.server.open_streams if self.server is not None else []
+        self.silent.update(streams[:count])
+        return len(streams[:count])
+
+    def record(self):
+        """Returns the searcher's record with its open connections."""
+        streams = self.server.open_streams if self.server is not None else []
+        return self.searcher.record(len(streams))
+
+    async def run(self):
+        """Announces every second until cancelled; returns from crashes."""
+        client = AsyncHTTPClient(force_instance=True, max_clients=2)
+        try:
+            while True:
+                self._recover()
+                if self.server is not None and self.searcher.behaviour.announce:
+                    await self.announce(client)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(ANNOUNCE_INTERVAL_S):
+                        await self.announced.wait()
+                self.announced.clear()
+        finally:
+            client.close()
+
+    def _recover(self):
+        if self.server is None and time.monotonic() >= self.down_until:
+            self.searcher.start_again()
+            self.listen()
+
+    def drain(self):
+        """Announces that no new work is wanted."""
+        self.searcher.behaviour.state = "draining"
+        self.drain_started = time.monotonic()
+        self.announce_soon()
+
+    async def wait_drained(self):
+        """Waits until work has stopped arriving, or the bound has passed."""
+        searcher = self.searcher
+        for _ in range(round(DRAIN_LIMIT_S / DRAIN_POLL_S)):
+            now = time.monotonic()
+            quiet_since = max(searcher.counters.last_received, self.drain_started)
+            if not searcher.running and now - quiet_since > DRAIN_QUIET_S:
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def announce_soon(self):
+        """Announces a change at once instead of at the next second."""
+        self.announced.set()
+
+    async def announce(self, client):
+        """Announces once; another entry host is tried next after a failure."""
+        body = msgspec.json.encode(self.searcher.announcement())
+        try:
+            reply = await client.fetch(
+                f"http://{self.entry}/v1/upstreams",
+                method="POST",
+                body=body,
+                raise_error=False,
+                request_timeout=ANNOUNCE_INTERVAL_S * 2,
+            )
+        except OSError:
+            self.entry = next(self.entries)
+            return
+        if reply.code != 200:
+            self.entry = next(self.entries)
--- a/examples/standin_searcher.py
+++ b/examples/standin_searcher.py
@@ -1,118 +1,96 @@
-"""Stand-in searcher for demos and tests; not part of the product."""
+"""Stand-in searchers for demos and tests; not part of the product.
 
-import asyncio
-import contextlib
-import uuid
-
-import click
-import msgspec
-from tornado.httpclient import AsyncHTTPClient
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
-
-from plantainstage.messages import upstreams
-
-
-class SearchHandler(RequestHandler):
-    """Answers sub-requests for the partition that this searcher holds."""
-
-    def initialize(self, searcher):
-        self.searcher = searcher
-
-    async def post(self):
-        body = msgspec.json.decode(self.request.body, type=upstreams.SearchBody)
-        await asyncio.sleep(0.003)
-        self.finish(
-            msgspec.json.encode(
-                upstreams.SearchAnswer(
-                    sub_request_id=body.sub_request_id,
-                    snapshot=body.snapshot,
-                    partition=body.partition,
-                    documents=self.searcher.manifest[body.partition],
-                    hits=msgspec.Raw(b'["hit"]'),
-                )
-            )
-        )
+One process runs the searchers of one deployment. They follow the upstream
+protocol and can be steered by flags and over HTTP (``--control-listen``). For
+example, 3 partitions of 2 searchers each, announced to one entry host::
 
+    python examples/standin_searcher.py --entry 127.0.0.1:7200 \
+        --partitions 3 --replicas 2 --control-listen 127.0.0.1:7399
+"""
 
-class Searcher:
-    """One searcher with one partition."""
-
-    def __init__(self, *, upstream_id, address, partition, manifest, index):
-        self.upstream_id = upstream_id
-        self.address = address
-        self.partition = partition
-        self.manifest = manifest
-        self.index = index
-        self.incarnation = uuid.uuid4().hex
+import asyncio
+import logging
+import signal
 
-    def announcement(self):
-        """Returns what the searcher tells about itself."""
-        return upstreams.Announcement(
-            upstream_id=self.upstream_id,
-            incarnation=self.incarnation,
-            address=self.address,
-            data_centre="upper-canal",
-            index=self.index,
-            slots=3,
-            connections=30,
-            snapshots=(
-                upstreams.AnnouncedSnapshot(
-                    snapshot="s1",
-                    sequence=1,
-                    partitions=(self.partition,),
-                    manifest=self.manifest,
-                ),
-            ),
-        )
+import click
 
-    async def run(self, entry_address):
-        """Serves and announces every second until cancelled."""
-        host, _, port = self.address.rpartition(":")
-        server = HTTPServer(
-            Application([("/v1/search", SearchHandler, {"searcher": self})])
-        )
-        server.listen(int(port), address=host)
-        client = AsyncHTTPClient()
-        while True:
-            # The entry host may not listen yet; the next announcement follows.
-            with contextlib.suppress(OSError):
-                await client.fetch(
-                    f"http://{entry_address}/v1/upstreams",
-                    method="POST",
-                    body=msgspec.json.encode(self.announcement()),
-                    raise_error=False,
-                )
-            await asyncio.sleep(1.0)
+from standin.control import start_control
+from standin.deployments import DEPLOYMENTS, manifest_of, placements_of
+from standin.searcher import Behaviour, Searcher
+from standin.server import SearcherService
 
 
-@click.command()
+@click.command(context_settings={"auto_envvar_prefix": "STANDIN"})
+@click.option("--deployment", type=click.Choice(sorted(DEPLOYMENTS)), default="kogi")
+@click.option("--address", default="127.0.0.1", show_default=True)
 @click.option("--first-port", default=7400, show_default=True)
-@click.option("--partitions", default=3, show_default=True)
-@click.option("--replicas", default=3, show_default=True)
-@click.option("--index", default="ditch-turns", show_default=True)
-@click.option("--entry", required=True)
-def main(first_port, partitions, replicas, index, entry):
-    """Run a group of stand-in searchers in one process."""
-    asyncio.run(run(first_port, partitions, replicas, index, entry))
-
-
-async def run(first_port, partitions, replicas, index, entry):
-    """Runs all searchers of the group."""
-    names = [f"rider-desk-{number:02}" for number in range(1, partitions + 1)]
-    manifest = {name: 1000 + 10 * position for position, name in enumerate(names)}
-    async with asyncio.TaskGroup() as group:
-        for position, name in enumerate(names):
-            for replica in range(replicas):
-                port = first_port + position * replicas + replica
-                searcher = Searcher(
-                    upstream_id=f"{name}-{replica + 1}",
-                    address=f"127.0.0.1:{port}",
-                    partition=name,
-                    manifest=manifest,
-                    index=index,
-                )
-                group.create_task(searcher.run(entry))
+@click.option("--control-listen", default="", help="IP:port of the control path.")
+@click.option("--partitions", type=int, help="Limits the number of partitions.")
+@click.option("--replicas", type=int, help="Searchers of each partition.")
+@click.option("--entry", multiple=True, required=True, help="IP:port, repeatable.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--service-ms", default=3.0, show_default=True)
+@click.option("--jitter-ms", default=2.0, show_default=True)
+@click.option("--slow-fraction", default=0.0, show_default=True)
+@click.option("--slow-factor", default=10.0, show_default=True)
+@click.option("--shed-fraction", default=0.0, show_default=True)
+@click.option("--load", type=click.Choice(["honest", "lag", "lie"]), default="honest")
+@click.option("--cold-factor", default=1.0, show_default=True)
+@click.option("--cold-ms", default=0.0, show_default=True)
+@click.option("--crash-ms", default=1000.0, show_default=True)
+def main(
+    deployment,
+    address,
+    first_port,
+    control_listen,
+    partitions,
+    replicas,
+    entry,
+    seed,
+    **behaviour,
+):
+    """Run the stand-in searchers of a deployment in one process."""
+    logging.getLogger("tornado").setLevel(logging.ERROR)
+    shape = DEPLOYMENTS[deployment]
+    manifest = manifest_of(shape, partitions)
+    places = placements_of(shape, partitions, replicas)
+    searchers = [
+        Searcher(
+            placement=placement,
+            address=f"{address}:{first_port + position}",
+            index=shape.index,
+            manifest=manifest,
+            seed=seed,
+            behaviour=Behaviour(**behaviour),
+        )
+        for position, placement in enumerate(places)
+    ]
+    asyncio.run(run(searchers, entry, control_listen))
+
+
+async def run(searchers, entries, control_listen):
+    """Serves until SIGTERM or SIGINT; drains before it stops."""
+    services = []
+    for position, searcher in enumerate(searchers):
+        shift = position % len(entries)
+        order = (*entries[shift:], *entries[:shift])
+        services.append(SearcherService(searcher=searcher, entries=order))
+    for service in services:
+        service.listen()
+    if control_listen:
+        start_control(services, control_listen)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    tasks = [asyncio.create_task(service.run()) for service in services]
+    await stop.wait()
+    for service in services:
+        service.drain()
+    for service in services:
+        await service.wait_drained()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/plantainstage/_entry/announcements.py
@@ -0,0 +1,301 @@
+"""Announcements of searchers: checked here, and only changes passed on.
+
+A searcher announces itself every second. Control gets each record once, and
+one list of live ids each second.
+"""
+
+import asyncio
+
+import msgspec
+from loguru import logger
+
+from plantainstage._entry.requests import undecodable
+from plantainstage._errors import ControlUnavailableError, RefusalError
+from plantainstage._messages import control
+from plantainstage._messages.configuration import (
+    Manifest,
+    SnapshotHolding,
+    Upstream,
+    UpstreamState,
+)
+from plantainstage._messages.upstreams import Announcement
+from plantainstage._settings.base import SettingsCheck
+
+SUMMARY_INTERVAL_S = 1.0
+# A searcher that was silent here for so long may have announced a change to
+# another host; its next announcement is passed on in full.
+FORGET_AFTER_S = 3.0
+CONTROL_TIMEOUT_S = 1.0
+# Half of them is an owner's share, of which one is kept for cancellations.
+MIN_CONNECTIONS = 4
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_SNAPSHOTS = 16
+MAX_PARTITIONS = 100_000
+MAX_DOCUMENTS = 2**53
+_STATES = (UpstreamState.SERVING.value, UpstreamState.DRAINING.value)
+_decoder = msgspec.json.Decoder(Announcement)
+
+_REFUSED_BY_CONTROL = {
+    "superseded_incarnation": (
+        "A later start of this searcher has announced itself.",
+        "Stop the older process, or give each searcher its own upstream_id.",
+    ),
+    "manifest_conflict": (
+        "Another manifest is known under the name of this snapshot.",
+        "Publish changed data as a new snapshot with its own name.",
+    ),
+    "manifest_missing": (
+        "The manifest of a snapshot is missing.",
+        "Send the full manifest with each snapshot.",
+    ),
+    "unknown_partition": (
+        "A partition is not in the manifest of its snapshot.",
+        "Send the full manifest with each snapshot.",
+    ),
+}
+
+
+class _Change:
+    """A record on its way to control; ``reply`` is its refusal code or None."""
+
+    __slots__ = ("upstream", "manifests", "reply")
+
+    def __init__(self, *, upstream, manifests, reply):
+        self.upstream = upstream
+        self.manifests = manifests
+        self.reply = reply
+
+
+class Announcements:
+    """Takes announcements and tells control what has changed."""
+
+    def __init__(self, *, client):
+        self.client = client
+        self.passed_on = {}
+        self.live = set()
+        self.last_seen = {}
+        self.changes = asyncio.Queue()
+
+    async def take(self, data):
+        """Takes an encoded Announcement; raises RefusalError."""
+        announcement = check_announcement(data)
+        upstream = upstream_of(announcement)
+        if self.passed_on.get(upstream.upstream_id) == upstream:
+            self.live.add(upstream.upstream_id)
+            return
+        change = _Change(
+            upstream=upstream,
+            manifests=manifests_of(announcement),
+            reply=asyncio.get_running_loop().create_future(),
+        )
+        self.changes.put_nowait(change)
+        code = await change.reply
+        if code:
+            raise refusal_of(code)
+
+    async def run(self):
+        """Passes changes on at once and live ids each second, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._pass_on_changes())
+            group.create_task(self._summarise())
+
+    async def _pass_on_changes(self):
+        while True:
+            batch = [await self.changes.get()]
+            while not self.changes.empty():
+                batch.append(self.changes.get_nowait())
+            await self._pass_on(batch)
+
+    async def _pass_on(self, batch):
+        manifests = {}
+        newest = {}
+        for change in batch:
+            newest[change.upstream.upstream_id] = change
+            for manifest in change.manifests:
+                # Two different manifests of one name both go to control, which
+                # refuses the searcher whose manifest came later.
+                key = (manifest.index, manifest.snapshot)
+                known = manifests.setdefault(key, [])
+                if manifest not in known:
+                    known.append(manifest)
+        request = control.AnnounceUpstreams(
+            upstreams=tuple(change.upstream for change in newest.values()),
+            manifests=tuple(item for known in manifests.values() for item in known),
+        )
+        try:
+            reply = await self.client.call(request, timeout_s=CONTROL_TIMEOUT_S)
+        except ControlUnavailableError as error:
+            logger.warning("announcements not passed on", error=str(error))
+            self._reply(batch, dict.fromkeys(newest, "control_unavailable"))
+            return
+        refused = {}
+        if isinstance(reply, control.AnnouncementsTaken):
+            refused = reply.refused
+        for upstream_id, change in newest.items():
+            if upstream_id not in refused:
+                self._accepted(change.upstream)
+        self._reply(batch, refused)
+
+    def _accepted(self, upstream):
+        self.passed_on[upstream.upstream_id] = upstream
+        self.live.add(upstream.upstream_id)
+
+    def _reply(self, batch, refused):
+        for change in batch:
+            if not change.reply.done():
+                change.reply.set_result(refused.get(change.upstream.upstream_id))
+
+    async def _summarise(self):
+        while True:
+            await asyncio.sleep(SUMMARY_INTERVAL_S)
+            live, self.live = self.live, set()
+            now = asyncio.get_running_loop().time()
+            self.last_seen.update(dict.fromkeys(live, now))
+            for upstream_id, seen in tuple(self.last_seen.items()):
+                if now - seen > FORGET_AFTER_S:
+                    del self.last_seen[upstream_id]
+                    self.passed_on.pop(upstream_id, None)
+            if live:
+                await self._send_summary(live)
+
+    async def _send_summary(self, live):
+        request = control.AnnounceUpstreams(alive=tuple(sorted(live)))
+        try:
+            reply = await self.client.call(request, timeout_s=CONTROL_TIMEOUT_S)
+        except ControlUnavailableError as error:
+            logger.warning("live searchers not passed on", error=str(error))
+            return
+        if isinstance(reply, control.AnnouncementsTaken):
+            for upstream_id in reply.unknown:
+                # The next announcement is passed on in full.
+                self.passed_on.pop(upstream_id, None)
+
+
+def check_announcement(data):
+    """Returns the Announcement of an encoded body; raises RefusalError."""
+    try:
+        announcement = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        raise undecodable(error, "docs/upstreams.md") from error
+    check = SettingsCheck()
+    check.name(flag="upstream_id", value=announcement.upstream_id)
+    check.name(flag="incarnation", value=announcement.incarnation)
+    check.name(flag="data_centre", value=announcement.data_centre)
+    check.name(flag="index", value=announcement.index)
+    check.address(flag="address", value=announcement.address)
+    check.between(
+        flag="slots",
+        value=announcement.slots,
+        low=1,
+        high=MAX_SLOTS,
+        unit="sub-requests at the same time",
+    )
+    check.between(
+        flag="connections",
+        value=announcement.connections,
+        low=MIN_CONNECTIONS,
+        high=MAX_CONNECTIONS,
+        unit="connections",
+    )
+    check.choice(flag="state", value=announcement.state, choices=_STATES)
+    check.between(
+        flag="snapshots",
+        value=len(announcement.snapshots),
+        low=1,
+        high=MAX_SNAPSHOTS,
+        unit="snapshots",
+    )
+    for snapshot in announcement.snapshots:
+        _check_snapshot(check, snapshot)
+    if check.errors:
+        raise RefusalError(
+            code="invalid_announcement",
+            message=" ".join(str(error) for error in check.errors),
+            remedy="Correct the fields named; see docs/upstreams.md.",
+        )
+    return announcement
+
+
+def _check_snapshot(check, snapshot):
+    flag = f"snapshots[{snapshot.snapshot!r}]"
+    check.name(flag="snapshot", value=snapshot.snapshot)
+    check.between(
+        flag=f"{flag}.sequence",
+        value=snapshot.sequence,
+        low=0,
+        high=MAX_DOCUMENTS,
+        unit="",
+    )
+    manifest = snapshot.manifest
+    check.between(
+        flag=f"{flag}.manifest",
+        value=len(manifest),
+        low=1,
+        high=MAX_PARTITIONS,
+        unit="partitions",
+    )
+    for partition, documents in manifest.items():
+        check.name(flag=f"{flag}.manifest", value=partition)
+        check.between(
+            flag=f"{flag}.manifest[{partition!r}]",
+            value=documents,
+            low=0,
+            high=MAX_DOCUMENTS,
+            unit="documents",
+        )
+    missing = sorted(set(snapshot.partitions) - set(manifest))
+    check.require(
+        flag=f"{flag}.partitions",
+        value=", ".join(missing),
+        condition=not missing,
+        expected="partitions that the manifest lists",
+        remedy="Send the full manifest with each snapshot.",
+    )
+
+
+def upstream_of(announcement):
+    """Returns the registry record of an announcement."""
+    return Upstream(
+        upstream_id=announcement.upstream_id,
+        incarnation=announcement.incarnation,
+        address=announcement.address,
+        data_centre=announcement.data_centre,
+        index=announcement.index,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        holdings=tuple(
+            SnapshotHolding(snapshot=item.snapshot, partitions=item.partitions)
+            for item in announcement.snapshots
+        ),
+        state=UpstreamState(announcement.state),
+    )
+
+
+def manifests_of(announcement):
+    """Returns the manifests of an announcement's snapshots."""
+    return tuple(
+        Manifest(
+            index=announcement.index,
+            snapshot=item.snapshot,
+            sequence=item.sequence,
+            documents=item.manifest,
+        )
+        for item in announcement.snapshots
+    )
+
+
+def refusal_of(code):
+    """Returns the RefusalError for a reason that control gave."""
+    if code == "control_unavailable":
+        return RefusalError(
+            code=code,
+            message="No control leader took the announcement in time.",
+            remedy="Announce again in a second, through any entry host.",
+            http_status=503,
+        )
+    message, remedy = _REFUSED_BY_CONTROL.get(
+        code,
+        ("Control refused the announcement.", "See docs/upstreams.md for the rules."),
+    )
+    return RefusalError(code=code, message=message, remedy=remedy, http_status=409)
--- a/src/plantainstage/_entry/control_session.py
+++ b/src/plantainstage/_entry/control_session.py
@@ -1,50 +1,119 @@
-"""The entry host's lease and configuration."""
+"""The entry host's lease and its copy of the configuration."""
 
 import asyncio
-import time
+import math
+from collections.abc import Callable
 
 from loguru import logger
 
-from plantainstage._errors import ControlUnavailableError
+from plantainstage._errors import ControlUnavailableError, check_invariant
 from plantainstage._messages import control
 from plantainstage._messages.configuration import Configuration
 
 RENEW_INTERVAL_S = 0.4
+# Shorter than the lease by more than two intervals, so that a renewal which
+# meets a dead leader is followed by another one in time.
+RENEW_TIMEOUT_S = 0.9
+LEAVE_TIMEOUT_S = 3.0
 
 
 class ControlSession:
-    """Renews the lease and holds the newest configuration."""
+    """Renews the lease and applies each configuration that a grant carries.
 
-    def __init__(self, *, client, entry):
+    ``lease.until`` is on the event loop's monotonic clock and counts from the
+    time at which the renewal was sent. ``apply`` takes a new Configuration
+    before the lease counts as renewed. ``releasing`` returns the searchers
+    that this host has left but not released yet.
+    """
+
+    def __init__(
+        self, *, client, entry, lease, apply: Callable, releasing: Callable = tuple
+    ):
         self.client = client
         self.entry = entry
+        self.lease = lease
+        self.apply = apply
+        self.releasing = releasing
         self.configuration = Configuration(version=0)
-        self.lease_until = 0.0
+        self.draining = False
+        self.wake = asyncio.Event()
+        self.renewals = 0
 
     @property
     def holds_lease(self):
         """Whether the configuration is confirmed as of now."""
-        return time.monotonic() < self.lease_until
+        return self.lease.valid(asyncio.get_running_loop().time())
 
     async def run(self):
         """Renews until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
+            next_at = loop.time() + RENEW_INTERVAL_S
             await self.renew()
-            await asyncio.sleep(RENEW_INTERVAL_S)
+            try:
+                async with asyncio.timeout_at(next_at):
+                    await self.wake.wait()
+            except TimeoutError:
+                continue
+            finally:
+                self.wake.clear()
+
+    def renew_soon(self):
+        """Renews now instead of after the interval."""
+        self.wake.set()
 
     async def renew(self):
         """Asks once for a lease and applies what the grant carries."""
-        sent_at = time.monotonic()
+        sent_at = asyncio.get_running_loop().time()
         request = control.RenewEntryLease(
-            entry=self.entry, applied_version=self.configuration.version
+            entry=self.entry,
+            applied_version=self.configuration.version,
+            releasing=self.releasing(),
+            draining=self.draining,
         )
         try:
-            reply = await self.client.call(request, timeout_s=1.0)
+            reply = await self.client.call(request, timeout_s=RENEW_TIMEOUT_S)
         except ControlUnavailableError as error:
             logger.warning("lease not renewed", error=str(error))
             return
         match reply:
-            case control.LeaseGranted(configuration=configuration, lease_ms=lease_ms):
-                if configuration is not None:
-                    self.configuration = configuration
-                self.lease_until = sent_at + lease_ms / 1000
+            case control.LeaseGranted():
+                self._take_grant(reply, sent_at)
+            case control.RequestRejected(code=code, message=message):
+                logger.error("lease refused", code=code, error=message)
+
+    def _take_grant(self, grant, sent_at):
+        configuration = grant.configuration
+        if configuration is not None and (
+            configuration.version > self.configuration.version
+        ):
+            check_invariant(
+                configuration.version == grant.version,
+                invariant="a grant carries the configuration of its version",
+                detail=f"{configuration.version} and {grant.version}",
+            )
+            self.apply(configuration)
+            self.configuration = configuration
+        if grant.version != self.configuration.version:
+            # An older grant that arrives late, or a newer version without its
+            # configuration: neither confirms what this host has applied.
+            logger.warning("grant for another version", version=grant.version)
+            return
+        self.lease.until = max(self.lease.until, sent_at + grant.lease_ms / 1000)
+        self.renewals += 1
+
+    async def leave(self):
+        """Gives the lease back; nothing of this host is in flight any more."""
+        self.lease.until = -math.inf
+        request = control.RenewEntryLease(
+            entry=self.entry,
+            applied_version=self.configuration.version,
+            releasing=(),
+            draining=True,
+            leaving=True,
+        )
+        try:
+            await self.client.call(request, timeout_s=LEAVE_TIMEOUT_S)
+        except ControlUnavailableError as error:
+            # The lease then ends by itself.
+            logger.warning("lease not given back", error=str(error))
--- /dev/null
+++ b/src/plantainstage/_entry/gathers.py
@@ -0,0 +1,198 @@
+"""Runs the gathers of this entry host's requests.
+
+Each request has one ``Gather``. Its sub-requests go to the owners of their
+searchers, on this host or over a link, and the results come back by id.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from plantainstage._entry.owners import not_sent
+from plantainstage._messages.forward import SubOutcome, SubResult
+from plantainstage._routing.gather import (
+    CancelSubRequest,
+    FinishRequest,
+    Gather,
+    ReportCrashes,
+    SendSubRequest,
+    WakeAt,
+)
+
+
+class _Outstanding:
+    """A sub-request without a result so far."""
+
+    __slots__ = ("run", "owner_id", "sub_request")
+
+    def __init__(self, *, run, owner_id, sub_request):
+        self.run = run
+        self.owner_id = owner_id
+        self.sub_request = sub_request
+
+
+class GatherRun:
+    """One request under way; ``outcome`` is its FinishRequest."""
+
+    def __init__(self, *, gather, gathers):
+        self.gather = gather
+        self.gathers = gathers
+        self.outcome = gathers.loop.create_future()
+        self.timer = None
+
+    def caller_gone(self):
+        """Cancels what nobody waits for any more."""
+        now = self.gathers.loop.time()
+        self.gathers.carry_out(self, self.gather.on_caller_gone(now))
+
+    def _on_timer(self):
+        self.timer = None
+        now = self.gathers.loop.time()
+        self.gathers.carry_out(self, self.gather.on_timer(now))
+
+    def wake_at(self, time):
+        """Replaces the timer."""
+        if self.timer is not None:
+            if self.timer.when() == time:
+                return
+            self.timer.cancel()
+        self.timer = self.gathers.loop.call_at(time, self._on_timer)
+
+    def finish(self, action):
+        """Makes the outcome known."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.outcome.done():
+            self.outcome.set_result(action)
+
+
+class Gathers:
+    """All requests under way on this host.
+
+    ``send`` takes (owner id, SubRequest), ``cancel`` (owner id, sub-request
+    id). ``report_crashes`` returns once a quarantine is recorded.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease,
+        routing,
+        budgets,
+        send: Callable,
+        cancel: Callable,
+        report_crashes: Callable,
+    ):
+        self.lease = lease
+        self.routing = routing
+        self.budgets = budgets
+        self.send = send
+        self.cancel = cancel
+        self.report_crashes = report_crashes
+        self.loop = asyncio.get_running_loop()
+        self.outstanding = {}
+        self.waiting_on = {}  # owner id -> number of outstanding sub-requests
+        self.results = []
+        self.reports = set()
+
+    def start(self, *, request_id, profile, body, view, arrived_at):
+        """Starts a request and returns its GatherRun."""
+        gather = Gather(
+            request_id=request_id,
+            profile=profile,
+            body=body,
+            view=view,
+            routing=self.routing,
+            budget=self.budgets.for_profile(profile),
+            now=arrived_at,
+        )
+        run = GatherRun(gather=gather, gathers=self)
+        self.carry_out(run, gather.start(self.loop.time()))
+        return run
+
+    def carry_out(self, run, actions):
+        """Carries out the actions of a gather in order."""
+        for action in actions:
+            match action:
+                case SendSubRequest(owner_id=owner_id, sub_request=sub_request):
+                    self._send(run, owner_id, sub_request)
+                case CancelSubRequest():
+                    self.cancel(action.owner_id, action.sub_request_id)
+                case WakeAt(time=time):
+                    run.wake_at(time)
+                case ReportCrashes():
+                    self._report(run, action)
+                case FinishRequest():
+                    run.finish(action)
+
+    def _send(self, run, owner_id, sub_request):
+        self.outstanding[sub_request.sub_request_id] = _Outstanding(
+            run=run, owner_id=owner_id, sub_request=sub_request
+        )
+        self.waiting_on[owner_id] = self.waiting_on.get(owner_id, 0) + 1
+        if not self.lease.valid(self.loop.time()):
+            self.take_result(not_sent(sub_request, "lease_expired"))
+            return
+        self.send(owner_id, sub_request)
+
+    def _report(self, run, action):
+        async def report():
+            await self.report_crashes(action.fingerprint, action.duration_ms)
+            now = self.loop.time()
+            self.carry_out(run, run.gather.on_quarantine_recorded(now))
+
+        task = asyncio.create_task(report())
+        self.reports.add(task)
+        task.add_done_callback(self.reports.discard)
+
+    # ---- Results -------------------------------------------------------------
+
+    def take_result(self, result):
+        """Takes a result; the gather sees it in the loop's next turn.
+
+        A result may come while the gather's own actions are being carried out,
+        and must not overtake the rest of them.
+        """
+        if not self.results:
+            self.loop.call_soon(self._deliver)
+        self.results.append(result)
+
+    def _deliver(self):
+        results, self.results = self.results, []
+        now = self.loop.time()
+        for result in results:
+            item = self.outstanding.pop(result.sub_request_id, None)
+            if item is None:
+                self.routing.counters.discarded_results += 1
+                continue
+            self.waiting_on[item.owner_id] -= 1
+            self.carry_out(item.run, item.run.gather.on_result(result, now))
+
+    def link_lost(self, owner_id, queued_ids):
+        """Ends the sub-requests whose link died after they were handed over.
+
+        They may have run, so that the outcome is not a reset and not NOT_SENT.
+        """
+        for sub_request_id, item in tuple(self.outstanding.items()):
+            if item.owner_id == owner_id and sub_request_id not in queued_ids:
+                sub_request = item.sub_request
+                self.take_result(
+                    SubResult(
+                        sub_request_id=sub_request_id,
+                        upstream_id=sub_request.upstream_id,
+                        partition=sub_request.partition,
+                        outcome=SubOutcome.SILENT,
+                        reason="link_lost",
+                    )
+                )
+
+    def expects_results(self, owner_id):
+        """Whether the owner still has sub-requests of this host."""
+        return self.waiting_on.get(owner_id, 0) > 0
+
+    def forget_before(self, time):
+        """Drops sub-requests whose result will not come any more."""
+        for sub_request_id, item in tuple(self.outstanding.items()):
+            gather = item.run.gather
+            if gather.finished and gather.finish_at < time:
+                del self.outstanding[sub_request_id]
+                self.waiting_on[item.owner_id] -= 1
--- /dev/null
+++ b/src/plantainstage/_entry/host.py
@@ -0,0 +1,250 @@
+"""Ties the tasks of one entry process together."""
+
+import asyncio
+import time
+import uuid
+
+from loguru import logger
+from tornado.httpserver import HTTPServer
+
+from plantainstage._entry.announcements import Announcements
+from plantainstage._entry.claims import Claims
+from plantainstage._entry.control_session import ControlSession
+from plantainstage._entry.gathers import Gathers
+from plantainstage._entry.handlers import (
+    BODY_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    MAX_DROPPED_BYTES,
+    make_application,
+)
+from plantainstage._entry.owners import Owners, not_sent
+from plantainstage._entry.quarantining import Quarantining
+from plantainstage._entry.queries import Queries
+from plantainstage._limits.extra_load import ExtraLoadBudgets
+from plantainstage._limits.owner_queue import HostLease
+from plantainstage._messages import forward
+from plantainstage._messages.configuration import EntryHost as EntryRecord
+from plantainstage._reports.metrics import Metric, make_metrics
+from plantainstage._reports.minute_log import log_all_minutes, log_due_minutes
+from plantainstage._reports.recorder import MinuteRecorder
+from plantainstage._routing.estimates import RoutingState
+from plantainstage._routing.view import ConfigurationView
+from plantainstage._transport.forward import ForwardLinks
+from plantainstage._transport.rpc import ControlClient
+
+# A renewal must find another leader well within one lease.
+CONTROL_ATTEMPT_S = 0.4
+TICK_INTERVAL_S = 0.2
+# Results that take longer than this after the deadline are given up.
+LATE_RESULT_S = 1.0
+# The other hosts know this one once each of them has renewed, which happens
+# every 0.4 s. Before, they could not send results back to it.
+RENEWALS_TO_BE_KNOWN = 3
+
+
+class EntryHost:
+    """One entry host; ``start`` and ``stop`` are called once each."""
+
+    def __init__(self, *, settings):
+        self.settings = settings
+        self.record = EntryRecord(
+            entry_id=settings.entry_id,
+            incarnation=uuid.uuid4().hex,
+            data_centre=settings.data_centre,
+            caller_address=settings.listen,
+            forward_address=settings.forward_listen,
+        )
+        self.draining = False
+        self.tasks = []
+        self.lease = HostLease()
+        self.metrics = make_metrics(
+            address=settings.statsd_address,
+            program="entry",
+            host_id=settings.entry_id,
+        )
+        self.recorder = MinuteRecorder(
+            host=settings.entry_id,
+            incarnation=self.record.incarnation,
+            now=time.time(),
+        )
+        self.routing = RoutingState(
+            entry_id=settings.entry_id,
+            incarnation=self.record.incarnation,
+            data_centre=settings.data_centre,
+        )
+        self._make_control_tasks()
+        self._make_data_tasks()
+        self.server = HTTPServer(
+            make_application(self),
+            max_body_size=MAX_DROPPED_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+
+    def _make_control_tasks(self):
+        # A claim or an announcement that waits must not hold up a renewal.
+        self.clients = [
+            ControlClient(
+                addresses=self.settings.control, attempt_timeout_s=CONTROL_ATTEMPT_S
+            )
+            for _ in range(2)
+        ]
+        self.session = ControlSession(
+            client=self.clients[0],
+            entry=self.record,
+            lease=self.lease,
+            apply=self.apply,
+            releasing=lambda: self.owners.releasing(),
+        )
+        self.announcements = Announcements(client=self.clients[1])
+        self.claims = Claims(client=self.clients[1], entry=self.record)
+
+    def _make_data_tasks(self):
+        self.links = ForwardLinks(
+            entry_id=self.record.entry_id,
+            address=self.settings.forward_listen,
+            on_message=self._on_peer_message,
+            on_not_sent=self._on_not_sent,
+            on_lost=lambda peer, queued: self.gathers.link_lost(peer, queued),
+            expects_results=lambda peer: self.gathers.expects_results(peer),
+        )
+        self.quarantining = Quarantining(
+            entry_id=self.record.entry_id,
+            client=self.clients[1],
+            links=self.links,
+        )
+        self.owners = Owners(
+            entry_id=self.record.entry_id,
+            lease=self.lease,
+            quarantines=self.routing.quarantines,
+            on_result=self._on_owner_result,
+            on_crashes=self.quarantining.report_soon,
+        )
+        self.gathers = Gathers(
+            lease=self.lease,
+            routing=self.routing,
+            budgets=ExtraLoadBudgets(),
+            send=self._send,
+            cancel=self._cancel,
+            report_crashes=self.quarantining.report,
+        )
+        self.queries = Queries(
+            lease=self.lease,
+            gathers=self.gathers,
+            claims=self.claims,
+            recorder=self.recorder,
+            metrics=self.metrics,
+        )
+
+    # ---- Start and configuration ---------------------------------------------
+
+    def start(self):
+        """Listens and starts the tasks; raises OSError, pynng.AddressInUse."""
+        host, _, port = self.settings.listen.rpartition(":")
+        self.server.listen(int(port), address=host.strip("[]"))
+        self.links.start()
+        self.tasks = [
+            asyncio.create_task(self.session.run()),
+            asyncio.create_task(self.announcements.run()),
+            asyncio.create_task(self._tick()),
+        ]
+
+    def apply(self, configuration):
+        """Brings all tasks to a new configuration version."""
+        now = asyncio.get_running_loop().time()
+        before = {
+            item.upstream_id: item.incarnation
+            for item in self.session.configuration.upstreams
+        }
+        self.links.set_peers(configuration.entry_hosts)
+        self.routing.quarantines.apply_recorded(
+            configuration.quarantines, now=now, unix_ms=time.time() * 1000
+        )
+        self.owners.apply(configuration)
+        self.queries.view = ConfigurationView(
+            configuration=configuration, routing=self.routing
+        )
+        if before:
+            for upstream in configuration.upstreams:
+                if before.get(upstream.upstream_id) != upstream.incarnation:
+                    self.routing.start_ramp(upstream.upstream_id, now)
+        logger.info("configuration applied", version=configuration.version)
+
+    def reason_not_ready(self):
+        """Returns why the host should get no requests, or an empty string."""
+        if self.draining:
+            return "draining"
+        if not self.session.holds_lease:
+            return "configuration_unconfirmed"
+        if self.session.renewals < RENEWALS_TO_BE_KNOWN:
+            return "not_known_to_peers"
+        return ""
+
+    # ---- Messages between the tasks ------------------------------------------
+
+    def _send(self, owner_id, sub_request):
+        if owner_id == self.record.entry_id:
+            self.owners.submit(owner_id, sub_request)
+            return
+        link = self.links.peers.get(owner_id)
+        if link is None:
+            self.gathers.take_result(not_sent(sub_request, "owner_unknown"))
+        else:
+            link.send_sub_request(sub_request)
+
+    def _cancel(self, owner_id, sub_request_id):
+        if owner_id == self.record.entry_id:
+            self.owners.cancel(sub_request_id)
+        elif owner_id in self.links.peers:
+            self.links.peers[owner_id].cancel(sub_request_id)
+
+    def _on_not_sent(self, sub_request, reason):
+        self.gathers.take_result(not_sent(sub_request, reason))
+
+    def _on_owner_result(self, requester_id, result):
+        self.metrics.count(Metric.SUB_REQUEST_OUTCOMES, label=result.outcome.value)
+        if requester_id == self.record.entry_id:
+            self.gathers.take_result(result)
+        elif requester_id in self.links.peers:
+            self.links.peers[requester_id].send_result(result)
+
+    def _on_peer_message(self, message):
+        match message:
+            case forward.SubResults(items=items):
+                for result in items:
+                    self.gathers.take_result(result)
+            case forward.SubRequests(sender=sender, items=items):
+                # A host that cannot get the results must not cause work.
+                if sender in self.links.peers:
+                    for sub_request in items:
+                        self.owners.submit(sender, sub_request)
+            case forward.CancelSubRequests(sub_request_ids=sub_request_ids):
+                for sub_request_id in sub_request_ids:
+                    self.owners.cancel(sub_request_id)
+            case forward.QuarantineNotice():
+                now = asyncio.get_running_loop().time()
+                self.routing.quarantines.apply_notice(message, now)
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            loop = asyncio.get_running_loop()
+            self.gathers.forget_before(loop.time() - LATE_RESULT_S)
+            self.owners.warm()
+            if self.owners.leaving and not self.owners.releasing():
+                self.session.renew_soon()
+            log_due_minutes(self.recorder, now=time.time())
+            self.metrics.gauge(Metric.LEASE_HELD, value=int(self.session.holds_lease))
+            self.metrics.gauge(Metric.VERSION, value=self.session.configuration.version)
+            self.metrics.gauge(Metric.IN_FLIGHT, value=len(self.queries.active))
+            self.metrics.flush()
+
+    # ---- The end -------------------------------------------------------------
+
+    def close(self):
+        """Closes all sockets and ends the minute records."""
+        self.owners.abort()
+        for client in self.clients:
+            client.close()
+        log_all_minutes(self.recorder, now=time.time())
+        self.metrics.close()
--- /dev/null
+++ b/src/plantainstage/_entry/owners.py
@@ -0,0 +1,142 @@
+"""All searchers that this entry host owns or is still releasing."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from plantainstage._entry.searcher_owner import SearcherOwner
+from plantainstage._messages.forward import SubOutcome, SubResult
+
+
+class Owners:
+    """Passes sub-requests to the owner of their searcher.
+
+    ``on_result`` gets (entry id of the requester, SubResult).
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        lease,
+        quarantines,
+        on_result: Callable,
+        on_crashes: Callable,
+    ):
+        self.entry_id = entry_id
+        self.lease = lease
+        self.quarantines = quarantines
+        self.on_result = on_result
+        self.on_crashes = on_crashes
+        self.owned = {}
+        self.leaving = []
+        self.searcher_of = {}  # sub-request id -> SearcherOwner, while unfinished
+
+    # ---- Configuration -------------------------------------------------------
+
+    def apply(self, configuration):
+        """Takes over the searchers that this host owns now; leaves others."""
+        weights = {item.name: item.weight for item in configuration.profiles}
+        upstreams = {item.upstream_id: item for item in configuration.upstreams}
+        mine = {
+            item.upstream_id: item
+            for item in configuration.ownerships
+            if item.entry_id == self.entry_id and item.active
+        }
+        for upstream_id in tuple(self.owned):
+            if upstream_id not in mine or upstream_id not in upstreams:
+                self._leave(upstream_id)
+        for upstream_id, ownership in mine.items():
+            upstream = upstreams.get(upstream_id)
+            if upstream is not None:
+                self._own(upstream, ownership, weights)
+        self.drop_released()
+
+    def _own(self, upstream, ownership, weights):
+        owner = self.owned.get(upstream.upstream_id)
+        if owner is not None and owner.upstream.address != upstream.address:
+            self._leave(upstream.upstream_id)
+            owner = None
+        if owner is None:
+            owner = SearcherOwner(
+                upstream=upstream,
+                lease=self.lease,
+                quarantines=self.quarantines,
+                weights=weights,
+                on_result=self._finished,
+                on_crashes=self.on_crashes,
+            )
+            self.owned[upstream.upstream_id] = owner
+        owner.update(upstream)
+        owner.queue.set_weights(weights)
+        owner.own(ownership.epoch)
+
+    def _leave(self, upstream_id):
+        owner = self.owned.pop(upstream_id)
+        owner.disown()
+        self.leaving.append(owner)
+
+    def releasing(self):
+        """Returns the searchers that this host has left but not yet released."""
+        self.drop_released()
+        return tuple(sorted({owner.upstream.upstream_id for owner in self.leaving}))
+
+    def drop_released(self):
+        """Forgets searchers on which nothing of this host can run any more."""
+        for owner in self.leaving:
+            if owner.released:
+                owner.abort()
+                logger.debug("released", searcher=owner.upstream.upstream_id)
+        self.leaving = [owner for owner in self.leaving if not owner.released]
+
+    def leave_all(self):
+        """Leaves all searchers, at the end of a planned stop."""
+        for upstream_id in tuple(self.owned):
+            self._leave(upstream_id)
+
+    def warm(self):
+        """Opens connections that are missing."""
+        for owner in self.owned.values():
+            owner.warm()
+
+    @property
+    def busy(self):
+        """Whether any sub-request waits or runs."""
+        return bool(self.searcher_of)
+
+    def abort(self):
+        """Closes all sockets at the end of the process."""
+        for owner in (*self.owned.values(), *self.leaving):
+            owner.abort()
+
+    # ---- Sub-requests --------------------------------------------------------
+
+    def submit(self, requester_id, sub_request):
+        """Takes a sub-request; ``on_result`` gets its result."""
+        owner = self.owned.get(sub_request.upstream_id)
+        if owner is None:
+            self.on_result(requester_id, not_sent(sub_request, "not_owner"))
+            return
+        self.searcher_of[sub_request.sub_request_id] = owner
+        owner.submit(requester_id, sub_request)
+
+    def cancel(self, sub_request_id):
+        """Stops a sub-request that its requester no longer needs."""
+        owner = self.searcher_of.get(sub_request_id)
+        if owner is not None:
+            owner.cancel(sub_request_id)
+
+    def _finished(self, requester_id, result):
+        self.searcher_of.pop(result.sub_request_id, None)
+        self.on_result(requester_id, result)
+
+
+def not_sent(sub_request, reason):
+    """Returns the result of a sub-request of which no byte left."""
+    return SubResult(
+        sub_request_id=sub_request.sub_request_id,
+        upstream_id=sub_request.upstream_id,
+        partition=sub_request.partition,
+        outcome=SubOutcome.NOT_SENT,
+        reason=reason,
+    )
--- /dev/null
+++ b/src/plantainstage/_entry/searcher_owner.py
@@ -0,0 +1,402 @@
+"""Sends sub-requests to one searcher that this entry host owns.
+
+Carries out the actions of the searcher's ``OwnerQueue``: sockets, timers and
+HTTP. Events arrive as direct calls on the event loop, since a queue and a task
+switch for each of a sub-request's five events would cost a third of the CPU
+target of 150 microseconds.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+from loguru import logger
+
+from plantainstage._errors import ExchangeError, check_invariant
+from plantainstage._limits.actions import (
+    AbortExchange,
+    CloseConnection,
+    ProbeSearcher,
+    ReportCrashedFingerprint,
+    ReturnResult,
+    StartExchange,
+    WakeQueueAt,
+)
+from plantainstage._limits.owner_queue import OwnerQueue
+from plantainstage._messages.forward import SubOutcome, SubResult
+from plantainstage._messages.upstreams import CancelBody, SearchAnswer, SearchBody
+from plantainstage._transport.http_pool import SearcherPool
+
+SEARCH_PATH = b"/v1/search"
+CANCEL_PATH = b"/v1/cancel"
+# The searcher gives up this long before its owner does, so that its 504 keeps
+# the connection usable.
+ANSWER_MARGIN_MS = 2.0
+# A probe cancels a sub-request that does not exist; any reply will do.
+PROBE_SUB_REQUEST_ID = "probe"
+
+_encoder = msgspec.json.Encoder()
+_answer_decoder = msgspec.json.Decoder(SearchAnswer)
+
+
+def connection_limit(connections):
+    """Returns how many of a searcher's connections one owner may use."""
+    return connections // 2
+
+
+class _Exchange:
+    """A sub-request that holds a slot, until ``finished`` was called."""
+
+    __slots__ = ("sub_request", "deadline", "connection_id", "timer", "sent")
+
+    def __init__(self, *, sub_request, deadline, connection_id):
+        self.sub_request = sub_request
+        self.deadline = deadline
+        self.connection_id = connection_id
+        self.timer = None
+        self.sent = False
+
+
+class SearcherOwner:
+    """The queue, the connections and the running exchanges of one searcher.
+
+    ``on_result`` gets (entry id of the requester, SubResult). ``on_crashes``
+    gets a ReportCrashedFingerprint.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream,
+        lease,
+        quarantines,
+        weights,
+        on_result: Callable,
+        on_crashes: Callable,
+    ):
+        self.upstream = upstream
+        self.lease = lease
+        self.quarantines = quarantines
+        self.on_result = on_result
+        self.on_crashes = on_crashes
+        self.loop = asyncio.get_running_loop()
+        self.queue = OwnerQueue(
+            upstream_id=upstream.upstream_id,
+            slots=upstream.slots,
+            connections=upstream.connections,
+            lease=lease,
+            quarantines=quarantines,
+            weights=weights,
+        )
+        self.pool = SearcherPool(
+            address=upstream.address,
+            limit=connection_limit(upstream.connections),
+            on_lost=self._connection_lost,
+        )
+        self.exchanges = {}
+        self.timer = None
+        self.pending = deque()
+        self.carrying_out = False
+
+    # ---- Ownership -----------------------------------------------------------
+
+    def own(self, epoch):
+        """Begins or goes on to own the searcher; opens connections."""
+        self.queue.own(epoch=epoch)
+        self.pool.closing = False
+        self.warm()
+
+    def update(self, upstream):
+        """Takes over a newer record of the searcher, with other caps perhaps."""
+        check_invariant(
+            upstream.address == self.upstream.address,
+            invariant="one address for each owner queue",
+            detail=f"{upstream.upstream_id}: {upstream.address}",
+        )
+        self.upstream = upstream
+        self.queue.slots = upstream.slots
+        self.pool.limit = connection_limit(upstream.connections)
+        self.queue.connections.limit = max(self.pool.limit - 1, 1)
+
+    def warm(self):
+        """Keeps as many connections open as the searcher has slots."""
+        if self.queue.epoch is not None and self.lease.valid(self.loop.time()):
+            self.pool.warm(self.queue.slots, self.loop.time())
+
+    def disown(self):
+        """Stops sending; running exchanges go on."""
+        if self.queue.epoch is not None:
+            self._carry_out(self.queue.disown(self.loop.time()))
+            self.pool.close()
+
+    @property
+    def released(self):
+        """Whether nothing of this host can still run on the searcher."""
+        return (
+            self.queue.epoch is None
+            and not self.exchanges
+            and self.queue.idle(self.loop.time())
+        )
+
+    def abort(self):
+        """Closes all sockets at the end of the process."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.pool.abort()
+
+    # ---- Events --------------------------------------------------------------
+
+    def submit(self, requester_id, sub_request):
+        """Takes a sub-request of an entry host."""
+        actions = self.queue.submit(requester_id, sub_request, self.loop.time())
+        self._carry_out(actions)
+
+    def cancel(self, sub_request_id):
+        """Stops a sub-request that its requester no longer needs."""
+        self._carry_out(self.queue.cancel(sub_request_id, self.loop.time()))
+
+    def _connection_lost(self, connection_id):
+        self._carry_out(self.queue.connection_lost(connection_id, self.loop.time()))
+
+    def _on_timer(self):
+        self.timer = None
+        self._carry_out(self.queue.on_timer(self.loop.time()))
+
+    # ---- Actions -------------------------------------------------------------
+
+    def _carry_out(self, actions):
+        """Carries out actions in order, also those that follow from them.
+
+        An action may call the queue again; the actions that it returns come
+        after all earlier ones.
+        """
+        self.pending.extend(actions)
+        if self.carrying_out:
+            return
+        self.carrying_out = True
+        try:
+            while self.pending:
+                self._carry_out_one(self.pending.popleft())
+        finally:
+            self.carrying_out = False
+
+    def _carry_out_one(self, action):
+        match action:
+            case StartExchange():
+                self._start(action)
+            case ReturnResult(requester_id=requester_id, result=result):
+                self.on_result(requester_id, result)
+            case WakeQueueAt(time=time):
+                self._wake_at(time)
+            case AbortExchange(sub_request_id=sub_request_id):
+                self._abort(sub_request_id)
+            case CloseConnection():
+                reason = "silent" if action.silent else "closed"
+                self.pool.close_connection(action.connection_id, reason)
+            case ProbeSearcher(timeout_s=timeout_s):
+                self._probe(timeout_s)
+            case ReportCrashedFingerprint():
+                self.on_crashes(action)
+
+    def _wake_at(self, time):
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_at(time, self._on_timer)
+
+    def _start(self, action):
+        exchange = _Exchange(
+            sub_request=action.sub_request,
+            deadline=action.deadline,
+            connection_id=action.connection_id,
+        )
+        self.exchanges[action.sub_request.sub_request_id] = exchange
+        exchange.timer = self.loop.call_at(
+            action.deadline, self._deadline_passed, exchange
+        )
+        if action.open_connection:
+            self.pool.assign(action.connection_id, partial(self._ready, exchange))
+        else:
+            self._ready(exchange, self.pool.connection(action.connection_id))
+
+    def _ready(self, exchange, connection):
+        """Sends the sub-request, unless something has changed meanwhile."""
+        if exchange.sub_request.sub_request_id not in self.exchanges:
+            self.pool.close_connection(exchange.connection_id)
+            return
+        if connection is None or isinstance(connection, ExchangeError):
+            self._finish_unsent(exchange, "connection_refused", usable=False)
+            return
+        now = self.loop.time()
+        reason = self._reason_not_to_send(exchange, now)
+        if reason:
+            self._finish_unsent(exchange, reason, usable=not connection.closed)
+            return
+        sub_request = exchange.sub_request
+        exchange.sent = True
+        body = SearchBody(
+            request_id=sub_request.request_id,
+            sub_request_id=sub_request.sub_request_id,
+            index=sub_request.index,
+            snapshot=sub_request.snapshot,
+            partition=sub_request.partition,
+            query=msgspec.Raw(sub_request.query),
+            remaining_ms=(exchange.deadline - now) * 1000 - ANSWER_MARGIN_MS,
+        )
+        connection.start_exchange(
+            path=SEARCH_PATH,
+            body=_encoder.encode(body),
+            on_done=partial(self._done, exchange),
+            on_first_byte=partial(self._first_byte, exchange),
+        )
+
+    def _reason_not_to_send(self, exchange, now):
+        """Checks again what may have changed since the queue decided."""
+        if not self.lease.valid(now):
+            return "lease_expired"
+        if self.queue.epoch != exchange.sub_request.epoch:
+            return "not_owner"
+        if self.quarantines.is_quarantined(exchange.sub_request.fingerprint, now):
+            return "quarantined"
+        if now * 1000 + ANSWER_MARGIN_MS >= exchange.deadline * 1000:
+            return "deadline"
+        return ""
+
+    def _first_byte(self, exchange):
+        self.queue.first_byte(exchange.sub_request.sub_request_id, self.loop.time())
+
+    # ---- The end of an exchange ----------------------------------------------
+
+    def _done(self, exchange, outcome):
+        if isinstance(outcome, ExchangeError):
+            result = self._failure(exchange, outcome)
+            self._finish(exchange, result, usable=False)
+            return
+        result = self._interpret(exchange, outcome)
+        connection = self.pool.connection(exchange.connection_id)
+        usable = connection is not None and not connection.closed
+        self._finish(exchange, result, usable=usable)
+
+    def _failure(self, exchange, error):
+        if not error.bytes_sent:
+            return self._result(exchange, SubOutcome.NOT_SENT, error.reason)
+        match error.reason:
+            case "reset":
+                return self._result(exchange, SubOutcome.RESET, error.reason)
+            case "silent":
+                return self._result(exchange, SubOutcome.SILENT, error.reason)
+            case "deadline":
+                return self._result(exchange, SubOutcome.TIMED_OUT, error.reason)
+        return self._result(exchange, SubOutcome.INVALID, error.reason)
+
+    def _interpret(self, exchange, reply):
+        """Returns the SubResult of an HTTP reply."""
+        match reply.status:
+            case 200:
+                return self._answer(exchange, reply.body)
+            case 409:
+                return self._result(exchange, SubOutcome.REFUSED, "snapshot_gone")
+            case 503:
+                return self._result(exchange, SubOutcome.REFUSED, "shed")
+            case 499:
+                return self._result(exchange, SubOutcome.CANCELLED, "cancelled")
+            case 504:
+                return self._result(exchange, SubOutcome.TIMED_OUT, "deadline")
+        reason = f"status_{reply.status}"
+        return self._result(exchange, SubOutcome.INVALID, reason)
+
+    def _answer(self, exchange, body):
+        sub_request = exchange.sub_request
+        try:
+            answer = _answer_decoder.decode(body)
+        except msgspec.MsgspecError:
+            return self._result(exchange, SubOutcome.INVALID, "undecodable")
+        if (
+            answer.sub_request_id != sub_request.sub_request_id
+            or answer.snapshot != sub_request.snapshot
+            or answer.partition != sub_request.partition
+        ):
+            return self._result(exchange, SubOutcome.INVALID, "other_sub_request")
+        return SubResult(
+            sub_request_id=sub_request.sub_request_id,
+            upstream_id=self.upstream.upstream_id,
+            partition=answer.partition,
+            outcome=SubOutcome.ANSWERED,
+            snapshot=answer.snapshot,
+            documents=answer.documents,
+            hits=bytes(answer.hits),
+            reported_load=answer.in_flight,
+        )
+
+    def _result(self, exchange, outcome, reason):
+        return SubResult(
+            sub_request_id=exchange.sub_request.sub_request_id,
+            upstream_id=self.upstream.upstream_id,
+            partition=exchange.sub_request.partition,
+            outcome=outcome,
+            reason=reason,
+        )
+
+    def _finish_unsent(self, exchange, reason, *, usable):
+        result = self._result(exchange, SubOutcome.NOT_SENT, reason)
+        self._finish(exchange, result, usable=usable)
+
+    def _finish(self, exchange, result, *, usable):
+        sub_request_id = exchange.sub_request.sub_request_id
+        if self.exchanges.pop(sub_request_id, None) is None:
+            return
+        exchange.timer.cancel()
+        now = self.loop.time()
+        self._carry_out(self.queue.finished(result, now, connection_usable=usable))
+
+    def _deadline_passed(self, exchange):
+        if exchange.sent:
+            self.pool.close_connection(exchange.connection_id, "deadline")
+        else:
+            self._finish_unsent(exchange, "deadline", usable=False)
+
+    # ---- Cancellations and probes --------------------------------------------
+
+    def _abort(self, sub_request_id):
+        exchange = self.exchanges.get(sub_request_id)
+        if exchange is None or not self.lease.valid(self.loop.time()):
+            return
+        if not exchange.sent:
+            self._finish_unsent(exchange, "cancelled", usable=False)
+            return
+        self.pool.side_request(
+            path=CANCEL_PATH,
+            body=_encoder.encode(CancelBody(sub_request_id=sub_request_id)),
+            on_done=self._ignore,
+        )
+
+    def _ignore(self, outcome):
+        """The exchange itself shows whether the cancellation took effect."""
+
+    def _probe(self, timeout_s):
+        finished = False
+
+        def done(outcome):
+            nonlocal finished
+            if finished:
+                return
+            finished = True
+            limit.cancel()
+            answered = not isinstance(outcome, ExchangeError)
+            if not answered:
+                logger.warning("probe failed", searcher=self.upstream.upstream_id)
+            self._carry_out(self.queue.probe_finished(answered, self.loop.time()))
+
+        error = ExchangeError(
+            address=self.upstream.address, reason="probe_timeout", bytes_sent=True
+        )
+        limit = self.loop.call_later(timeout_s, done, error)
+        if not self.lease.valid(self.loop.time()):
+            return  # counts as unanswered after the time limit
+        self.pool.side_request(
+            path=CANCEL_PATH,
+            body=_encoder.encode(CancelBody(sub_request_id=PROBE_SUB_REQUEST_ID)),
+            on_done=done,
+            fresh=True,
+        )
--- /dev/null
+++ b/src/plantainstage/_entry/stopping.py
@@ -0,0 +1,51 @@
+"""The planned stop of an entry host: nothing in flight is cut off."""
+
+import asyncio
+
+from loguru import logger
+
+from plantainstage._entry.handlers import close_idle_connections
+
+POLL_S = 0.02
+# How long the host waits for control to give its searchers to other hosts.
+# Control needs a renewal of each host and a commit, about 1 s.
+HANDOVER_LIMIT_S = 5.0
+# Sub-requests end by their own deadlines; this is the longest one accepted.
+FINISH_LIMIT_S = 120.0
+
+
+async def stop_gracefully(host, *, drain_delay_s):
+    """Stops an EntryHost; returns when everything is finished."""
+    logger.info("draining")
+    host.draining = True
+    host.session.draining = True
+    host.session.renew_soon()
+    # Requests are still taken: the load balancer has to see the readiness.
+    await asyncio.sleep(drain_delay_s)
+    host.queries.accepting = False
+    host.server.stop()
+    await host.queries.wait_idle()
+    await host.claims.finish()
+    await host.quarantining.finish()
+    if len(host.session.configuration.entry_hosts) > 1:
+        await _wait(lambda: not host.owners.owned, HANDOVER_LIMIT_S, "handover")
+    host.owners.leave_all()
+    await _wait(lambda: not host.owners.busy, FINISH_LIMIT_S, "sub-requests")
+    await _wait(lambda: not host.owners.releasing(), FINISH_LIMIT_S, "searchers")
+    await _wait(lambda: host.links.drained, HANDOVER_LIMIT_S, "links")
+    for task in host.tasks:
+        task.cancel()
+    await asyncio.gather(*host.tasks, return_exceptions=True)
+    await host.session.leave()
+    await host.links.stop()
+    await close_idle_connections(host.server)
+    host.close()
+
+
+async def _wait(condition, limit_s, what):
+    """Waits for a condition of other tasks, at most ``limit_s``."""
+    for _ in range(round(limit_s / POLL_S)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    logger.warning("not finished in time", what=what, limit_s=limit_s)
--- a/src/plantainstage/_programs/entry.py
+++ b/src/plantainstage/_programs/entry.py
@@ -1,58 +1,89 @@
 """``plantainstage-entry``: takes callers' requests and answers them."""
 
 import asyncio
-import uuid
+import logging
 
 import click
+import pynng
 from loguru import logger
-from tornado.httpserver import HTTPServer
 
-from plantainstage._entry.control_session import ControlSession
-from plantainstage._entry.scatter import Scatter
-from plantainstage._entry.server import EntryHost, make_application
-from plantainstage._messages.configuration import EntryHost as EntryRecord
+from plantainstage._entry.host import EntryHost
+from plantainstage._entry.stopping import stop_gracefully
+from plantainstage._errors import InvariantViolation
 from plantainstage._programs.logs import configure_logs
 from plantainstage._programs.running import wait_for_stop_signal
-from plantainstage._transport.rpc import ControlClient
+from plantainstage._reports.metrics import Metric
+from plantainstage._settings.base import build_settings
+from plantainstage._settings.entry import check_entry_settings
+
+EXIT_ADDRESS_IN_USE = 2
 
 
 @click.command(context_settings={"auto_envvar_prefix": "PLANTAINSTAGE_ENTRY"})
-@click.option("--entry-id", required=True)
-@click.option("--data-centre", required=True)
+@click.option("--entry-id", default="", help="Unique in the deployment.")
+@click.option("--data-centre", default="", help="Where this host stands.")
 @click.option("--listen", default="127.0.0.1:7200", show_default=True)
 @click.option("--forward-listen", default="127.0.0.1:7300", show_default=True)
-@click.option("--control", multiple=True, required=True)
+@click.option("--control", multiple=True, help="IP:port of a replica, repeatable.")
+@click.option(
+    "--drain-delay",
+    default="5",
+    show_default=True,
+    help="Seconds between failing readiness and refusing requests.",
+)
+@click.option("--statsd-address", default="", help="IP:port; no metrics if empty.")
 @click.option("--log-level", default="INFO", show_default=True)
-def main(entry_id, data_centre, listen, forward_listen, control, log_level):
+def main(**flags):
     """Run one entry host."""
-    configure_logs(level=log_level, program="entry", host_id=entry_id)
-    record = EntryRecord(
-        entry_id=entry_id,
-        incarnation=uuid.uuid4().hex,
-        data_centre=data_centre,
-        caller_address=listen,
-        forward_address=forward_listen,
-    )
-    asyncio.run(run(record, tuple(control)))
-
-
-async def run(record, control_addresses):
-    """Serves until a planned stop."""
-    client = ControlClient(addresses=control_addresses)
-    session = ControlSession(client=client, entry=record)
-    host = EntryHost(session=session, scatter=Scatter(), client=client)
-    server = HTTPServer(make_application(host))
-    address, _, port = record.caller_address.rpartition(":")
-    server.listen(int(port), address=address)
-    renewal = asyncio.create_task(session.run())
-    logger.info("listening", address=record.caller_address)
-    await wait_for_stop_signal()
-    host.draining = True
-    server.stop()
-    renewal.cancel()
-    await server.close_all_connections()
-    client.close()
+    settings = build_settings(lambda: check_entry_settings(**flags))
+    configure_logs(level=settings.log_level, program="entry", host_id=settings.entry_id)
+    # tornado reports malformed requests as warnings; each gets a refusal.
+    logging.getLogger("tornado").setLevel(logging.ERROR)
+    raise SystemExit(asyncio.run(run(settings)))
+
+
+async def run(settings):
+    """Serves until a planned stop; returns the exit code."""
+    host = EntryHost(settings=settings)
+    try:
+        host.start()
+    except (OSError, pynng.NNGException) as error:
+        click.echo(
+            f"error: cannot listen on {settings.listen} and "
+            f"{settings.forward_listen}: {error}. Choose free ports with --listen and "
+            "--forward-listen, or end the process that uses them.",
+            err=True,
+        )
+        return EXIT_ADDRESS_IN_USE
+    stop = asyncio.Event()
+    asyncio.get_running_loop().set_exception_handler(_on_error(host, stop))
+    logger.info("listening", address=settings.listen)
+    await _wait_for_stop(stop)
+    await stop_gracefully(host, drain_delay_s=settings.drain_delay_s)
     logger.info("stopped")
+    return 1 if stop.is_set() else 0
+
+
+async def _wait_for_stop(stop):
+    """Returns at a stop signal or when an invariant was violated."""
+    tasks = [
+        asyncio.create_task(wait_for_stop_signal()),
+        asyncio.create_task(stop.wait()),
+    ]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+
+
+def _on_error(host, stop):
+    """Returns the event loop's handler of exceptions that no task expected."""
+
+    def handle(loop, context):
+        error = context.get("exception")
+        logger.opt(exception=error).error("unexpected", detail=context["message"])
+        if isinstance(error, InvariantViolation):
+            host.metrics.count(Metric.INVARIANT_VIOLATIONS)
+            stop.set()
+
+    return handle
 
 
 if __name__ == "__main__":
--- a/src/plantainstage/_transport/http_pool.py
+++ b/src/plantainstage/_transport/http_pool.py
@@ -1,103 +1,203 @@
-"""Kept-alive HTTP/1.1 connections to searchers.
-
-One exchange at a time runs on a connection. tornado's simple client opens a
-connection for each request, which costs 6 ms at the rider desk; its connection
-class allows keeping them.
-"""
+"""The connections that an entry host keeps to one searcher."""
 
 import asyncio
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from tornado import httputil
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
+from plantainstage._errors import ExchangeError, check_invariant
+from plantainstage._transport.http_connection import HttpConnection, HttpReply
 
-from plantainstage._errors import ExchangeError
+__all__ = ["HttpConnection", "HttpReply", "SearcherPool"]
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
-_PARAMETERS = HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
+CONNECT_TIMEOUT_S = 1.0
+# A searcher that refuses connections is not dialled ahead of need for so long.
+REOPEN_PAUSE_S = 0.2
 
 
 @dataclass(frozen=True, kw_only=True)
-class HttpReply:
-    """Status code and body of a reply."""
-
-    status: int
+class _SideRequest:
+    path: bytes
     body: bytes
+    on_done: Callable
 
 
-class _ReplyDelegate(httputil.HTTPMessageDelegate):
-    def __init__(self):
-        self.status = 0
-        self.chunks = []
-        self.finished = False
-
-    def headers_received(self, start_line, headers):
-        self.status = start_line.code
-
-    def data_received(self, chunk):
-        self.chunks.append(chunk)
+class SearcherPool:
+    """Sockets to the searcher at ``address``, at most ``limit`` at any time.
 
-    def finish(self):
-        self.finished = True
+    The owner queue numbers the connections for exchanges; the pool maps the
+    numbers to sockets, some of which it opens ahead of need. One further
+    connection, the side connection, carries cancellations and probes. An
+    entry host uses at most half of a searcher's cap, so that a takeover fits
+    beside connections that a dead owner left behind.
 
+    ``on_lost`` gets the number of a connection that closed while idle.
+    """
 
-class HttpConnection:
-    """One kept-alive connection to ``address`` (``IP:port``)."""
-
-    def __init__(self, *, address: str, stream):
+    def __init__(self, *, address: str, limit: int, on_lost: Callable):
         self.address = address
-        self.stream = stream
-        self.host_header = {"Host": address, "Content-Type": "application/json"}
+        self.limit = limit
+        self.on_lost = on_lost
+        self.by_number = {}
+        self.numbers = {}
+        self.spare = []
+        self.opening = set()
+        self.waiters = deque()
+        self.side = None
+        self.side_opening = None
+        self.side_requests = deque()
+        self.closing = False
+        self.refused_until = 0.0
 
-    @classmethod
-    async def open(cls, *, address, timeout_s):
-        """Connects; raises ExchangeError with nothing sent."""
-        host, _, port = address.rpartition(":")
+    @property
+    def total(self):
+        """All connections that are open or under way."""
+        side = self.side is not None or self.side_opening is not None
+        return len(self.by_number) + len(self.spare) + len(self.opening) + side
+
+    # ---- Connections for exchanges -------------------------------------------
+
+    def assign(self, number, on_ready: Callable):
+        """Calls ``on_ready`` with the connection of a new number, or an error."""
+        while self.spare:
+            connection = self.spare.pop()
+            if not connection.closed:
+                self._number(connection, number)
+                on_ready(connection)
+                return
+        self.waiters.append((number, on_ready))
+        if len(self.opening) < len(self.waiters):
+            self.opening.add(asyncio.create_task(self._open()))
+
+    def connection(self, number):
+        """Returns the connection of a number, or None when it is gone."""
+        return self.by_number.get(number)
+
+    def close_connection(self, number, reason="closed"):
+        """Closes one connection; an exchange on it ends with ``reason``."""
+        connection = self.by_number.pop(number, None)
+        if connection is not None:
+            self.numbers.pop(connection, None)
+            connection.close(reason)
+
+    def warm(self, count, now):
+        """Opens connections ahead of need, ``count`` in all or up to the limit."""
+        if self.closing or now < self.refused_until:
+            return
+        exchanges = len(self.by_number) + len(self.spare) + len(self.opening)
+        while exchanges < min(count, self.limit - 1):
+            self.opening.add(asyncio.create_task(self._open()))
+            exchanges += 1
+
+    async def _open(self):
+        try:
+            connection = await HttpConnection.open(
+                address=self.address,
+                timeout_s=CONNECT_TIMEOUT_S,
+                on_closed=self._on_closed,
+            )
+        except ExchangeError as error:
+            self.opening.discard(asyncio.current_task())
+            loop = asyncio.get_running_loop()
+            self.refused_until = loop.time() + REOPEN_PAUSE_S
+            # Every waiter waits for this same address.
+            waiters, self.waiters = self.waiters, deque()
+            for _, on_ready in waiters:
+                on_ready(error)
+            return
+        finally:
+            self.opening.discard(asyncio.current_task())
+        check_invariant(
+            self.total < self.limit,
+            invariant="connections of an owner within half of the searcher's cap",
+            detail=f"{self.address}: {self.total + 1} of {self.limit}",
+        )
+        if self.waiters:
+            number, on_ready = self.waiters.popleft()
+            self._number(connection, number)
+            on_ready(connection)
+        elif self.closing:
+            connection.close()
+        else:
+            self.spare.append(connection)
+
+    def _number(self, connection, number):
+        self.by_number[number] = connection
+        self.numbers[connection] = number
+
+    def _on_closed(self, connection):
+        number = self.numbers.pop(connection, None)
+        if number is not None:
+            self.by_number.pop(number, None)
+            self.on_lost(number)
+        elif connection in self.spare:
+            self.spare.remove(connection)
+        elif connection is self.side:
+            self.side = None
+
+    # ---- The side connection -------------------------------------------------
+
+    def side_request(self, *, path, body, on_done, fresh=False):
+        """Sends a request on the side connection, after those before it.
+
+        ``fresh`` opens the connection anew, since an old one may be silent.
+        """
+        if fresh and self.side is not None:
+            self.side.close()
+            self.side = None
+        request = _SideRequest(path=path, body=body, on_done=on_done)
+        self.side_requests.append(request)
+        self._next_side_request()
+
+    def _next_side_request(self):
+        if not self.side_requests:
+            return
+        if self.side is None or self.side.closed:
+            if self.side_opening is None:
+                self.side_opening = asyncio.create_task(self._open_side())
+            return
+        if self.side.busy:
+            return
+        request = self.side_requests.popleft()
+
+        def done(outcome):
+            request.on_done(outcome)
+            self._next_side_request()
+
+        self.side.start_exchange(path=request.path, body=request.body, on_done=done)
+
+    async def _open_side(self):
         try:
-            async with asyncio.timeout(timeout_s):
-                stream = await TCPClient().connect(host, int(port))
-        except (OSError, TimeoutError, StreamClosedError) as error:
-            raise ExchangeError(
-                address=address, reason="connection_refused", bytes_sent=False
-            ) from error
-        stream.set_nodelay(True)
-        return cls(address=address, stream=stream)
+            self.side = await HttpConnection.open(
+                address=self.address,
+                timeout_s=CONNECT_TIMEOUT_S,
+                on_closed=self._on_closed,
+            )
+        except ExchangeError as error:
+            requests, self.side_requests = self.side_requests, deque()
+            for request in requests:
+                request.on_done(error)
+        finally:
+            self.side_opening = None
+        self._next_side_request()
 
-    @property
-    def closed(self):
-        """Whether the connection can no longer be used."""
-        return self.stream.closed()
+    # ---- The end -------------------------------------------------------------
 
     def close(self):
-        """Closes the connection; an exchange on it fails."""
-        self.stream.close()
-
-    async def post(self, *, path, body):
-        """Sends one request and returns its HttpReply.
-
-        Raises ExchangeError; ``bytes_sent`` is false only when the connection
-        was known to be closed before the first byte.
-        """
-        if self.closed:
-            raise ExchangeError(
-                address=self.address, reason="connection_closed", bytes_sent=False
-            )
-        exchange = HTTP1Connection(self.stream, True, _PARAMETERS)
-        delegate = _ReplyDelegate()
-        headers = httputil.HTTPHeaders(self.host_header)
-        headers["Content-Length"] = str(len(body))
-        try:
-            start_line = httputil.RequestStartLine("POST", path, "HTTP/1.1")
-            written = exchange.write_headers(start_line, headers, body)
-            exchange.finish()
-            await exchange.read_response(delegate)
-            await written
-        except (StreamClosedError, OSError, httputil.HTTPInputError) as error:
-            raise ExchangeError(
-                address=self.address, reason="reset", bytes_sent=True
-            ) from error
-        if not delegate.finished:
-            raise ExchangeError(address=self.address, reason="reset", bytes_sent=True)
-        return HttpReply(status=delegate.status, body=b"".join(delegate.chunks))
+        """Closes what is not in use; numbered connections are closed singly."""
+        self.closing = True
+        for connection in self.spare:
+            connection.close()
+        self.spare.clear()
+
+    def abort(self):
+        """Closes all connections, including those in use."""
+        self.close()
+        for task in tuple(self.opening):
+            task.cancel()
+        if self.side_opening is not None:
+            self.side_opening.cancel()
+        for number in tuple(self.by_number):
+            self.close_connection(number, "aborted")
+        if self.side is not None:
+            self.side.close()
