--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -19,9 +19,15 @@
     SendSubRequest,
     WakeAt,
 )
-from plantainstage._routing.answering import build_answer
+from plantainstage._routing.answering import (
+    NOT_RUN_OUTCOMES,
+    build_answer,
+    build_shortfall,
+    run_state,
+)
+from plantainstage._routing.hedging import SPARING_PRESSURE, hedge_time
 from plantainstage._routing.progress import Attempt, Part
-from plantainstage._routing.view import choose_snapshot
+from plantainstage._routing.view import available_documents, choose_snapshot
 
 __all__ = [
     "CancelSubRequest",
@@ -43,7 +49,6 @@
 
 _ANSWERED = SubOutcome.ANSWERED
 _NOT_SENT = SubOutcome.NOT_SENT
-_NOT_RUN_OUTCOMES = frozenset({SubOutcome.NOT_SENT, SubOutcome.REFUSED})
 _NO_REPLICAS_TRIED = frozenset()
 
 
@@ -107,19 +112,28 @@
         if self.routing.quarantines.is_quarantined(self.fingerprint, now):
             self.routing.counters.quarantine_refusals += 1
             return self._refuse(refusals.quarantined(RunState.NOT_RUN), now)
+        names = self.body.partitions
         chosen = choose_snapshot(
-            self.view, profile.index, self.body.partitions, profile.minimum_coverage
+            self.view, profile.index, names, profile.minimum_coverage
         )
         if chosen is None:
             refusal = refusals.index_unavailable(profile.index)
             if self.view.snapshots.get(profile.index):
-                refusal = refusals.unknown_partition(self.body.partitions)
+                refusal = refusals.unknown_partition(names)
             return self._refuse(refusal, now)
-        self.snapshot, wanted = chosen
+        snapshot, wanted = chosen
+        self.snapshot = snapshot
         self.total = sum([item.documents for item in wanted])
         self.needed = (profile.minimum_coverage - FLOAT_TOLERANCE) * self.total
+        available = available_documents(wanted) if names else snapshot.available
+        if available < self.needed:
+            return self._refuse(build_shortfall(self), now)
         if not self.routing.admission.admits(
-            gather=self, partitions=wanted, remaining_s=self.finish_at - now, now=now
+            profile=profile,
+            partitions=wanted,
+            needed=self.needed,
+            remaining_s=self.finish_at - now,
+            now=now,
         ):
             self.routing.counters.overload_refusals += 1
             return self._refuse(refusals.overloaded(), now)
@@ -140,6 +154,8 @@
         crashed = outcome is SubOutcome.RESET and self._record_reset(attempt, now)
         if self.finished:
             self.routing.counters.late_results += 1
+            if attempt.extra is None and outcome is not _NOT_SENT:
+                self.budget.record_first(1, now)
             return []
         actions = []
         if crashed or sub_result.reason == "quarantined":
@@ -148,7 +164,9 @@
             part = attempt.part
             if outcome is _ANSWERED:
                 self._accept(part, sub_result, actions, now)
-            elif part.result is None and part.outstanding == 0:
+            elif part.result is None and (
+                part.outstanding == 0 or outcome is _NOT_SENT
+            ):
                 self._retry(part, attempt, actions, now)
             if self.unresolved == 0 or self.attainable < self.needed:
                 self._finish(actions, now)
@@ -166,6 +184,8 @@
         while due and due[0][0] <= now:
             part = heapq.heappop(due)[2]
             if part.result is None and not part.given_up:
+                if part.outstanding and self._may_spare(now):
+                    continue
                 self._send_extra(part, actions, now)
         if self._settled():
             self._finish(actions, now)
@@ -201,6 +221,7 @@
         self.unresolved = len(self.parts)
         self.attainable = self.total
         hedges = self.body.idempotent
+        pressure = self.budget.pressure(now)
         choose = self.routing.choose
         for part in self.parts:
             view = part.view
@@ -208,9 +229,11 @@
             if replica is None:
                 self._give_up(part)
                 continue
-            self._send(part, replica, actions, now, extra=False)
+            self._send(part, replica, actions, now, extra=None)
             if hedges and len(view.replicas) > 1:
-                self._add_due(now + view.delay.value, part)
+                self._add_due(
+                    hedge_time(view.delay, pressure, self.finish_at, now), part
+                )
         if self._settled():
             self._finish(actions, now)
         else:
@@ -250,7 +273,7 @@
             query=self.query,
             remaining_ms=(self.finish_at - now - 2 * replica.hop_s) * 1000,
             idempotent=idempotent,
-            extra=extra,
+            extra=extra is not None,
         )
         actions.append(
             SendSubRequest(owner_id=replica.owner_id, sub_request=sub_request)
@@ -266,10 +289,13 @@
         replica = None
         if self._may_send(part, now):
             replica = self.routing.choose(part.view.replicas, part.tried(), now)
-        if replica is None:
-            self._give_up(part)
-        else:
+        if replica is not None:
             self._send(part, replica, actions, now, extra=attempt.extra)
+            return
+        if attempt.extra is not None:
+            self.budget.give_back(attempt.extra)
+        if part.outstanding == 0:
+            self._give_up(part)
 
     def _may_send(self, part, now):
         if now >= self.finish_at:
@@ -292,12 +318,13 @@
         ):
             return  # a hedge would hand one more searcher to a crashing request
         counters = self.routing.counters
-        if self.budget.take(now):
+        taken = self.budget.take(now)
+        if taken is not None:
             if part.outstanding:
                 counters.hedges += 1
             else:
                 counters.retries += 1
-            self._send(part, replica, actions, now, extra=True)
+            self._send(part, replica, actions, now, extra=taken)
             return
         counters.budget_denials += 1
         again = now + part.view.delay.value
@@ -307,6 +334,14 @@
         elif part.outstanding == 0:
             self._give_up(part)
 
+    def _may_spare(self, now):
+        if self.routing.admission.overload > 0:
+            return True  # a hedge would only lengthen the queues
+        return (
+            self.answered >= self.needed
+            and self.budget.pressure(now) > SPARING_PRESSURE
+        )
+
     def _add_due(self, time, part):
         self.due_count += 1
         heapq.heappush(self.due, (time, self.due_count, part))
@@ -342,6 +377,8 @@
         if not self.finished:
             part.outstanding -= 1
             estimate.outstanding -= 1
+        if outcome is _ANSWERED or outcome in NOT_RUN_OUTCOMES:
+            part.view.wait.observe(estimate.observe_queue(result, now), now)
         if outcome is _ANSWERED:
             part.bytes_left = True
             elapsed = now - attempt.sent_at
@@ -350,9 +387,10 @@
             return
         if outcome is not _NOT_SENT:
             part.bytes_left = True
-        if outcome in _NOT_RUN_OUTCOMES:
+        if outcome in NOT_RUN_OUTCOMES:
             part.possible_runs -= 1
-            estimate.observe_queue(result, now)
+        elif outcome is SubOutcome.TIMED_OUT:
+            estimate.observe_at_least(now - attempt.sent_at, now)
         elif outcome is not SubOutcome.CANCELLED:
             estimate.observe_failure(now)
 
@@ -426,31 +464,15 @@
 
     def _finish(self, actions, now):
         if self.recording_crashes:
-            finish = FinishRequest(refusal=refusals.quarantined(self._run_state()))
+            finish = FinishRequest(
+                refusal=refusals.quarantined(run_state(self.attempts.values()))
+            )
         elif self.answered >= self.needed:
             finish = FinishRequest(answer=build_answer(self, now))
         else:
-            finish = FinishRequest(refusal=self._shortfall())
+            finish = FinishRequest(refusal=build_shortfall(self))
         self._seal(actions, finish, now)
 
-    def _shortfall(self):
-        run = self._run_state()
-        if run is RunState.NOT_RUN and self.attempts:
-            return refusals.overloaded()
-        return refusals.coverage_not_met(
-            answered=self.answered,
-            total=self.total,
-            minimum=self.profile.minimum_coverage,
-            run=run,
-        )
-
-    def _run_state(self):
-        """NOT_RUN only if every attempt ended without having run."""
-        certain = all(
-            attempt.outcome in _NOT_RUN_OUTCOMES for attempt in self.attempts.values()
-        )
-        return RunState.NOT_RUN if certain else RunState.UNKNOWN
-
     def _refuse(self, refusal, now):
         actions = []
         self._seal(actions, FinishRequest(refusal=refusal), now)
@@ -468,7 +490,7 @@
                 self._cancel(attempt, actions, now)
                 attempt.part.outstanding -= 1
                 attempt.replica.estimate.outstanding -= 1
-            elif not attempt.extra and attempt.outcome is not _NOT_SENT:
+            elif attempt.extra is None and attempt.outcome is not _NOT_SENT:
                 first += 1
         self.budget.record_first(first, now)
         actions.append(finish)
