--- a/bench/tier_model/deployment.py
+++ b/bench/tier_model/deployment.py
@@ -7,7 +7,6 @@
     Configuration,
     EntryHost,
     Manifest,
-    Ownership,
     Profile,
     SnapshotHolding,
     Upstream,
@@ -208,7 +207,7 @@
     return owners
 
 
-def build_configuration(deployment, searchers, hosts, owners, *, version, profiles):
+def build_configuration(deployment, searchers, hosts, ownerships, *, version, profiles):
     """Returns the configuration for the present state of all searcher models.
 
     ``searchers`` are ``SearcherModel`` objects.
@@ -246,8 +245,5 @@
             for name in snapshots
         ),
         entry_hosts=hosts,
-        ownerships=tuple(
-            Ownership(upstream_id=key, entry_id=owner, epoch=1, active=True)
-            for key, owner in owners.items()
-        ),
+        ownerships=ownerships,
     )
--- a/bench/tier_model/searchers.py
+++ b/bench/tier_model/searchers.py
@@ -56,6 +56,7 @@
         self.first_arrivals = []
         self.extra_arrivals = []
         self.answers = {}  # sub-request id -> (request id, snapshot, documents)
+        self.refused = set()  # sub-request ids that were not run
         self.crashes = []  # (time, request id, partition, extra)
         self.busy_s = 0.0
         self.on_death = None  # called when the process ends
@@ -66,15 +67,17 @@
             reply(Reply(outcome=SubOutcome.RESET, connection_usable=False))
             return
         self._check_caps(connection_id)
-        if connection_id in self.silent_connections:
-            return  # the bytes vanish, and so would any answer
+        if connection_id in self.silent_connections and self.random.random() < 0.5:
+            return  # the bytes vanish on their way; else the answer will
         (self.extra_arrivals if sub_request.extra else self.first_arrivals).append(
             self.loop.now
         )
         if sub_request.snapshot not in self.snapshots:
+            self.refused.add(sub_request.sub_request_id)
             reply(Reply(outcome=SubOutcome.REFUSED, reason="snapshot_gone"))
             return
         if self.shed_share and self.random.random() < self.shed_share:
+            self.refused.add(sub_request.sub_request_id)
             reply(Reply(outcome=SubOutcome.REFUSED, reason="shed"))
             return
         now = self.loop.now
--- a/bench/tier_model/tier.py
+++ b/bench/tier_model/tier.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from plantainstage._messages.callers import QueryBody
+from plantainstage._messages.configuration import Ownership
 
 from .deployment import (
     assign_owners,
@@ -22,6 +23,9 @@
 class Tier:
     """One run: a deployment under one policy, driven in virtual time."""
 
+    entry_class = EntryModel
+    searcher_class = SearcherModel
+
     def __init__(self, *, deployment, policy_class, seed, window_s, random):
         self.deployment = deployment
         self.loop = EventLoop()
@@ -30,12 +34,16 @@
         self.records = []
         self.trace = None
         self.sub_request_upstream = {}
+        self.epochs = {}
+        self.moving = set()
         shapes = searcher_shapes(deployment)
         hosts = entry_hosts(deployment)
         self.host_records = hosts
         self.owners = assign_owners(shapes, hosts, seed)
         self.searchers = {
-            shape.upstream_id: SearcherModel(shape=shape, loop=self.loop, seed=seed)
+            shape.upstream_id: self.searcher_class(
+                shape=shape, loop=self.loop, seed=seed
+            )
             for shape in shapes
         }
         self.hosts = {}
@@ -43,7 +51,9 @@
             policy = policy_class(
                 host=host, deployment=deployment, seed=seed, window_s=window_s
             )
-            self.hosts[host.entry_id] = EntryModel(tier=self, host=host, policy=policy)
+            self.hosts[host.entry_id] = self.entry_class(
+                tier=self, host=host, policy=policy
+            )
         self.host_list = list(self.hosts.values())
         weights = {item.name: item.weight for item in self.profiles}
         for upstream_id, searcher in self.searchers.items():
@@ -55,6 +65,18 @@
         self.version = 0
         self.publish(spread_s=0.0)
 
+    def ownerships(self):
+        """Returns the ownership of each searcher as control has recorded it."""
+        return tuple(
+            Ownership(
+                upstream_id=upstream_id,
+                entry_id=owner,
+                epoch=self.epochs.get(upstream_id, 1),
+                active=upstream_id not in self.moving,
+            )
+            for upstream_id, owner in self.owners.items()
+        )
+
     def upstream_of(self, sub_request_id):
         """Returns the searcher of a sub-request that reached its owner."""
         return self.sub_request_upstream.get(sub_request_id, "")
@@ -66,7 +88,7 @@
             self.deployment,
             list(self.searchers.values()),
             self.host_records,
-            self.owners,
+            self.ownerships(),
             version=self.version,
             profiles=self.profiles,
         )
@@ -94,7 +116,16 @@
 
     # ---- Load ----------------------------------------------------------------
 
-    def send(self, *, query, profile=None, entry=None, on_finish=None):
+    def send(
+        self,
+        *,
+        query,
+        profile=None,
+        entry=None,
+        on_finish=None,
+        idempotent=True,
+        partitions=(),
+    ):
         """A caller sends one request to a random (or the given) entry host."""
         record = RequestRecord(
             request_id=f"r{len(self.records)}",
@@ -107,6 +138,8 @@
             profile=record.profile.name,
             query=msgspec.Raw(query),
             request_id=record.request_id,
+            idempotent=idempotent,
+            partitions=partitions,
         )
         entry = entry or self.host_list[int(self.random.random() * len(self.host_list))]
         entry.request(record, body, record.profile)
--- a/src/plantainstage/_limits/extra_load.py
+++ b/src/plantainstage/_limits/extra_load.py
@@ -17,11 +17,11 @@
 class ExtraLoadBudget:
     """Counts first and extra sub-requests in a sliding minute.
 
-    First sub-requests count once they are known to have left, that is, when
-    their request finishes. Extra ones count before they are sent. For example::
+    First sub-requests count once they are known to have left, at the time at
+    which they were sent. Extra ones count before they are sent. For example::
 
         budget = ExtraLoadBudget(limit=0.05)
-        budget.record_first(40, now=1.0)
+        budget.record_first(40, sent_at=0.9, now=1.0)
         taken = budget.take(now=1.0)   # the first of two
     """
 
@@ -33,11 +33,16 @@
         self.first = 0
         self.extra = 0
 
-    def record_first(self, count, now):
-        """Counts first sub-requests that left for a searcher."""
-        if count:
-            self._bucket(now)[1] += count
-            self.first += count
+    def record_first(self, count, *, sent_at, now):
+        """Counts first sub-requests that left for a searcher at ``sent_at``."""
+        self._bucket(now)
+        number = int(sent_at / self.bucket_s)
+        for bucket in reversed(self.buckets):
+            # Without a bucket of that time an older one expires no later.
+            if bucket[0] <= number:
+                bucket[1] += count
+                self.first += count
+                return
 
     def pressure(self, now):
         """Returns the used share of the budget, from 0 (unused) to 1."""
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -20,6 +20,7 @@
 )
 from plantainstage._limits.connections import ConnectionTable
 from plantainstage._limits.fair_queue import FairQueue
+from plantainstage._limits.owner_work import HostLease, Queued, Running
 from plantainstage._limits.silence import (
     PROBE_TIMEOUT_S,
     Reachability,
@@ -59,59 +60,6 @@
 )
 
 
-class HostLease:
-    """The entry host's lease, shared by all of its owner queues."""
-
-    def __init__(self, *, until: float = -math.inf):
-        self.until = until
-
-    def valid(self, now):
-        """Whether bytes may be sent to searchers."""
-        return now < self.until
-
-
-class _Queued:
-    """A sub-request that waits; ``deadline`` is on the owner's clock."""
-
-    __slots__ = (
-        "requester_id",
-        "sub_request",
-        "deadline",
-        "profile",
-        "idempotent",
-        "removed",
-    )
-
-    def __init__(self, *, requester_id, sub_request, deadline):
-        self.requester_id = requester_id
-        self.sub_request = sub_request
-        self.deadline = deadline
-        self.profile = sub_request.profile
-        self.idempotent = sub_request.idempotent
-        self.removed = False
-
-
-class _Running:
-    """A sub-request that holds a slot and a connection."""
-
-    __slots__ = (
-        "queued",
-        "started_at",
-        "connection_id",
-        "got_byte",
-        "suspect",
-        "aborted",
-    )
-
-    def __init__(self, *, queued, started_at, connection_id):
-        self.queued = queued
-        self.started_at = started_at
-        self.connection_id = connection_id
-        self.got_byte = False
-        self.suspect = False
-        self.aborted = False
-
-
 class OwnerQueue:
     """Sends sub-requests to one searcher within its slots and connections.
 
@@ -195,8 +143,16 @@
     # ---- Events --------------------------------------------------------------
 
     def submit(self, requester_id, sub_request, now):
-        """Takes a sub-request of an entry host (possibly this one)."""
-        item = _Queued(
+        """Takes a sub-request of an entry host (possibly this one).
+
+        A second delivery of one that waits or runs changes nothing.
+        """
+        if (
+            sub_request.sub_request_id in self.by_id
+            or sub_request.sub_request_id in self.running
+        ):
+            return []
+        item = Queued(
             requester_id=requester_id,
             sub_request=sub_request,
             deadline=now + sub_request.remaining_ms / 1000,
@@ -379,7 +335,7 @@
         sub_request = item.sub_request
         self.by_id.pop(sub_request.sub_request_id, None)
         connection_id, must_open = self.connections.acquire()
-        self.running[sub_request.sub_request_id] = _Running(
+        self.running[sub_request.sub_request_id] = Running(
             queued=item, started_at=now, connection_id=connection_id
         )
         check_invariant(
--- a/src/plantainstage/_routing/answering.py
+++ b/src/plantainstage/_routing/answering.py
@@ -10,16 +10,22 @@
 NOT_RUN_OUTCOMES = frozenset({SubOutcome.NOT_SENT, SubOutcome.REFUSED})
 
 
-def run_state(attempts):
+def run_state(gather):
     """Returns NOT_RUN only if every attempt ended without having run."""
-    if all(attempt.outcome in NOT_RUN_OUTCOMES for attempt in attempts):
-        return RunState.NOT_RUN
-    return RunState.UNKNOWN
+    for attempt in gather.attempts.values():
+        if attempt.outcome not in NOT_RUN_OUTCOMES:
+            return RunState.UNKNOWN
+    check_invariant(
+        all(part.possible_runs == 0 for part in gather.parts),
+        invariant="not_run_is_certain",
+        detail=gather.request_id,
+    )
+    return RunState.NOT_RUN
 
 
 def build_shortfall(gather):
     """Returns the refusal of a request below its minimum coverage."""
-    run = run_state(gather.attempts.values())
+    run = run_state(gather)
     if run is RunState.NOT_RUN and gather.attempts:
         return refusals.overloaded()
     return refusals.coverage_not_met(
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -59,7 +59,8 @@
     is the profile's ``ExtraLoadBudget``. A non-idempotent request must hold its
     claim before ``start``. Every method returns a list of ``GatherAction``, to
     be carried out in order; after a ``FinishRequest`` further calls are allowed
-    and change nothing. For example::
+    and change nothing, except that a late reset may still be reported. For
+    example::
 
         view = ConfigurationView(configuration=configuration, routing=routing)
         profile = view.profiles[body.profile]
@@ -145,7 +146,7 @@
         if (
             attempt is None
             or attempt.outcome is not None
-            or not self._matches(attempt, sub_result)
+            or not attempt.matches(sub_result, self.snapshot.snapshot)
         ):
             self.routing.counters.discarded_results += 1
             return []
@@ -153,10 +154,7 @@
         outcome = sub_result.outcome
         crashed = outcome is SubOutcome.RESET and self._record_reset(attempt, now)
         if self.finished:
-            self.routing.counters.late_results += 1
-            if attempt.extra is None and outcome is not _NOT_SENT:
-                self.budget.record_first(1, now)
-            return []
+            return self._late_result(attempt, crashed, now)
         actions = []
         if crashed or sub_result.reason == "quarantined":
             self._stop_for_crashes(actions, now)
@@ -359,21 +357,6 @@
 
     # ---- Results -------------------------------------------------------------
 
-    def _matches(self, attempt, result):
-        """Whether the result belongs to this attempt in every respect."""
-        part = attempt.part.view
-        if (
-            result.upstream_id != attempt.replica.upstream_id
-            or result.partition != part.name
-        ):
-            return False
-        if result.outcome is not _ANSWERED:
-            return True
-        return (
-            result.snapshot == self.snapshot.snapshot
-            and 0 <= result.documents <= part.documents
-        )
-
     def _resolve(self, attempt, result, now):
         """Marks the attempt as ended and learns from its result."""
         outcome = attempt.outcome = result.outcome
@@ -454,12 +437,24 @@
         self.due.clear()
         for attempt in self.attempts.values():
             self._cancel(attempt, actions, now)
-        duration_ms = round(self.routing.quarantines.duration_s * 1000)
-        actions.append(
-            ReportCrashes(fingerprint=self.fingerprint, duration_ms=duration_ms)
-        )
+        actions.append(self._crash_report())
         actions.append(self._wake())
 
+    def _late_result(self, attempt, crashed, now):
+        """Counts a result after the finish; a crash is still reported.
+
+        Otherwise only this host would refuse the resends of a request that
+        crashed searchers and whose caller had gone.
+        """
+        self.routing.counters.late_results += 1
+        if attempt.extra is None and attempt.outcome is not _NOT_SENT:
+            self.budget.record_first(1, sent_at=attempt.sent_at, now=now)
+        return [self._crash_report()] if crashed else []
+
+    def _crash_report(self):
+        duration_ms = round(self.routing.quarantines.duration_s * 1000)
+        return ReportCrashes(fingerprint=self.fingerprint, duration_ms=duration_ms)
+
     # ---- Finishing -----------------------------------------------------------
 
     def _settled(self):
@@ -469,9 +464,7 @@
 
     def _finish(self, actions, now):
         if self.recording_crashes:
-            finish = FinishRequest(
-                refusal=refusals.quarantined(run_state(self.attempts.values()))
-            )
+            finish = FinishRequest(refusal=refusals.quarantined(run_state(self)))
         elif self.answered >= self.needed:
             finish = FinishRequest(answer=build_answer(self, now))
         else:
@@ -497,5 +490,6 @@
                 attempt.replica.estimate.outstanding -= 1
             elif attempt.extra is None and attempt.outcome is not _NOT_SENT:
                 first += 1
-        self.budget.record_first(first, now)
+        if first:
+            self.budget.record_first(first, sent_at=self.arrived_at, now=now)
         actions.append(finish)
--- a/src/plantainstage/_routing/progress.py
+++ b/src/plantainstage/_routing/progress.py
@@ -28,6 +28,18 @@
         self.outcome = None
         self.cancelled = False
 
+    def matches(self, result, snapshot):
+        """Whether the result belongs to this attempt in every respect."""
+        view = self.part.view
+        if (
+            result.upstream_id != self.replica.upstream_id
+            or result.partition != view.name
+        ):
+            return False
+        if result.outcome is not SubOutcome.ANSWERED:
+            return True
+        return result.snapshot == snapshot and 0 <= result.documents <= view.documents
+
 
 class Part:
     """The progress of one partition.
