Add scenarios for entry hosts as separate processes

Cause: nothing showed that answers, caps, refusals, planned stops, leases, claims, quarantines and silent connections hold over several processes.

--- a/examples/standin/deployments.py
+++ b/examples/standin/deployments.py
@@ -170,8 +170,12 @@
     }
 
 
-def placements_of(deployment, partitions=None, replicas=None):
-    """Returns the Placements; ``replicas`` overrides each group's count."""
+def placements_of(deployment, partitions=None, replicas=None, first_replica=1):
+    """Returns the Placements; ``replicas`` overrides each group's count.
+
+    Replicas are numbered from ``first_replica``, so that two processes may
+    share a partition.
+    """
     wanted = manifest_of(deployment, partitions)
     places = []
     for group in deployment.groups:
@@ -179,7 +183,8 @@
             partition = f"{group.name}-{number:02}"
             if partition not in wanted:
                 continue
-            for replica in range(replicas or group.replicas):
+            count = replicas or group.replicas
+            for replica in range(first_replica - 1, first_replica - 1 + count):
                 zone = deployment.data_centres[replica % len(deployment.data_centres)]
                 places.append(
                     Placement(
--- a/examples/standin/searcher.py
+++ b/examples/standin/searcher.py
@@ -55,7 +55,10 @@
 
 
 class SearcherRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """What a searcher has seen since it was started."""
+    """What a searcher has seen since it was started.
+
+    ``running`` lists the request ids of what runs now.
+    """
 
     upstream_id: str
     incarnation: str
@@ -75,6 +78,7 @@
     crashes: int
     silenced: int
     last_received: float
+    running: tuple[str, ...]
 
 
 class QueryOptions(msgspec.Struct, kw_only=True):
@@ -129,6 +133,7 @@
 
 @dataclass(kw_only=True)
 class _Execution:
+    request_id: str
     cancelled: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -208,6 +213,7 @@
             slots=self.placement.slots,
             connections=self.placement.connections,
             open_connections=open_connections,
+            running=tuple(item.request_id for item in self.running.values()),
             **vars(counters),
         )
 
@@ -233,7 +239,7 @@
 
     async def _run(self, body, snapshot):
         options = options_of(body.query, body.partition)
-        execution = _Execution()
+        execution = _Execution(request_id=body.request_id)
         self.running[body.sub_request_id] = execution
         started = time.monotonic()
         outcome = "crashed"
--- a/examples/standin_searcher.py
+++ b/examples/standin_searcher.py
@@ -27,6 +27,7 @@
 @click.option("--control-listen", default="", help="IP:port of the control path.")
 @click.option("--partitions", type=int, help="Limits the number of partitions.")
 @click.option("--replicas", type=int, help="Searchers of each partition.")
+@click.option("--first-replica", default=1, show_default=True)
 @click.option("--entry", multiple=True, required=True, help="IP:port, repeatable.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--service-ms", default=3.0, show_default=True)
@@ -45,6 +46,7 @@
     control_listen,
     partitions,
     replicas,
+    first_replica,
     entry,
     seed,
     **behaviour,
@@ -53,7 +55,7 @@
     logging.getLogger("tornado").setLevel(logging.ERROR)
     shape = DEPLOYMENTS[deployment]
     manifest = manifest_of(shape, partitions)
-    places = placements_of(shape, partitions, replicas)
+    places = placements_of(shape, partitions, replicas, first_replica)
     searchers = [
         Searcher(
             placement=placement,
--- /dev/null
+++ b/features/failures/entry.feature
@@ -0,0 +1,38 @@
+Feature: Entry hosts that freeze or die, and requests that crash searchers
+
+  Scenario: An entry host frozen past its lease sends nothing on waking
+    # Guards against sub-requests that an owner sends after its searchers may
+    # have a new owner.
+    Given an entry tier of 2 hosts with 2 partitions of 2 searchers
+    And the entry profile "rider-gate" with 3000 ms and coverage 1.0
+    When entry host 1 is frozen past its lease while it gets queries
+    And it wakes up without any reply from control
+    Then no searcher has run anything since it woke up
+    And the queries are refused as "configuration_unconfirmed"
+
+  Scenario: A request whose entry host dies is not run again by a resend
+    # Guards against two executions of a non-idempotent request.
+    Given an entry tier of 2 hosts with 1 partitions of 2 searchers
+    And the entry profile "turn-booking" with 1500 ms and coverage 1.0
+    When entry host 1 is killed while it runs a non-idempotent request
+    And the request is resent through entry host 2 until its outcome is final
+    Then the searchers' records show exactly 1 execution
+    And the resends say "in_progress" and at last "outcome_unknown"
+
+  Scenario: A request that crashes searchers takes at most two, whoever resends it
+    # Guards against a resend that crashes every searcher of a partition.
+    Given an entry tier of 3 hosts with 2 partitions of 4 searchers
+    And the entry profile "rider-gate" with 2000 ms and coverage 1.0
+    And 100 queries have built up the extra-load budget of "rider-gate"
+    When a crashing query is sent through every entry host in turn
+    Then at most 2 searchers have crashed
+    And the resends are refused as "request_quarantined"
+
+  Scenario: Connections that go silent are replaced while new ones work
+    # Guards against sub-requests that wait for good on dead connections.
+    Given an entry tier of 2 hosts with 2 partitions of 2 searchers
+    And the entry profile "rider-gate" with 3000 ms and coverage 1.0
+    And 100 queries have built up the extra-load budget of "rider-gate"
+    When all open connections of the searchers go silent
+    Then every entry host answers in full again
+    And some sub-requests were lost on the silent connections
--- /dev/null
+++ b/features/support/many_callers.py
@@ -0,0 +1,58 @@
+"""Many callers at the same time, each with its own query."""
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass
+
+from tornado.httpclient import AsyncHTTPClient
+
+TIMEOUT_S = 60
+
+
+@dataclass(frozen=True, kw_only=True)
+class Exchange:
+    """What one caller sent and got; status 599 is a broken connection."""
+
+    request: dict
+    status: int
+    body: dict
+
+
+def send_all(requests):
+    """Sends (address, request) pairs at once; returns the Exchanges."""
+
+    async def run():
+        client = AsyncHTTPClient(force_instance=True, max_clients=1000)
+        try:
+            return await asyncio.gather(
+                *(_send(client, address, request) for address, request in requests)
+            )
+        finally:
+            client.close()
+
+    return asyncio.run(run())
+
+
+async def _send(client, address, request):
+    reply = await client.fetch(
+        f"http://{address}/v1/query",
+        method="POST",
+        body=json.dumps(request),
+        raise_error=False,
+        connect_timeout=TIMEOUT_S,
+        request_timeout=TIMEOUT_S,
+    )
+    body = json.loads(reply.body) if reply.body else {}
+    return Exchange(request=request, status=reply.code, body=body)
+
+
+def interleaved(addresses, *, count, profile, seed):
+    """Returns ``count`` requests whose answers overtake each other."""
+    chance = random.Random(seed)
+    requests = []
+    for number in range(count):
+        query = {"caller": number, "sleep_ms": chance.choice((1, 1, 2, 4, 20))}
+        request = {"profile": profile, "query": query, "request_id": f"call-{number}"}
+        requests.append((addresses[number % len(addresses)], request))
+    return requests
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -73,6 +73,13 @@
         return error.code, json.loads(error.read())
 
 
+def get_json(address, path):
+    """Returns the decoded JSON body of a GET."""
+    url = f"http://{address}{path}"
+    with urllib.request.urlopen(url, timeout=CONDITION_TIMEOUT_S) as reply:
+        return json.loads(reply.read())
+
+
 def get_status(address, path):
     """Returns the HTTP status of a GET, or 0 when nothing listens."""
     try:
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -1,12 +1,16 @@
 """A small tier of separate processes for scenarios."""
 
+import asyncio
 import tempfile
 from pathlib import Path
 
+from plantainstage._transport.rpc import ControlClient
+from plantainstage.messages import configuration, control
 from support.processes import (
     Program,
     free_address,
-    free_port,
+    free_ports,
+    get_json,
     get_status,
     post_json,
     wait_until,
@@ -28,6 +32,7 @@
         self.control_addresses = []
         self.entry_addresses = []
         self.programs = {}
+        self.standins = {}
 
     def start(self, name, module, *arguments):
         """Starts a program under ``name``; it ends with the scenario."""
@@ -45,7 +50,7 @@
         self.control_addresses.append(address)
         return self.start("control-1", CONTROL, "--listen", address)
 
-    def start_entry(self, name):
+    def start_entry(self, name, *flags):
         address = free_address()
         self.entry_addresses.append(address)
         control = [part for a in self.control_addresses for part in ("--control", a)]
@@ -55,14 +60,18 @@
             *("--entry-id", name, "--data-centre", "upper-canal"),
             *("--listen", address, "--forward-listen", free_address()),
             *control,
+            *flags,
         )
 
-    def start_searchers(self, *, partitions, replicas):
+    def start_searchers(self, *flags, partitions, replicas, name="searchers"):
+        self.standins[name] = free_address()
+        entries = [part for a in self.entry_addresses for part in ("--entry", a)]
         return self.start(
-            "searchers",
+            name,
             SEARCHER,
-            *("--first-port", free_port(), "--partitions", partitions),
-            *("--replicas", replicas, "--entry", self.entry_addresses[0]),
+            *("--first-port", free_ports(partitions * replicas)),
+            *("--partitions", partitions, "--replicas", replicas),
+            *("--control-listen", self.standins[name], *entries, *flags),
         )
 
     def wait_until_ready(self):
@@ -74,3 +83,69 @@
 
     def query(self, body, entry=0):
         return post_json(self.entry_addresses[entry], "/v1/query", body)
+
+    def control_call(self, request):
+        """Returns the control leader's reply to a request."""
+
+        async def run():
+            client = ControlClient(addresses=tuple(self.control_addresses))
+            try:
+                return await client.call(request, timeout_s=30)
+            finally:
+                client.close()
+
+        return asyncio.run(run())
+
+    def publish(self, **fields):
+        """Publishes a profile and waits until it is in force everywhere."""
+        profile = configuration.Profile(index="ditch-turns", **fields)
+        number = self.control_call(control.QueryNextNumber()).number
+        change = control.Change(
+            number=number,
+            operator="test",
+            body=control.PublishProfile(profile=profile),
+        )
+        verdict = self.control_call(control.SubmitChange(change=change)).verdict
+
+        def in_force():
+            status = self.control_call(control.QueryStatus(version=verdict.version))
+            return status.settled and not status.lacking
+
+        wait_until(in_force, what="the profile is in force")
+
+    def wait_until_full(self, profile):
+        """Waits until every entry host answers with full coverage."""
+        for entry in range(len(self.entry_addresses)):
+            wait_until(
+                lambda entry=entry: self.answers_in_full(profile, entry),
+                what=f"entry host {entry + 1} answers in full",
+            )
+
+    def answers_in_full(self, profile, entry):
+        """Whether an entry host answers a query with full coverage."""
+        status, body = self.query({"profile": profile, "query": "full"}, entry)
+        return status == 200 and body["coverage"]["fraction"] == 1.0
+
+    def records(self):
+        """Returns the searchers' own records."""
+        return [
+            record
+            for address in self.standins.values()
+            for record in get_json(address, "/control/searchers")["searchers"]
+        ]
+
+    def runs(self, request_id=""):
+        """Returns the sub-requests that reached the searchers."""
+        path = f"/control/runs?request_id={request_id}"
+        return [
+            run
+            for address in self.standins.values()
+            for run in get_json(address, path)["runs"]
+        ]
+
+    def order(self, **order):
+        """Steers all searchers; returns the sum of silenced connections."""
+        return sum(
+            post_json(address, "/control/order", order)[1]["silenced"]
+            for address in self.standins.values()
+        )
