--- a/features/behaviour/entry.feature
+++ b/features/behaviour/entry.feature
@@ -5,9 +5,10 @@
     # coverage that differs from what the searchers did, and against caps that
     # hold on each entry host but not over all of them.
     Given an entry tier of 3 hosts with 4 partitions of 3 searchers
-    And the entry profile "rider-gate" with 4000 ms and coverage 0.5
+    And the entry profile "rider-gate" with 2000 ms and coverage 0.5
     When 400 callers send interleaved queries under "rider-gate"
     Then at least 300 callers are answered, each with its own query echoed
+    And some answers lack a partition, as their queries demand
     And every answer's coverage is that of the searchers' records
     And no searcher saw more than its slots or half of its connections
 
--- a/features/failures/entry.feature
+++ b/features/failures/entry.feature
@@ -28,11 +28,14 @@
     Then at most 2 searchers have crashed
     And the resends are refused as "request_quarantined"
 
-  Scenario: Connections that go silent are replaced while new ones work
-    # Guards against sub-requests that wait for good on dead connections.
-    Given an entry tier of 2 hosts with 2 partitions of 2 searchers
-    And the entry profile "rider-gate" with 3000 ms and coverage 1.0
-    And 100 queries have built up the extra-load budget of "rider-gate"
+  Scenario: Connections that go silent are found and replaced long before the deadline
+    # Guards against sub-requests that wait for their deadline on dead
+    # connections, and against "not_run" for what may have run.
+    Given an entry tier of 2 hosts with 1 partitions of 1 searchers
+    And the entry profile "turn-booking" with 60000 ms and coverage 1.0
+    And 20 queries have built up the extra-load budget of "turn-booking"
     When all open connections of the searchers go silent
-    Then every entry host answers in full again
+    And a non-idempotent request is sent through each entry host
+    Then each reply says "unknown" and came before half of the 60 s had passed
+    And every entry host answers in full again under "turn-booking"
     And some sub-requests were lost on the silent connections
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -12,6 +12,9 @@
 from support.tier import Tier
 
 SEED = 7
+# Still running when the host stops taking requests, which is 0.1 s after the
+# signal.
+LONGER_THAN_DRAIN_DELAY_MS = 150
 
 
 @given(
@@ -22,7 +25,7 @@
     context.partitions = partitions
     tier.start_control()
     for number in range(hosts):
-        tier.start_entry(f"entry-{number + 1}", "--drain-delay", "1")
+        tier.start_entry(f"entry-{number + 1}", "--drain-delay", "0.1")
     tier.start_searchers(partitions=partitions, replicas=replicas)
     tier.wait_until_ready()
 
@@ -75,6 +78,16 @@
     assert all(item.status in (200, 503) for item in context.exchanges), refused
 
 
+@then("some answers lack a partition, as their queries demand")
+def check_partial(context):
+    partial = [
+        item
+        for item in context.exchanges
+        if item.status == 200 and item.body["coverage"]["partitions_missing"]
+    ]
+    assert partial
+
+
 @then("every answer's coverage is that of the searchers' records")
 def check_coverage(context):
     answered_runs = {}
@@ -194,11 +207,12 @@
 # ---- Planned stops ------------------------------------------------------------
 
 
-def _call_while_ready(tier, entry, stop, replies):
+def _call_while_ready(tier, entry, sleep_ms, stop, replies):
     address = tier.entry_addresses[entry]
+    body = {"profile": "rider-gate", "query": {"sleep_ms": sleep_ms}}
     while not stop.is_set() and get_status(address, "/readyz") == 200:
         try:
-            replies.append(tier.query({"profile": "rider-gate", "query": 1}, entry))
+            replies.append(tier.query(body, entry))
         except OSError as error:
             replies.append((0, {"error": repr(error)}))
 
@@ -210,9 +224,11 @@
     context.replies = []
     threads = [
         threading.Thread(
-            target=_call_while_ready, args=(tier, entry, stop, context.replies)
+            target=_call_while_ready,
+            args=(tier, entry, sleep_ms, stop, context.replies),
         )
-        for entry in (0, 0, 1, 1, 2, 2)
+        for entry in range(3)
+        for sleep_ms in (2, LONGER_THAN_DRAIN_DELAY_MS)
     ]
     for thread in threads:
         thread.start()
@@ -393,9 +409,32 @@
     assert context.tier.order(silence=-1) > 0
 
 
-@then("every entry host answers in full again")
-def check_answers_again(context):
-    context.tier.wait_until_full("rider-gate")
+@when("a non-idempotent request is sent through each entry host")
+def send_over_silence(context):
+    context.timed_replies = []
+    for entry in range(len(context.tier.entry_addresses)):
+        body = {
+            "profile": "turn-booking",
+            "query": "book",
+            "request_id": f"{time.time_ns() // 1_000_000}-silent-{entry}",
+            "idempotent": False,
+        }
+        started = time.monotonic()
+        _, reply = context.tier.query(body, entry)
+        context.timed_replies.append((reply, time.monotonic() - started))
+
+
+@then('each reply says "{run}" and came before half of the {deadline_s:d} s had passed')
+def check_early_unknown(context, run, deadline_s):
+    # Detection takes some hundred milliseconds; without it, the whole deadline.
+    first, elapsed_s = context.timed_replies[0]
+    assert first.get("run") == run, first
+    assert all(item[1] < deadline_s / 2 for item in context.timed_replies)
+
+
+@then('every entry host answers in full again under "{profile}"')
+def check_answers_again(context, profile):
+    context.tier.wait_until_full(profile)
 
 
 @then("some sub-requests were lost on the silent connections")
--- a/features/support/many_callers.py
+++ b/features/support/many_callers.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 TIMEOUT_S = 60
+SLOW_EVERY = 10
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,6 +54,9 @@
     requests = []
     for number in range(count):
         query = {"caller": number, "sleep_ms": chance.choice((1, 1, 2, 4, 20))}
+        if number % SLOW_EVERY == 0:
+            # Longer than the deadline, so that one partition is missing.
+            query = {"caller": number, "sleep_ms": 5000, "only": "rider-desk-01"}
         request = {"profile": profile, "query": query, "request_id": f"call-{number}"}
         requests.append((addresses[number % len(addresses)], request))
     return requests
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -50,13 +50,13 @@
         self.control_addresses.append(address)
         return self.start("control-1", CONTROL, "--listen", address)
 
-    def start_entry(self, name, *flags):
+    def start_entry(self, name, *flags, module=ENTRY):
         address = free_address()
         self.entry_addresses.append(address)
         control = [part for a in self.control_addresses for part in ("--control", a)]
         return self.start(
             name,
-            ENTRY,
+            module,
             *("--entry-id", name, "--data-centre", "upper-canal"),
             *("--listen", address, "--forward-listen", free_address()),
             *control,
