--- a/src/plantainstage/_operator/replicas.py
+++ b/src/plantainstage/_operator/replicas.py
@@ -82,18 +82,86 @@
 
 async def _take_step(session, step, deadline):
     """Repeats a step that has to wait, such as the promotion of a learner."""
+    removal = step.action is MemberAction.REMOVE
+    if removal and step_target(step) not in await _member_names(session):
+        return control.RequestRejected(
+            code="not_member",
+            message="The group has no such replica, or has removed it before.",
+            remedy="Compare id and incarnation with: plantainstage-ctl replica list",
+        )
     while True:
         reply = await session.call(step)
-        waits = isinstance(reply, control.RequestRejected) and reply.code in (
-            "not_caught_up",
-            "change_pending",
-            "term_not_started",
-        )
+        code = reply.code if isinstance(reply, control.RequestRejected) else ""
+        if removal and code == "not_member":
+            # It was a member above, so that a delivery of this step removed it.
+            return control.Done()
+        waits = code in ("not_caught_up", "change_pending", "term_not_started")
         if not waits or asyncio.get_running_loop().time() >= deadline:
             return reply
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
+def step_target(step):
+    """Returns the replica that a step or a status is about, as text."""
+    return f"{step.replica_id} {step.incarnation}"
+
+
+async def _member_names(session):
+    status = await session.status()
+    return {step_target(item) for item in status.replicas}
+
+
+async def replace_replica(session, steps):
+    """Takes the steps of ``replacement_steps`` and proves the result.
+
+    Done is reported only when the new replica is a voter that has synced all
+    that was committed, and the old one is no member. A removal that an earlier
+    run of the command committed is not repeated.
+    """
+    add, _, remove = steps
+    names = await _member_names(session)
+    if step_target(remove) not in names:
+        if step_target(add) not in names:
+            return ReplicaReport(
+                outcome="rejected",
+                exit_code=ExitCode.REJECTED,
+                message=f"{step_target(remove)} is no control replica.",
+                remedy="Compare id and incarnation with: "
+                "plantainstage-ctl replica list",
+            )
+        steps = steps[:-1]
+    report = await take_steps(session, steps)
+    if report.exit_code is not ExitCode.DONE:
+        return report
+    deadline = asyncio.get_running_loop().time() + session.timeout_s
+    while True:
+        status = await session.status()
+        if _is_replaced(status, step_target(remove), step_target(add)):
+            return report
+        if asyncio.get_running_loop().time() >= deadline:
+            return msgspec.structs.replace(
+                report,
+                outcome="not yet replaced",
+                exit_code=ExitCode.NOT_YET_IN_FORCE,
+                remedy="Give the same command again.",
+                replicas=status.replicas,
+            )
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _is_replaced(status, old, new):
+    replicas = {
+        f"{item.replica_id} {item.incarnation}": item for item in status.replicas
+    }
+    item = replicas.get(new)
+    return (
+        old not in replicas
+        and item is not None
+        and item.voter
+        and item.match_index >= status.commit_index
+    )
+
+
 def replacement_steps(*, old_id, old_incarnation, new_id, new_incarnation, addresses):
     """Returns the steps that replace a control replica by another folder."""
     new = {"replica_id": new_id, "incarnation": new_incarnation}
--- a/src/plantainstage/_programs/ctl_replicas.py
+++ b/src/plantainstage/_programs/ctl_replicas.py
@@ -7,6 +7,7 @@
 from plantainstage._operator.replicas import (
     describe_replica,
     describe_replicas,
+    replace_replica,
     replacement_steps,
     take_steps,
 )
@@ -45,9 +46,9 @@
     build_settings(build)
 
 
-def _run_steps(steps, *, as_json, **options):
+def _run_steps(steps, *, as_json, action=take_steps, **options):
     report = run_session(
-        lambda session: take_steps(session, steps), as_json=as_json, **options
+        lambda session: action(session, steps), as_json=as_json, **options
     )
     finish(report, describe_replicas(report), as_json=as_json, code=report.exit_code)
 
@@ -123,7 +124,7 @@
         new_incarnation=new_incarnation,
         addresses=(client_address, peer_address),
     )
-    _run_steps(steps, **options)
+    _run_steps(steps, action=replace_replica, **options)
 
 
 @replica_group.command("list")
