--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -43,6 +43,8 @@
 INITIAL_SERVICE_S = 0.005
 SERVICE_GAIN = 0.05
 MEDIAN_STEP = 0.02
+# An exchange that runs longer than this many medians is taken for a straggler.
+STUCK_MEDIANS = 2.0
 # After an exchange without an answer the searcher may still run until the
 # sub-request's deadline, and one-way latency and its timers later.
 SLOT_RELEASE_GRACE_S = 0.01
@@ -71,13 +73,21 @@
 class _Queued:
     """A sub-request that waits; ``deadline`` is on the owner's clock."""
 
-    __slots__ = ("requester_id", "sub_request", "deadline", "profile", "removed")
+    __slots__ = (
+        "requester_id",
+        "sub_request",
+        "deadline",
+        "profile",
+        "idempotent",
+        "removed",
+    )
 
     def __init__(self, *, requester_id, sub_request, deadline):
         self.requester_id = requester_id
         self.sub_request = sub_request
         self.deadline = deadline
         self.profile = sub_request.profile
+        self.idempotent = sub_request.idempotent
         self.removed = False
 
 
@@ -330,10 +340,24 @@
         if self.silence.state is Reachability.UNREACHABLE:
             return "searcher_silent"
         wait = self.expected_wait_s(item.profile, now)
+        if wait > 0 and item.sub_request.alternatives > 0 and self._declines(now):
+            return "busy"
         if now + wait + self.median_s > item.deadline:
             return "queue_full"
         return ""
 
+    def _declines(self, now):
+        """Whether a sub-request with alternatives should use one of them.
+
+        A slot whose exchange runs for several medians will not free up soon.
+        """
+        threshold = now - STUCK_MEDIANS * self.median_s
+        moving = self.slots - len(self.held_slots)
+        for running in self.running.values():
+            if running.started_at < threshold:
+                moving -= 1
+        return len(self.waiting) >= moving - 1
+
     # ---- Sending -------------------------------------------------------------
 
     def _dispatch(self, actions, now):
@@ -466,9 +490,9 @@
             for running in self.running.values():
                 if not (running.got_byte or running.suspect):
                     time = min(time, running.started_at + threshold)
-        if self.by_id:
-            first = next(iter(self.by_id.values()))
-            time = min(time, max(first.deadline - self.median_s, now))
+        if self.waiting:
+            latest_start = self.waiting.earliest_deadline() - self.median_s
+            time = min(time, max(latest_start, now))
         if self.silence.state is Reachability.UNREACHABLE:
             time = min(time, self.silence.next_probe or now)
         if time < self.wake_at:
