--- /dev/null
+++ b/tools/chaos/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised run of faults against a tier of real processes."""
--- /dev/null
+++ b/tools/chaos/callers.py
@@ -0,0 +1,109 @@
+"""Callers with queries and bookings; a booking must run at most once."""
+
+import http.client
+import json
+import random
+import threading
+import time
+
+from chaos.history import Attempt
+
+REPLY_TIMEOUT_S = 8.0
+RESEND_PAUSE_S = 0.05
+RESENDS = 8
+QUERY_PROFILE = "chaos-query"
+BOOKING_PROFILE = "chaos-booking"
+
+
+class Caller(threading.Thread):
+    """Sends one request after another until it is told to stop."""
+
+    def __init__(self, *, name, seed, tier, history, partitions):
+        super().__init__(name=name, daemon=True)
+        self.random = random.Random(f"{seed}:{name}")
+        self.tier = tier
+        self.history = history
+        self.partitions = partitions
+        self.stopping = threading.Event()
+        self.number = 0
+
+    def run(self):
+        """Mixes queries and bookings; pauses a little in between."""
+        while not self.stopping.is_set():
+            self.number += 1
+            if self.random.random() < 0.3:
+                self._book()
+            else:
+                self._query()
+            self.stopping.wait(self.random.uniform(0, 0.02))
+
+    def _query(self):
+        token = f"{self.name}-{self.number}"
+        self._send(
+            self._any_entry(), request_id=token, token=token, idempotent=True, parts=()
+        )
+
+    def _book(self):
+        token = f"{self.name}-{self.number}"
+        request_id = f"{round(time.time() * 1000)}-{token}-booking"
+        parts = (self.random.choice(self.partitions),)
+        for _ in range(RESENDS):
+            attempt = self._send(
+                self._any_entry(),
+                request_id=request_id,
+                token=token,
+                idempotent=False,
+                parts=parts,
+            )
+            # Some answers are asked for again: the recorded one must come.
+            if attempt.status == 200 and self.random.random() < 0.8:
+                return
+            self.stopping.wait(RESEND_PAUSE_S * self.random.uniform(0.2, 4))
+
+    def _any_entry(self):
+        return self.random.choice(self.tier.entries)
+
+    def _send(self, entry, *, request_id, token, idempotent, parts):
+        profile = QUERY_PROFILE if idempotent else BOOKING_PROFILE
+        request = {
+            "profile": profile,
+            "query": {"token": token},
+            "request_id": request_id,
+            "idempotent": idempotent,
+            "partitions": list(parts),
+        }
+        sent_at = time.monotonic()
+        status, body, error = post(self.tier.entry_addresses[entry], request)
+        attempt = Attempt(
+            entry=entry,
+            request_id=request_id,
+            token=token,
+            profile=profile,
+            idempotent=idempotent,
+            partitions=parts,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+            status=status,
+            body=body,
+            error=error,
+        )
+        self.history.attempts.append(attempt)
+        return attempt
+
+
+def post(address, request):
+    """Returns status, decoded body and error; the status is 0 without a reply."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=REPLY_TIMEOUT_S)
+    try:
+        connection.connect()
+    except OSError as error:
+        return 0, {}, f"connect {type(error).__name__}"
+    try:
+        connection.request("POST", "/v1/query", json.dumps(request).encode())
+        reply = connection.getresponse()
+        return reply.status, json.loads(reply.read()), ""
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        return 0, {}, f"reply {type(error).__name__}"
+    finally:
+        connection.close()
--- /dev/null
+++ b/tools/chaos/checks.py
@@ -0,0 +1,209 @@
+"""Checks of a whole run against the searchers' own records."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+from chaos.callers import BOOKING_PROFILE
+
+NEW_WORK_LIMIT_S = 3.0  # the promise on upstreams that leave
+# A request counts as in flight at a planned stop if it was sent this long
+# before; a shorter time may not have reached the process yet.
+IN_FLIGHT_MARGIN_S = 0.1
+
+
+@dataclass(kw_only=True)
+class Checks:
+    """Compares replies with what ran; violations go to the history."""
+
+    history: object
+    runs: list
+    searchers: list
+    manifests: dict
+
+    def __post_init__(self):
+        self.by_request = defaultdict(list)
+        for run in self.runs:
+            self.by_request[run["request_id"]].append(run)
+
+    def run_all(self):
+        """Runs all checks."""
+        for attempt in self.history.attempts:
+            if attempt.status == 200:
+                self.check_answer(attempt)
+            elif attempt.body.get("run") == "not_run":
+                self.check_not_run(attempt)
+        self.check_bookings()
+        self.check_caps()
+        self.check_outages()
+        self.check_stops()
+
+    def _violation(self, attempt, text):
+        self.history.violation(f"{attempt.request_id} through {attempt.entry}: {text}")
+
+    # ---- Answers ----
+
+    def check_answer(self, attempt):
+        """An answer is the caller's own, of one snapshot, with true coverage."""
+        body = attempt.body
+        if body["request_id"] != attempt.request_id:
+            self._violation(attempt, f"answer of {body['request_id']}")
+        manifest = self.manifests.get(body["snapshot"])
+        if manifest is None:
+            self._violation(attempt, f"unknown snapshot {body['snapshot']}")
+            return
+        wanted = attempt.partitions or tuple(manifest)
+        documents = 0
+        for partition, hits in body["hits"].items():
+            documents += self._check_partition(attempt, partition, hits)
+        coverage = body["coverage"]
+        total = sum(manifest[name] for name in wanted)
+        missing = sorted(set(wanted) - set(body["hits"]))
+        stated = (
+            coverage["documents_answered"],
+            coverage["documents_total"],
+            sorted(coverage["partitions_missing"]),
+        )
+        if stated != (documents, total, missing):
+            self._violation(
+                attempt, f"coverage {stated}, but {(documents, total, missing)} ran"
+            )
+
+    def _check_partition(self, attempt, partition, hits):
+        """Returns the documents that the searcher's own record gives."""
+        (hit,) = hits
+        if hit["echo"] != {"token": attempt.token}:
+            self._violation(attempt, f"hits of {hit['echo']}")
+        for run in self.by_request[attempt.request_id]:
+            if (
+                run["upstream_id"] == hit["searcher"]
+                and run["partition"] == partition
+                and run["snapshot"] == attempt.body["snapshot"]
+                and run["outcome"] == "answered"
+            ):
+                return run["documents"]
+        self._violation(attempt, f"no record of {partition} on {hit['searcher']}")
+        return 0
+
+    # ---- Refusals and bookings ----
+
+    def check_not_run(self, attempt):
+        """A request that was not run has not run, and does not run later."""
+        resent_at = min(
+            (
+                other.sent_at
+                for other in self.history.attempts
+                if other.request_id == attempt.request_id
+                and other.sent_at > attempt.sent_at
+            ),
+            default=float("inf"),
+        )
+        ran = [
+            run
+            for run in self.by_request.get(attempt.request_id, ())
+            if run["started"] < resent_at
+        ]
+        if ran:
+            self._violation(
+                attempt, f"{attempt.body['error']} says not_run, but ran: {ran}"
+            )
+
+    def check_bookings(self):
+        """A non-idempotent request runs at most once, with one answer."""
+        answers = defaultdict(set)
+        for attempt in self.history.attempts:
+            if attempt.profile == BOOKING_PROFILE and attempt.status == 200:
+                answers[attempt.request_id].add(
+                    str(sorted(attempt.body["hits"].items()))
+                )
+        for request_id, runs in self.by_request.items():
+            if request_id.endswith("-booking") and len(runs) > 1:
+                self.history.violation(f"{request_id} ran {len(runs)} times: {runs}")
+        for request_id, different in answers.items():
+            if len(different) > 1:
+                self.history.violation(f"{request_id} got {len(different)} answers")
+
+    # ---- Searchers ----
+
+    def check_caps(self):
+        """No searcher had more slots or connections in use than it has."""
+        for item in self.searchers:
+            for what in ("slots", "connections"):
+                if item[f"max_{what}"] > item[what]:
+                    self.history.violation(
+                        f"{item['upstream_id']} had {item[f'max_{what}']} {what} "
+                        f"in use, its cap is {item[what]}"
+                    )
+
+    def check_outages(self):
+        """A searcher that is out gets no new work, within 3 s at the latest."""
+        for outage in self.history.outages:
+            for since, what in (
+                (outage.in_force_at, "in force"),
+                (outage.accepted_at + NEW_WORK_LIMIT_S, "accepted 3 s before"),
+            ):
+                late = [
+                    run["started"] - since
+                    for run in self.runs
+                    if run["upstream_id"] == outage.upstream_id
+                    and since < run["started"] < outage.back_at
+                ]
+                if late:
+                    self.history.violation(
+                        f"{outage.upstream_id} got {len(late)} sub-requests up to "
+                        f"{max(late):.3f} s after its change was {what}"
+                    )
+
+    def check_stops(self):
+        """A planned stop cuts off no request in flight."""
+        for host, stopped_at in self.history.stops:
+            for attempt in self.history.attempts:
+                in_flight = (
+                    attempt.sent_at + IN_FLIGHT_MARGIN_S < stopped_at < attempt.ended_at
+                )
+                cut = attempt.status == 0 and attempt.error.startswith("reply")
+                if attempt.entry == host and in_flight and cut:
+                    self._violation(attempt, f"cut off by a planned stop: {attempt}")
+
+
+def check_logs(tier, history):
+    """Versions never fall on a host, and no process met an invariant or a crash."""
+    for name in tier.hosts:
+        path = tier.folder / f"{name}.log"
+        text = path.read_text(encoding="utf-8", errors="replace")
+        if "Traceback" in text or "invariant" in text:
+            lines = [
+                line
+                for line in text.splitlines()
+                if "Traceback" in line or "invariant" in line or "Error" in line
+            ]
+            history.violation(f"{name} failed: {lines[:3]}")
+    for name in tier.entries:
+        newest = 0
+        for line in tier.log_lines(name):
+            if line["event"] == "configuration applied":
+                if line["version"] < newest:
+                    history.violation(
+                        f"{name} went from version {newest} to {line['version']}"
+                    )
+                newest = line["version"]
+
+
+def summary(history):
+    """Returns the closing lines of a run."""
+    answers = [item for item in history.attempts if item.status == 200]
+    refusals = Counter(
+        f"{item.body.get('error')}/{item.body.get('run')}"
+        for item in history.attempts
+        if item.status not in (0, 200)
+    )
+    full = sum(item.body["coverage"]["fraction"] == 1.0 for item in answers)
+    silent = Counter(item.error for item in history.attempts if item.status == 0)
+    return [
+        f"faults: {dict(history.faults)}",
+        f"changes: {dict(history.changes)}",
+        f"attempts: {len(history.attempts)}, answers: {len(answers)} ({full} in full)",
+        f"refusals: {dict(refusals)}",
+        f"without a reply: {dict(silent)}",
+        f"violations: {len(history.violations)}",
+        *(f"  {text}" for text in history.violations),
+    ]
--- /dev/null
+++ b/tools/chaos/faults.py
@@ -0,0 +1,236 @@
+"""Faults that are applied to a LinkedTier and repaired later."""
+
+import shutil
+import time
+from dataclasses import dataclass
+
+from plantainstage._messages.control import MemberAction
+from plantainstage.messages import control
+from support.processes import wait_until
+
+CONTROL = "control"
+ENTRY = "entry"
+SEARCHERS = "searchers"
+
+
+@dataclass(kw_only=True)
+class Fault:
+    """An applied fault; ``repair`` ends it."""
+
+    name: str
+    host: str
+    kind: str
+    repair: object
+
+
+class Faults:
+    """Draws faults by a seeded source and applies them to healthy hosts."""
+
+    def __init__(self, *, random_source, tier, history):
+        self.random = random_source
+        self.tier = tier
+        self.history = history
+        self.snapshot_number = 1
+        self.choices = {
+            CONTROL: (
+                self.kill,
+                self.freeze,
+                self.cut_off,
+                self.stop_control,
+                self.lose_folder,
+            ),
+            ENTRY: (
+                self.kill,
+                self.freeze,
+                self.cut_off,
+                self.cut_from_control,
+                self.silence,
+                self.stop_entry,
+            ),
+            SEARCHERS: (
+                self.crash_searcher,
+                self.slow_searchers,
+                self.new_snapshot,
+                self.silent_searchers,
+                self.drain_searcher,
+            ),
+        }
+
+    def apply_next(self, active):
+        """Applies a fault to a host without one; returns the Fault or None."""
+        busy = {fault.host for fault in active}
+        kind = self.random.choice((CONTROL, ENTRY, ENTRY, SEARCHERS))
+        names = {
+            CONTROL: self.tier.controls,
+            ENTRY: self.tier.entries,
+            SEARCHERS: [SEARCHERS],
+        }[kind]
+        healthy = [name for name in names if name not in busy]
+        if not healthy:
+            return None
+        host = self.random.choice(healthy)
+        choice = self.random.choice(self.choices[kind])
+        # A second lost folder could end the majority that still has the data.
+        if choice == self.lose_folder and any(f.kind == CONTROL for f in active):
+            choice = self.freeze
+        self.history.faults[choice.__name__] += 1
+        self.history.step(f"fault {choice.__name__} on {host}")
+        return Fault(
+            name=choice.__name__, host=host, kind=kind, repair=choice(host) or no_repair
+        )
+
+    # ---- Processes ----
+
+    def kill(self, host):
+        """Ends a process without a planned stop."""
+        self.tier.program(host).kill()
+        return lambda: self.tier.start(host)
+
+    def freeze(self, host):
+        """Stops a process without its knowledge."""
+        self.tier.program(host).freeze()
+        return lambda: self.tier.program(host).resume()
+
+    def stop_entry(self, host):
+        """Stops an entry host as planned; requests in flight must be answered."""
+        self.history.stops.append((host, time.monotonic()))
+        self._stop(host)
+        return lambda: self.tier.start(host)
+
+    def stop_control(self, host):
+        """Stops a control replica as planned."""
+        self._stop(host)
+        return lambda: self.tier.start(host)
+
+    def _stop(self, host):
+        code = self.tier.program(host).stop()
+        if code != 0:
+            self.history.violation(f"planned stop of {host} ended with code {code}")
+
+    def lose_folder(self, host):
+        """Ends a control replica, deletes its folder and replaces it."""
+        tier = self.tier
+        before = wait_until(lambda: self._identity(host), what=f"{host} is known")
+        tier.program(host).kill()
+        shutil.rmtree(tier.folder / host)
+        arguments = tier.hosts[host].arguments
+        first_peer = arguments.index("--peers")
+        arguments[first_peer:] = []
+        arguments[arguments.index("--bootstrap")] = "--join"
+        tier.start(host)
+
+        def repair():
+            new = wait_until(
+                lambda: self._started_identity(host, other_than=before.incarnation),
+                what=f"{host} has started with a new folder",
+            )
+            client, peer = tier.hosts[host].addresses
+            self._member(MemberAction.ADD_LEARNER, host, new, client, peer)
+            self._member(MemberAction.PROMOTE, host, new)
+            self._member(MemberAction.REMOVE, host, before.incarnation)
+
+        return repair
+
+    def _identity(self, host):
+        replicas = self.tier.call(control.QueryStatus()).replicas
+        return next((item for item in replicas if item.replica_id == host), None)
+
+    def _started_identity(self, host, *, other_than):
+        names = [
+            line["incarnation"]
+            for line in self.tier.log_lines(host)
+            if line["event"] == "replica started"
+        ]
+        return names[-1] if names and names[-1] != other_than else None
+
+    def _member(self, action, host, incarnation, client="", peer=""):
+        def done():
+            reply = self.tier.call(
+                control.ChangeMember(
+                    action=action,
+                    replica_id=host,
+                    incarnation=incarnation,
+                    client_address=client,
+                    peer_address=peer,
+                )
+            )
+            return isinstance(reply, control.Done)
+
+        wait_until(done, what=f"{action.value} of {host}")
+
+    # ---- Network ----
+
+    def cut_off(self, host):
+        """Cuts a host off silently from all others."""
+        self.tier.cut_off(host)
+        return lambda: self.tier.heal(host)
+
+    def cut_from_control(self, host):
+        """Cuts an entry host off from control only."""
+        self.tier.cut_off(host, self.tier.controls)
+        return lambda: self.tier.heal(host, self.tier.controls)
+
+    def silence(self, host):
+        """Makes all present connections of a host silent for good."""
+        self.tier.silence(host, self.tier.others(host))
+
+    # ---- Searchers ----
+
+    def _some_searcher(self):
+        return self.random.choice(self.tier.searchers())["upstream_id"]
+
+    def crash_searcher(self, host):
+        """One searcher closes all connections and restarts after a second."""
+        self.tier.order(upstream_ids=[self._some_searcher()], crash=True)
+
+    def slow_searchers(self, host):
+        """A fifth of the sub-requests takes ten times as long."""
+        self.tier.order(behaviour={"slow_fraction": 0.2})
+        return lambda: self.tier.order(behaviour={"slow_fraction": 0.0})
+
+    def silent_searchers(self, host):
+        """All present connections of one searcher go silent for good."""
+        self.tier.order(upstream_ids=[self._some_searcher()], silence=-1)
+
+    def drain_searcher(self, host):
+        """One searcher announces that it is draining, then restarts."""
+        upstream_id = self._some_searcher()
+        self.tier.order(upstream_ids=[upstream_id], behaviour={"state": "draining"})
+
+        def repair():
+            self.tier.order(upstream_ids=[upstream_id], behaviour={"state": "serving"})
+            self.tier.order(upstream_ids=[upstream_id], crash=True)
+
+        return repair
+
+    def new_snapshot(self, host):
+        """Half of the searchers take a new snapshot, then all; the old one goes."""
+        old = f"s{self.snapshot_number}"
+        self.snapshot_number += 1
+        number = self.snapshot_number
+        take = {
+            "snapshot": f"s{number}",
+            "sequence": number,
+            "manifest": self.manifest(number),
+        }
+        names = [item["upstream_id"] for item in self.tier.searchers()]
+        self.tier.order(
+            upstream_ids=self.random.sample(names, len(names) // 2), take=take
+        )
+
+        def repair():
+            self.tier.order(take=take)
+            self.tier.order(drop=old)
+
+        return repair
+
+    def manifest(self, number):
+        """Returns the documents of each partition in a snapshot."""
+        names = sorted({item["partition"] for item in self.tier.searchers()})
+        return {
+            name: 1000 * number + 10 * position for position, name in enumerate(names)
+        }
+
+
+def no_repair():
+    """The fault ends by itself."""
--- /dev/null
+++ b/tools/chaos/history.py
@@ -0,0 +1,63 @@
+"""What callers, operators and faults saw; one list, filled by all threads."""
+
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """One sending of a request; ``status`` is 0 when no reply came.
+
+    Times are monotonic seconds, as in the searchers' records. ``partitions``
+    is empty for a request to all of them.
+    """
+
+    entry: str
+    request_id: str
+    token: str
+    profile: str
+    idempotent: bool
+    partitions: tuple[str, ...]
+    sent_at: float
+    ended_at: float
+    status: int
+    body: dict
+    error: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutOfService:
+    """A searcher that was out by a change in force; None means until the end."""
+
+    upstream_id: str
+    accepted_at: float
+    in_force_at: float
+    back_at: float | None = None
+
+
+@dataclass(kw_only=True)
+class History:
+    """Everything that the checks at the end look at."""
+
+    started_at: float = field(default_factory=time.monotonic)
+    attempts: list[Attempt] = field(default_factory=list)
+    verdicts: list = field(default_factory=list)
+    conflicts: list = field(default_factory=list)
+    outages: list[OutOfService] = field(default_factory=list)
+    faults: Counter = field(default_factory=Counter)
+    changes: Counter = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+    stops: list = field(default_factory=list)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def violation(self, text):
+        """Records a broken promise and prints it at once."""
+        with self.lock:
+            self.violations.append(text)
+        self.step(f"VIOLATION {text}")
+
+    def step(self, text):
+        """Prints one step with the time since the start."""
+        print(f"{time.monotonic() - self.started_at:8.2f} s  {text}", flush=True)
--- /dev/null
+++ b/tools/run_chaos.py
@@ -0,0 +1,200 @@
+"""Runs a tier of real processes through random faults and checks every reply.
+
+Faults overlap: processes are killed, frozen and stopped as planned, hosts are
+cut off, connections go silent, a control replica loses its folder, searchers
+crash, drain, slow down and change snapshots, operators race. For example::
+
+    python tools/run_chaos.py --seed 7 --steps 40
+
+The order of faults follows the seed; their effect also depends on timing. The
+exit code is 1 if a promise was broken, and 2 for a tier that does not start.
+"""
+
+import random
+import sys
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "features"), str(ROOT / "src"), str(ROOT / "tools")]
+
+from chaos.callers import BOOKING_PROFILE, QUERY_PROFILE, Caller  # noqa: E402
+from chaos.checks import Checks, check_logs, summary  # noqa: E402
+from chaos.faults import Faults  # noqa: E402
+from chaos.history import History  # noqa: E402
+from chaos.operators import Operators, publish  # noqa: E402
+
+from plantainstage.messages import control  # noqa: E402
+from support.linked_tier import LinkedTier  # noqa: E402
+from support.processes import wait_until  # noqa: E402
+
+MAX_ACTIVE_FAULTS = 2
+FAULT_S = (0.3, 3.5)  # shorter and longer than a lease and an election
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--steps", default=6, show_default=True, help="Number of faults.")
+@click.option("--controls", default=3, show_default=True)
+@click.option("--entries", default=3, show_default=True)
+@click.option("--partitions", default=3, show_default=True)
+@click.option("--replicas", default=3, show_default=True)
+@click.option("--callers", default=6, show_default=True)
+@click.option("--keep", default="", help="Folder to which the logs are copied.")
+def main(seed, steps, controls, entries, partitions, replicas, callers, keep):
+    """Run the faults of one seed."""
+    history = History()
+    with ExitStack() as resources:
+        tier = LinkedTier(
+            resources,
+            controls=controls,
+            entries=entries,
+            partitions=partitions,
+            replicas=replicas,
+        )
+        chaos = Chaos(tier=tier, history=history, seed=seed)
+        chaos.start(callers)
+        try:
+            chaos.run(steps)
+            chaos.recover()
+        except AssertionError as error:
+            history.violation(f"not recovered: {error}")
+        chaos.finish()
+        if keep:
+            copy_logs(tier, Path(keep))
+    for line in [f"seed: {seed}, steps: {steps}", *summary(history)]:
+        print(line)
+    raise SystemExit(1 if history.violations else 0)
+
+
+class Chaos:
+    """One run: a tier, its callers and operators, and the faults."""
+
+    def __init__(self, *, tier, history, seed):
+        self.tier = tier
+        self.history = history
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.faults = Faults(random_source=self.random, tier=tier, history=history)
+        self.threads = []
+
+    def start(self, callers):
+        """Starts the tier, publishes the profiles and starts the callers."""
+        tier = self.tier
+        tier.start()
+        tier.wait_until_ready()
+        tier.submit(publish(BOOKING_PROFILE, deadline_ms=2000, minimum_coverage=1.0))
+        verdict = tier.submit(publish(QUERY_PROFILE, deadline_ms=1000))
+        tier.wait_until_in_force(verdict.version)
+        for name in tier.entries:
+            tier.wait_until_answered(name, QUERY_PROFILE)
+        self.history.step("the tier answers in full")
+        self.history.attempts.clear()
+        names = sorted({item["partition"] for item in tier.searchers()})
+        self.threads = [
+            Caller(
+                name=f"caller-{number + 1}",
+                seed=self.seed,
+                tier=tier,
+                history=self.history,
+                partitions=names,
+            )
+            for number in range(callers)
+        ]
+        self.threads.append(Operators(seed=self.seed, tier=tier, history=self.history))
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, steps):
+        """Applies faults; at most two are active at a time."""
+        active = []
+        for _ in range(steps):
+            fault = self.faults.apply_next(active)
+            if fault is not None:
+                active.append(fault)
+            time.sleep(self.random.uniform(*FAULT_S))
+            while active and (
+                len(active) >= MAX_ACTIVE_FAULTS or self.random.random() < 0.5
+            ):
+                self._repair(active.pop(self.random.randrange(len(active))))
+        for fault in active:
+            self._repair(fault)
+
+    def _repair(self, fault):
+        self.history.step(f"repair {fault.name} on {fault.host}")
+        fault.repair()
+
+    def recover(self):
+        """Waits until the healed tier does everything again."""
+        for thread in self.threads:
+            thread.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        tier = self.tier
+        for item in tier.searchers():
+            self._put_in(item["upstream_id"])
+        tier.wait_until_ready()
+        for name in tier.entries:
+            tier.wait_until_answered(name, QUERY_PROFILE)
+        wait_until(self._replicas_agree, what="all control replicas hold the same log")
+        self._check_verdicts()
+        self.history.step("the tier has recovered")
+
+    def _put_in(self, upstream_id):
+        self.tier.submit(control.PutUpstreamIn(upstream_id=upstream_id))
+
+    def _replicas_agree(self):
+        status = self.tier.call(control.QueryStatus())
+        return len(status.replicas) == len(self.tier.controls) and all(
+            item.match_index >= status.commit_index and item.voter
+            for item in status.replicas
+        )
+
+    def _check_verdicts(self):
+        """Every change keeps its first verdict, and every loser its winner."""
+        for verdict in self.history.verdicts:
+            reply = self.tier.call(control.SubmitChange(change=verdict.change))
+            if reply != control.ChangeVerdict(verdict=verdict):
+                self.history.violation(f"{verdict} became {reply}")
+        for change, winner in self.history.conflicts:
+            reply = self.tier.call(control.SubmitChange(change=change))
+            if reply != control.ChangeConflict(winner=winner):
+                self.history.violation(f"winner {winner} became {reply}")
+
+    def finish(self):
+        """Ends the callers and checks everything against the records."""
+        for thread in self.threads:
+            thread.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        tier = self.tier
+        names = sorted({item["partition"] for item in tier.searchers()})
+        manifests = {
+            f"s{number}": self.faults.manifest(number)
+            for number in range(2, self.faults.snapshot_number + 1)
+        }
+        manifests["s1"] = {
+            name: 1000 + 10 * position for position, name in enumerate(names)
+        }
+        self.history.step("checking")
+        Checks(
+            history=self.history,
+            runs=tier.runs(),
+            searchers=tier.searchers(),
+            manifests=manifests,
+        ).run_all()
+        check_logs(tier, self.history)
+
+
+def copy_logs(tier, folder):
+    """Copies the logs of all hosts for a closer look."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for path in tier.folder.glob("*.log"):
+        (folder / path.name).write_bytes(path.read_bytes())
+
+
+if __name__ == "__main__":
+    main()
