--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -49,6 +50,10 @@
         self.handler = handler
         self.socket = None
         self.tasks = []
+        self.stopping = False
+        self.busy = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
 
     def start(self):
         """Listens and starts the workers; raises pynng.AddressInUse."""
@@ -62,18 +67,29 @@
             asyncio.create_task(self._serve()) for _ in range(SERVER_CONTEXTS)
         ]
 
+    async def finish_requests(self, *, timeout_s):
+        """Waits until no request is being handled, at most for a time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.idle.wait()
+
     async def stop(self):
-        """Cancels the workers and closes the socket."""
+        """Closes the socket and ends the workers.
+
+        pynng drops a cancellation that arrives together with the result of the
+        operation, so that the workers also look at ``stopping``.
+        """
+        self.stopping = True
+        if self.socket is not None:
+            self.socket.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        if self.socket is not None:
-            self.socket.close()
 
     async def _serve(self):
         context = self.socket.new_context()
         try:
-            while True:
+            while not self.stopping:
                 await self._serve_one(context)
         except pynng.Closed:
             return
@@ -81,13 +97,20 @@
             context.close()
 
     async def _serve_one(self, context):
-        reply = await self._handle(await context.arecv())
+        data = await context.arecv()
+        self.busy += 1
+        self.idle.clear()
         try:
+            reply = await self._handle(data)
             await context.asend(_encoder.encode(reply))
         except pynng.Closed:
             raise
         except pynng.NNGException as error:
             logger.warning("reply could not be sent", error=repr(error))
+        finally:
+            self.busy -= 1
+            if not self.busy:
+                self.idle.set()
 
     async def _handle(self, data):
         try:
@@ -128,10 +151,16 @@
         """Returns the decoded reply; raises TimeoutError or NNGException."""
         socket = self._connected_socket()
         context = socket.new_context()
+        limit = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
+            # One limit for each operation: pynng drops a cancellation that
+            # arrives together with a result, and the next would have no limit.
+            async with asyncio.timeout_at(limit):
                 await context.asend(_encoder.encode(request))
+            async with asyncio.timeout_at(limit):
                 data = await context.arecv()
+            if asyncio.current_task().cancelling():
+                raise asyncio.CancelledError
         except TimeoutError:
             if self.socket is socket:
                 self.close()
