Probe a link after sending results, so that a silent one is replaced

Cause: an owner without requests of its own never probed; when its link to a requester went silent, its results were lost for ever. The stand-in searcher stopped announcing after a reply that was cut off (HTTPStreamClosedError). Change: PeerLink probes once results were sent since the last probe; the stand-in takes another entry host after any HTTP error.

--- a/examples/standin/server.py
+++ b/examples/standin/server.py
@@ -6,7 +6,7 @@
 import time
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPError
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
@@ -217,7 +217,7 @@
                 raise_error=False,
                 request_timeout=ANNOUNCE_INTERVAL_S * 2,
             )
-        except OSError:
+        except (OSError, HTTPError):
             self.entry = next(self.entries)
             return
         if reply.code != 200:
--- a/src/plantainstage/_transport/forward.py
+++ b/src/plantainstage/_transport/forward.py
@@ -78,6 +78,7 @@
         self.generation = 0
         self.probe_number = 0
         self.probe_sent_at = None
+        self.results_unconfirmed = False
         self.closed = False
         self._dial()
 
@@ -138,7 +139,10 @@
         if self.results:
             batch = tuple(self.results[:MAX_BATCH_ITEMS])
             message = forward.SubResults(sender=self.entry_id, items=batch)
-            return self._try_send(message, self.results, len(batch))
+            if not self._try_send(message, self.results, len(batch)):
+                return False
+            self.results_unconfirmed = True
+            return True
         if self.sub_requests:
             batch = tuple(queued.item for queued in self.sub_requests[:MAX_BATCH_ITEMS])
             message = forward.SubRequests(sender=self.entry_id, items=batch)
@@ -187,10 +191,16 @@
             self.on_lost(self.peer_id, self._queued_ids())
 
     def check(self):
-        """Sends a probe when results are due; redials a silent link."""
+        """Sends a probe when it matters; redials a silent link.
+
+        Results that were sent matter too: their requester cannot tell whether
+        this link is dead, and an owner without requests of its own would wait
+        for nothing and never probe.
+        """
         now = self.loop.time()
         if self.probe_sent_at is None:
-            if self.expects_results(self.peer_id):
+            if self.expects_results(self.peer_id) or self.results_unconfirmed:
+                self.results_unconfirmed = False
                 self.probe_number += 1
                 self.probe_sent_at = now
                 self.send_other(
