--- /dev/null
+++ b/bench/claim_cost.py
@@ -0,0 +1,246 @@
+"""Measures what a claim adds to a non-idempotent request.
+
+Three control replicas run as processes with data folders on this machine. An
+operation is one exchange with a stand-in searcher that takes 3 ms; with a claim
+it waits for ``ClaimRequest`` before the exchange and sends ``CompleteClaim``
+after it. The latency of a caller ends with the exchange; the throughput
+includes the completion. Prints JSON lines: one for each mode and concurrency,
+then the ratio to the same without a claim. For example::
+
+    python bench/claim_cost.py --concurrency 1,16,64 --operations 600
+"""
+
+import asyncio
+import contextlib
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import uuid
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import msgspec
+
+from plantainstage._transport.rpc import ControlClient
+from plantainstage.messages import control
+
+ROOT = Path(__file__).resolve().parent.parent
+REPLICAS = 3
+SERVICE_S = 0.003
+CALL_TIMEOUT_S = 30.0
+DEADLINE_MS = 10_000
+CONTROL = (sys.executable, "-m", "plantainstage._programs.control")
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """Latency and throughput of one mode."""
+
+    mode: str
+    concurrency: int
+    operations: int
+    p50_ms: float
+    p99_ms: float
+    operations_per_s: float
+
+
+class Added(msgspec.Struct, frozen=True, kw_only=True):
+    """What the claim adds, against the same run without one."""
+
+    concurrency: int
+    added_p50_ms: float
+    added_p99_ms: float
+    throughput_ratio: float
+
+
+def free_address():
+    """Returns an ``IP:port`` on loopback that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@contextlib.contextmanager
+def control_group():
+    """Yields the client addresses of three running control replicas."""
+    names = [f"control-{number}" for number in range(1, REPLICAS + 1)]
+    addresses = {name: (free_address(), free_address()) for name in names}
+    environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+    with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
+        for name in names:
+            client, peer = addresses[name]
+            peers = [
+                part
+                for other in names
+                if other != name
+                for part in ("--peers", f"{other}={','.join(addresses[other])}")
+            ]
+            process = subprocess.Popen(
+                [
+                    *(*CONTROL, "--replica-id", name, "--listen", client),
+                    *("--peer-listen", peer, "--data-folder", f"{folder}/{name}"),
+                    *("--log-level", "ERROR", "--bootstrap", *peers),
+                ],
+                env=environment,
+            )
+            stack.callback(_end, process)
+        yield tuple(client for client, _ in addresses.values())
+
+
+def _end(process):
+    process.terminate()
+    try:
+        process.wait(10)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+async def serve_searcher(reader, writer):
+    """Answers each line after the service time."""
+    try:
+        while await reader.readline():
+            await asyncio.sleep(SERVICE_S)
+            writer.write(b"done\n")
+            await writer.drain()
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Operation:
+    """One request, with or without a claim."""
+
+    client: ControlClient
+    port: int
+    with_claim: bool
+
+    async def worker(self, count, latencies):
+        """Runs ``count`` operations one after another."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        for _ in range(count):
+            started = time.perf_counter()
+            claim = await self._claim() if self.with_claim else None
+            writer.write(b"book\n")
+            await writer.drain()
+            await reader.readline()
+            latencies.append((time.perf_counter() - started) * 1000)
+            if claim is not None:
+                await self._complete(*claim)
+        writer.close()
+
+    async def _claim(self):
+        request_id = f"{time.time_ns() // 1_000_000}-{uuid.uuid4().hex}"
+        reply = await self.client.call(
+            control.ClaimRequest(
+                request_id=request_id,
+                nonce=uuid.uuid4().hex,
+                digest=request_id,
+                entry_id="bench",
+                incarnation="bench",
+                deadline_ms=DEADLINE_MS,
+            ),
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        if not isinstance(reply, control.ClaimGranted):
+            raise click.ClickException(f"the claim was not granted: {reply}")
+        return request_id, reply.attempt
+
+    async def _complete(self, request_id, attempt):
+        outcome = control.ClaimOutcome(
+            kind=control.ClaimOutcomeKind.ANSWERED, body=b"{}" * 100
+        )
+        await self.client.call(
+            control.CompleteClaim(
+                request_id=request_id, attempt=attempt, outcome=outcome
+            ),
+            timeout_s=CALL_TIMEOUT_S,
+        )
+
+
+async def measure(operation, *, concurrency, operations):
+    """Returns the Figures of one mode."""
+    latencies = []
+    started = time.perf_counter()
+    each = max(1, operations // concurrency)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(concurrency):
+            group.create_task(operation.worker(each, latencies))
+    elapsed = time.perf_counter() - started
+    latencies.sort()
+    return Figures(
+        mode="claim" if operation.with_claim else "no_claim",
+        concurrency=concurrency,
+        operations=len(latencies),
+        p50_ms=round(latencies[len(latencies) // 2], 3),
+        p99_ms=round(latencies[int(len(latencies) * 0.99)], 3),
+        operations_per_s=round(len(latencies) / elapsed, 1),
+    )
+
+
+async def run(addresses, levels, operations):
+    """Measures both modes at each level of concurrency."""
+    server = await asyncio.start_server(serve_searcher, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = ControlClient(addresses=addresses)
+    try:
+        await client.call(control.QueryNextNumber(), timeout_s=CALL_TIMEOUT_S)
+        for concurrency in levels:
+            figures = {}
+            for with_claim in (False, True):
+                operation = Operation(client=client, port=port, with_claim=with_claim)
+                result = await measure(
+                    operation, concurrency=concurrency, operations=operations
+                )
+                figures[with_claim] = result
+                print_line(result)
+            print_line(compare(figures[False], figures[True]))
+    finally:
+        client.close()
+        server.close()
+
+
+def compare(without, with_claim):
+    """Returns what the claim added."""
+    return Added(
+        concurrency=without.concurrency,
+        added_p50_ms=round(with_claim.p50_ms - without.p50_ms, 3),
+        added_p99_ms=round(with_claim.p99_ms - without.p99_ms, 3),
+        throughput_ratio=round(
+            with_claim.operations_per_s / without.operations_per_s, 3
+        ),
+    )
+
+
+def print_line(value):
+    """Prints one JSON line."""
+    click.echo(msgspec.json.encode(value).decode())
+
+
+def main(full=False):
+    """Measures at three levels of concurrency."""
+    measure_levels([1, 16, 64], operations=3000 if full else 300)
+
+
+def measure_levels(levels, *, operations):
+    """Starts a control group and measures both modes on it."""
+    with control_group() as addresses:
+        asyncio.run(run(addresses, levels, operations))
+
+
+@click.command()
+@click.option("--concurrency", default="1,16,64", show_default=True)
+@click.option("--operations", default=600, show_default=True, help="For each mode.")
+def command(concurrency, operations):
+    """Measure the cost of claims."""
+    levels = [int(part) for part in concurrency.split(",")]
+    measure_levels(levels, operations=operations)
+
+
+if __name__ == "__main__":
+    command()
--- a/features/support/membership_actors.py
+++ b/features/support/membership_actors.py
@@ -244,6 +244,8 @@
                 self.checks.verdict(verdict)
                 self.next_number = max(self.next_number, change.number + 1)
                 self.ask_status(verdict.version)
+            case control.ChangeNotConsidered(too_old=True):
+                raise AssertionError(f"the verdict of {change} was forgotten")
             case control.ChangeConflict(winner=winner):
                 self.world.count("change in conflict")
                 assert winner.change != change
--- a/src/plantainstage/_membership/claims.py
+++ b/src/plantainstage/_membership/claims.py
@@ -77,12 +77,21 @@
         and record.attempt == command.attempt
         and record.outcome.kind is ClaimOutcomeKind.RUNNING
     ):
+        _check_not_final(command.request_id, record)
         state.claims[command.request_id] = msgspec.structs.replace(
             record, outcome=command.outcome
         )
     return Done(version=state.version)
 
 
+def _check_not_final(request_id, record):
+    check_invariant(
+        record.outcome.kind is ClaimOutcomeKind.RUNNING,
+        invariant="the outcome of an attempt never changes",
+        detail=f"{request_id} is {record.outcome.kind}",
+    )
+
+
 def _forget_before(state, start_ms):
     """Drops claims whose ids are too old to be accepted again.
 
