--- a/features/behaviour/entry.feature
+++ b/features/behaviour/entry.feature
@@ -46,4 +46,11 @@
     And the entry profile "rider-gate" with 3000 ms and coverage 1.0
     When callers send queries to ready hosts while one host and those searchers stop
     Then both stop with exit code 0
-    And every caller got a full answer
+    And every caller got a full answer, or was told to ask another host
+
+  Scenario: An entry host whose port is in use says what to do and exits with 2
+    # Guards against a traceback, and against a host that serves on one port only.
+    Given a port that another program uses
+    When an entry host starts with this port as its --listen
+    And an entry host starts with this port as its --forward-listen
+    Then both have exited with 2 and said "Choose free ports"
--- a/features/behaviour/settings.feature
+++ b/features/behaviour/settings.feature
@@ -21,6 +21,14 @@
       | burn    | PLANTAINSTAGE_BURN_MINUTES=0      | --minutes  | 0                 | a whole number from 1 to 180 minutes        |
       | burn    | PLANTAINSTAGE_BURN_FORMAT=yaml    | --format   | yaml              | one of text, json                           |
 
+    Examples: plantainstage-entry
+      | program | change                            | flag             | value          | range                                                    |
+      | entry   | --entry-id 'a b'                  | --entry-id       | a b            | 1 to 63 of [A-Za-z0-9_.-], the first a letter or a digit |
+      | entry   | --listen localhost:80             | --listen         | localhost:80   | IP:port with a port from 1 to 65535                      |
+      | entry   | --forward-listen 127.0.0.1:7200   | --forward-listen | 127.0.0.1:7200 | another address than --listen                            |
+      | entry   | --drain-delay soon                | --drain-delay    | soon           | a number from 0.0 to 600.0 seconds                       |
+      | entry   | PLANTAINSTAGE_ENTRY_LOG_LEVEL=all | --log-level      | all            | one of DEBUG, INFO, WARNING, ERROR                       |
+
   # Guards against several rounds of correction, one for each wrong setting.
   Scenario Outline: <program> names every wrong setting of one start
     When "<program>" starts with <change>
@@ -30,6 +38,7 @@
       | program | change                                                      | flags                                |
       | burn    | --minutes 0 --format xml --timeout x --plot a.gif           | --format --minutes --plot --timeout  |
       | burn    | --minutes 0 PLANTAINSTAGE_BURN_TIMEOUT=-1                   | --minutes --timeout                  |
+      | entry   | --data-centre '' --listen x --drain-delay -1                | --data-centre --drain-delay --listen |
 
   # Guards against a misspelt flag that is silently ignored.
   Scenario Outline: <program> refuses an unknown flag
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -13,8 +13,9 @@
 
 SEED = 7
 MOST_REQUESTS = 50
-# Still running when the host stops taking requests, which is 0.1 s after the
-# signal.
+# Requests that are sent before the signal still run when the host stops taking
+# requests. Above 200 ms a searcher would count as silent.
+DRAIN_DELAY_S = 0.05
 LONGER_THAN_DRAIN_DELAY_MS = 150
 
 
@@ -26,7 +27,7 @@
     context.partitions = partitions
     tier.start_control()
     for number in range(hosts):
-        tier.start_entry(f"entry-{number + 1}", "--drain-delay", "0.1")
+        tier.start_entry(f"entry-{number + 1}", "--drain-delay", DRAIN_DELAY_S)
     tier.start_searchers(partitions=partitions, replicas=replicas)
     tier.wait_until_ready()
 
@@ -213,9 +214,10 @@
     body = {"profile": "rider-gate", "query": {"sleep_ms": sleep_ms}}
     while not stop.is_set() and get_status(address, "/readyz") == 200:
         try:
-            replies.append(tier.query(body, entry))
+            reply = tier.query(body, entry)
         except OSError as error:
-            replies.append((0, {"error": repr(error)}))
+            reply = 0, {"error": repr(error)}
+        replies.append(reply)
 
 
 @when("callers send queries to ready hosts while one host and those searchers stop")
@@ -229,7 +231,7 @@
             args=(tier, entry, sleep_ms, stop, context.replies),
         )
         for entry in range(3)
-        for sleep_ms in (2, LONGER_THAN_DRAIN_DELAY_MS)
+        for sleep_ms in (2, *[LONGER_THAN_DRAIN_DELAY_MS] * 4)
     ]
     for thread in threads:
         thread.start()
@@ -250,12 +252,13 @@
     assert context.exit_codes == (0, 0), context.exit_codes
 
 
-@then("every caller got a full answer")
+@then("every caller got a full answer, or was told to ask another host")
 def check_all_answered(context):
     bad = [
-        reply
-        for reply in context.replies
-        if reply[0] != 200 or reply[1]["coverage"]["fraction"] != 1.0
+        (status, body)
+        for status, body in context.replies
+        if (status != 200 or body["coverage"]["fraction"] != 1.0)
+        and (body.get("error"), body.get("run")) != ("stopping", "not_run")
     ]
     assert not bad, (len(bad), len(context.replies), bad[:3])
 
@@ -443,3 +446,31 @@
     assert all(reply["coverage"]["fraction"] == 1.0 for reply in context.answered)
     context.tier.wait_until_full("turn-booking")
     assert sum(record["silenced"] for record in context.tier.records()) > 0
+
+
+# ---- Ports in use -------------------------------------------------------------
+
+
+@given("a port that another program uses")
+def use_port(context):
+    listener = context.resources.enter_context(socket.socket())
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    context.used_address = f"127.0.0.1:{listener.getsockname()[1]}"
+    context.tier = Tier(context.resources)
+    context.refused_programs = []
+
+
+@when("an entry host starts with this port as its {flag}")
+def start_on_used_port(context, flag):
+    context.tier.control_addresses = ["127.0.0.1:9"]
+    name = f"refused{flag}"
+    program = context.tier.start_entry(name, flag, context.used_address)
+    context.refused_programs.append(program)
+
+
+@then('both have exited with {code:d} and said "{text}"')
+def check_refused_start(context, code, text):
+    for program in context.refused_programs:
+        assert program.process.wait(60) == code
+        assert text in program.log_path.read_text(encoding="utf-8")
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -13,6 +13,9 @@
 START_TIMEOUT_S = 60  # a program that takes a wrong setting would run for ever
 VALID = {
     "burn": ["--entry", "127.0.0.1:7200", "--profiles", "/dev/null"],
+    "entry": [
+        *("--entry-id", "e1", "--data-centre", "z1", "--control", "127.0.0.1:7100"),
+    ],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
 _ERROR = re.compile(r"^error: (--[a-z/-]+): ", re.MULTILINE)
--- a/src/plantainstage/_entry/stopping.py
+++ b/src/plantainstage/_entry/stopping.py
@@ -22,8 +22,9 @@
     host.session.renew_soon()
     # Requests are still taken: the load balancer has to see the readiness.
     await asyncio.sleep(drain_delay_s)
+    # The socket stays open: a request that still comes gets a refusal, while a
+    # closed socket would reset the connections that wait to be accepted.
     host.queries.accepting = False
-    host.server.stop()
     await host.queries.wait_idle()
     await host.claims.finish()
     await host.quarantining.finish()
@@ -33,6 +34,7 @@
     await _wait(lambda: not host.owners.busy, FINISH_LIMIT_S, "sub-requests")
     await _wait(lambda: not host.owners.releasing(), FINISH_LIMIT_S, "searchers")
     await _wait(lambda: host.links.drained, HANDOVER_LIMIT_S, "links")
+    host.server.stop()
     for task in host.tasks:
         task.cancel()
     await asyncio.gather(*host.tasks, return_exceptions=True)
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -160,6 +160,7 @@
         self.service_s = INITIAL_SERVICE_S  # mean, for the wait in the queue
         self.median_s = INITIAL_SERVICE_S  # for the sub-request itself
         self.wake_at = math.inf
+        self.any_suspect = False  # may stay true after the last one has ended
 
     # ---- Ownership -----------------------------------------------------------
 
@@ -459,7 +460,7 @@
             if running.got_byte or running.suspect:
                 continue
             if now >= running.started_at + threshold:
-                running.suspect = True
+                running.suspect = self.any_suspect = True
         # A connection may become suspect too soon after the last probe for
         # another one; it then stays unproved and has to be probed for later.
         if self._needs_proof():
@@ -469,10 +470,13 @@
         """Whether a probe has to show if the searcher, or a connection, is dead."""
         if self.silence.state is Reachability.UNREACHABLE:
             return True
-        return self.silence.state is Reachability.REACHABLE and any(
+        if not self.any_suspect or self.silence.state is not Reachability.REACHABLE:
+            return False
+        self.any_suspect = any(
             running.suspect and not running.got_byte
             for running in self.running.values()
         )
+        return self.any_suspect
 
     def _probe(self, actions, now):
         if self.silence.needs_probe(now):
--- a/src/plantainstage/_programs/entry.py
+++ b/src/plantainstage/_programs/entry.py
@@ -1,6 +1,7 @@
 """``plantainstage-entry``: takes callers' requests and answers them."""
 
 import asyncio
+import gc
 import logging
 
 import click
@@ -17,6 +18,9 @@
 from plantainstage._settings.entry import check_entry_settings
 
 EXIT_ADDRESS_IN_USE = 2
+# Each sub-request allocates some tens of objects that die by reference count;
+# Python's default of 700 would run the collector for every few requests.
+GC_THRESHOLD = 50_000
 
 
 @click.command(context_settings={"auto_envvar_prefix": "PLANTAINSTAGE_ENTRY"})
@@ -39,6 +43,9 @@
     configure_logs(level=settings.log_level, program="entry", host_id=settings.entry_id)
     # tornado reports malformed requests as warnings; each gets a refusal.
     logging.getLogger("tornado").setLevel(logging.ERROR)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     raise SystemExit(asyncio.run(run(settings)))
 
 
