--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -274,6 +274,11 @@
             remaining_ms=(self.finish_at - now - 2 * replica.hop_s) * 1000,
             idempotent=idempotent,
             extra=extra is not None,
+            alternatives=(
+                0
+                if routing.admission.overload > 0
+                else len(part.view.replicas) - len(part.attempts)
+            ),
         )
         actions.append(
             SendSubRequest(owner_id=replica.owner_id, sub_request=sub_request)
@@ -308,7 +313,7 @@
         """Sends a hedge or a retry within the budget, or waits for room."""
         replica = None
         if self._may_send(part, now):
-            replica = self.routing.choose(part.view.replicas, part.tried(), now)
+            replica = self.routing.choose(part.view.replicas, part.reached(), now)
         if replica is None:
             if part.outstanding == 0:
                 self._give_up(part)
