Take epochs in a fixed order; keep the leases of a superseded process

Cause: The simulation, extended by planned leaves, found two faults. A late renewal of a superseded process erased its leases, so that its searchers got a second owner while its requests were still running.

Change: Ownerships are processed by upstream id. A superseded process keeps its leases in the leader's view until they end.

--- a/features/support/membership_actors.py
+++ b/features/support/membership_actors.py
@@ -67,6 +67,7 @@
         self.process = f"{self.name}/{next(self.starts)}"
         self.applied = configuration.Configuration(version=0)
         self.lease_until = 0.0
+        self.leaving = False
 
     @property
     def clock(self):
@@ -93,6 +94,9 @@
         self.world.at(RENEW_S / self.rate / 4, self.tick)
         if self.frozen:
             return
+        if self.leaving:
+            self.leave()
+            return
         if self.world.random.random() < 0.25:
             self.renew()
         self.send()
@@ -114,6 +118,7 @@
             entry=self.record(),
             applied_version=self.applied.version,
             releasing=releasing,
+            draining=self.leaving,
         )
 
         def granted(reply):
@@ -150,8 +155,8 @@
         self.checks.sending(self, name, self.world.now + duration / self.rate)
 
     def disturb(self):
-        """Freezes, cuts or restarts the host."""
-        match self.world.random.randrange(3):
+        """Freezes, cuts, restarts or leaves."""
+        match self.world.random.randrange(4):
             case 0:
                 self.world.count("host frozen")
                 self.frozen_until = self.world.now + self.world.random.uniform(0.1, 8)
@@ -161,6 +166,29 @@
             case 2:
                 self.world.count("host restarted")
                 self.start()
+            case 3:
+                self.world.count("host leaves")
+                self.leaving = True
+
+    def leave(self):
+        """Gives the lease back once nothing is in flight; then starts anew."""
+        if any(self.checks.work_left(self, name) for name in UPSTREAMS):
+            self.renew()
+            return
+        self.lease_until = 0.0
+        process = self.process
+        request = control.RenewEntryLease(
+            entry=self.record(),
+            applied_version=self.applied.version,
+            draining=True,
+            leaving=True,
+        )
+
+        def left(reply):
+            if self.process == process and isinstance(reply, control.Done):
+                self.start()
+
+        call(self.world, self.group, request, left, cut=self.cut)
 
 
 def announce(world, group):
--- a/src/plantainstage/_control/entry_requests.py
+++ b/src/plantainstage/_control/entry_requests.py
@@ -21,7 +21,7 @@
         if not _is_member(core, view, request.entry):
             result = await core.propose(commands.RegisterEntry(entry=request.entry))
             if isinstance(result, EntrySuperseded):
-                view.leases.give_back(start)
+                # Its earlier leases run on: the process may have work in flight.
                 return _superseded(start)
         await core.confirmation.confirm()
         core.leadership.require_same(view)
--- a/src/plantainstage/_membership/ownership.py
+++ b/src/plantainstage/_membership/ownership.py
@@ -31,7 +31,7 @@
     state.entries[entry.entry_id] = entry
     version = state.raise_version()
     start = EntryStart(entry_id=entry.entry_id, incarnation=entry.incarnation)
-    for upstream_id, record in tuple(state.ownerships.items()):
+    for upstream_id, record in _in_fixed_order(state):
         owner = record.owner
         if owner is not None and owner.entry_id == start.entry_id and owner != start:
             # The earlier process may be frozen with work in flight.
@@ -54,9 +54,17 @@
     return control.Done(version=version)
 
 
+def _in_fixed_order(state):
+    """Returns the ownerships in an order that a snapshot does not change.
+
+    Epochs are taken one after another, so that the order is part of the result.
+    """
+    return sorted(state.ownerships.items(), key=lambda item: item[0])
+
+
 def _release_all(state, start):
     """Ends everything that a host had before it left in a planned stop."""
-    for upstream_id, record in tuple(state.ownerships.items()):
+    for upstream_id, record in _in_fixed_order(state):
         if record.predecessor == start:
             record = msgspec.structs.replace(record, predecessor=None)
         if record.owner == start:
