--- a/features/behaviour/settings.feature
+++ b/features/behaviour/settings.feature
@@ -21,6 +21,25 @@
       | burn    | PLANTAINSTAGE_BURN_MINUTES=0      | --minutes  | 0                 | a whole number from 1 to 180 minutes        |
       | burn    | PLANTAINSTAGE_BURN_FORMAT=yaml    | --format   | yaml              | one of text, json                           |
 
+    Examples: plantainstage-control
+      | program | change                                 | flag               | value          | range                                                    |
+      | control | --listen localhost:7100                | --listen           | localhost:7100 | IP:port with a port from 1 to 65535                      |
+      | control | PLANTAINSTAGE_CONTROL_LISTEN=7100      | --listen           | 7100           | IP:port with a port from 1 to 65535                      |
+      | control | --replica-id a/b                       | --replica-id       | a/b            | 1 to 63 of [A-Za-z0-9_.-], the first a letter or a digit |
+      | control | --log-level LOUD                       | --log-level        | LOUD           | one of DEBUG, INFO, WARNING, ERROR                       |
+      | control | --data-folder /dev/null/x --join       | --data-folder      | /dev/null/x    | a folder that this process may write                     |
+      | control | --data-folder run/c                    | --bootstrap/--join | None           | one of the two exactly when --data-folder is given       |
+      | control | --data-folder run/c --bootstrap --peers x | --peers         | x              | ID=CLIENT,PEER with two addresses of IP:port             |
+      | control | --data-folder run/c --join --peer-listen 127.0.0.1:7100 | --peer-listen | 127.0.0.1:7100 | another address than --listen               |
+
+    Examples: plantainstage-ctl
+      | program | change                                          | flag          | value | range                                       |
+      | ctl     | profile publish rider --index i --deadline-ms 0 | --deadline-ms | 0     | a whole number from 1 to 60000 ms           |
+      | ctl     | profile retire rider --number 0                 | --number      | 0     | a whole number from 1 to 9007199254740992   |
+      | ctl     | wait 3 --timeout nan                            | --timeout     | nan   | a number from 0.1 to 3600.0 seconds         |
+      | ctl     | status --control x                              | --control     | x     | IP:port with a port from 1 to 65535         |
+      | ctl     | replica add c1 ab --client-address x --peer-address 127.0.0.1:1 | --client-address | x | IP:port with a port from 1 to 65535 |
+
   # Guards against several rounds of correction, one for each wrong setting.
   Scenario Outline: <program> names every wrong setting of one start
     When "<program>" starts with <change>
@@ -30,6 +49,8 @@
       | program | change                                                      | flags                                |
       | burn    | --minutes 0 --format xml --timeout x --plot a.gif           | --format --minutes --plot --timeout  |
       | burn    | --minutes 0 PLANTAINSTAGE_BURN_TIMEOUT=-1                   | --minutes --timeout                  |
+      | control | --listen x --replica-id ? --log-level no --statsd-address y | --listen --log-level --replica-id --statsd-address |
+      | ctl     | profile publish rider --deadline-ms x --weight 0 --timeout y --number z --operator ? | --deadline-ms --index --number --operator --timeout --weight |
 
   # Guards against a misspelt flag that is silently ignored.
   Scenario Outline: <program> refuses an unknown flag
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -13,6 +13,8 @@
 START_TIMEOUT_S = 60  # a program that takes a wrong setting would run for ever
 VALID = {
     "burn": ["--entry", "127.0.0.1:7200", "--profiles", "/dev/null"],
+    "control": [],
+    "ctl": [],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
 _ERROR = re.compile(r"^error: (--[a-z/-]+): ", re.MULTILINE)
--- a/features/support/control_processes.py
+++ b/features/support/control_processes.py
@@ -6,9 +6,10 @@
 import shutil
 import subprocess
 import sys
+import threading
 
 from plantainstage._operator.session import open_session
-from plantainstage._transport.rpc import RpcClient
+from plantainstage._transport.rpc import RpcClient, RpcServer
 from support.processes import ROOT, Program, free_address, wait_until
 from support.tier import CONTROL, Tier
 
@@ -53,11 +54,11 @@
             *("--data-folder", self.folder / name, *flags),
         )
 
-    def ctl(self, *arguments):
+    def ctl(self, *arguments, timeout_s=CALL_TIMEOUT_S):
         """Runs the operator's command; returns exit code and decoded JSON."""
         control = [part for a in self.control_addresses for part in ("--control", a)]
         result = subprocess.run(
-            [*CTL, *arguments, "--json", "--timeout", str(CALL_TIMEOUT_S), *control],
+            [*CTL, *arguments, "--json", "--timeout", str(timeout_s), *control],
             env=dict(os.environ, PYTHONPATH=str(ROOT / "src")),
             cwd=ROOT,
             capture_output=True,
@@ -115,3 +116,41 @@
     def lose_folder(self, name):
         shutil.rmtree(self.folder / name)
         (self.folder / f"{name}.log").unlink()
+
+
+class ScriptedControl:
+    """A control replica in this process that replies by a given function.
+
+    A reply of None stands for a reply that is lost.
+    """
+
+    def __init__(self, resources, reply):
+        self.address = free_address()
+        self.reply = reply
+        self.requests = []
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.server = RpcServer(address=self.address, handler=self._handle)
+        self._run(self._start())
+        resources.callback(self.close)
+
+    async def _start(self):
+        self.server.start()
+
+    async def _handle(self, request):
+        self.requests.append(request)
+        reply = self.reply(request)
+        if reply is None:
+            await asyncio.sleep(3600)
+        return reply
+
+    def _run(self, coroutine):
+        future = asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+        return future.result(CALL_TIMEOUT_S)
+
+    def close(self):
+        self._run(self.server.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(CALL_TIMEOUT_S)
+        self.loop.close()
