--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -15,6 +15,9 @@
     "burn": ["--entry", "127.0.0.1:7200", "--profiles", "/dev/null"],
     "control": [],
     "ctl": [],
+    "entry": [
+        *("--entry-id", "e1", "--data-centre", "z1", "--control", "127.0.0.1:7100"),
+    ],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
 _ERROR = re.compile(r"^error: (--[a-z/-]+): ", re.MULTILINE)
