--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -108,6 +108,7 @@
         self.service_s = INITIAL_SERVICE_S  # mean, for the wait in the queue
         self.median_s = INITIAL_SERVICE_S  # for the sub-request itself
         self.wake_at = math.inf
+        self.any_suspect = False  # may stay true after the last one has ended
 
     # ---- Ownership -----------------------------------------------------------
 
@@ -391,6 +392,10 @@
                 self.silence.answered()
             case SubOutcome.REFUSED | SubOutcome.CANCELLED:
                 self.silence.answered()
+            case SubOutcome.SILENT:
+                # The probe was answered, so the searcher may just have become
+                # slower than the threshold, which has to grow with it then.
+                self.silence.observe(elapsed)
             case SubOutcome.RESET:
                 sub_request = running.queued.sub_request
                 if self.quarantines.record_reset(
@@ -415,11 +420,24 @@
             if running.got_byte or running.suspect:
                 continue
             if now >= running.started_at + threshold:
-                running.suspect = True
-                self._probe(actions, now)
-        if self.silence.state is Reachability.UNREACHABLE:
+                running.suspect = self.any_suspect = True
+        # A connection may become suspect too soon after the last probe for
+        # another one; it then stays unproved and has to be probed for later.
+        if self._needs_proof():
             self._probe(actions, now)
 
+    def _needs_proof(self):
+        """Whether a probe has to show if the searcher, or a connection, is dead."""
+        if self.silence.state is Reachability.UNREACHABLE:
+            return True
+        if not self.any_suspect or self.silence.state is not Reachability.REACHABLE:
+            return False
+        self.any_suspect = any(
+            running.suspect and not running.got_byte
+            for running in self.running.values()
+        )
+        return self.any_suspect
+
     def _probe(self, actions, now):
         if self.silence.needs_probe(now):
             actions.append(ProbeSearcher(timeout_s=PROBE_TIMEOUT_S))
@@ -443,13 +461,15 @@
             time = self.held_slots[0]
         if self.running:
             threshold = self.silence.suspect_after_s
+            # In the order of their start, so that the first one is the next due.
             for running in self.running.values():
                 if not (running.got_byte or running.suspect):
                     time = min(time, running.started_at + threshold)
+                    break
         if self.waiting:
             latest_start = self.waiting.earliest_deadline() - self.median_s
             time = min(time, max(latest_start, now))
-        if self.silence.state is Reachability.UNREACHABLE:
+        if self._needs_proof():
             time = min(time, self.silence.next_probe or now)
         if time < self.wake_at:
             self.wake_at = time
