Check in the simulation that reads see all earlier decisions

Cause: Two mutations survived: reads without the confirmation of leadership, and an unknown outcome that is replied as done.

Change: The simulation sends reads to any replica and compares them with the versions decided before; any other reply to a change or a read is an error.

--- a/features/support/membership_actors.py
+++ b/features/support/membership_actors.py
@@ -274,11 +274,44 @@
                 self.ask_status(verdict.version)
             case control.ChangeNotConsidered(too_old=True):
                 raise AssertionError(f"the verdict of {change} was forgotten")
+            case control.ChangeNotConsidered() | control.OutcomeUnknown():
+                pass
             case control.ChangeConflict(winner=winner):
                 self.world.count("change in conflict")
                 assert winner.change != change
                 self.checks.verdict(winner)
                 self.next_number = max(self.next_number, change.number + 1)
+            case _:
+                raise AssertionError(f"{reply} is no reply to a change")
+
+    def read(self):
+        """Reads must see every version that was decided before they were sent."""
+        decided_before = max(
+            (verdict.version for verdict in self.checks.verdicts.values()), default=0
+        )
+
+        def decided(reply):
+            match reply:
+                case control.CurrentConfiguration(configuration=newest):
+                    version = newest.version
+                case control.NextNumber(version=version):
+                    pass
+                case _:
+                    raise AssertionError(f"{reply} is no reply to a read")
+            self.world.count("read")
+            assert version >= decided_before, f"{version} read after {decided_before}"
+
+        request = self.world.random.choice(
+            (control.QueryConfiguration(), control.QueryNextNumber())
+        )
+        call(
+            self.world,
+            self.group,
+            request,
+            lambda reply: None,
+            on_decided=decided,
+            to_any=True,
+        )
 
     def ask_status(self, version):
         def decided(reply):
--- a/features/support/membership_simulation.py
+++ b/features/support/membership_simulation.py
@@ -20,6 +20,7 @@
     callers = Callers(world, group, checks, hosts)
     _repeat(world, lambda: announce(world, group), mean_s=0.7)
     _repeat(world, operators.act, mean_s=0.8)
+    _repeat(world, operators.read, mean_s=0.3)
     _repeat(world, callers.act, mean_s=0.3)
     if faults:
         _repeat(world, lambda: world.random.choice(hosts).disturb(), mean_s=2.0)
--- a/features/support/membership_world.py
+++ b/features/support/membership_world.py
@@ -303,14 +303,25 @@
         future.set_exception(error)
 
 
-def call(world, group, request, on_reply, *, cut=lambda: False, on_decided=None):
+def call(
+    world,
+    group,
+    request,
+    on_reply,
+    *,
+    cut=lambda: False,
+    on_decided=None,
+    to_any=False,
+):
     """Sends a request over a lossy network that delays, repeats and reorders.
 
     ``on_decided`` runs at the moment at which the leader decides the reply.
+    Most requests go to the leader, those ``to_any`` to any replica.
     """
+    likely = 0.0 if to_any else 0.9
     target = group.replicas[
         group.leader
-        if world.random.random() < 0.9
+        if world.random.random() < likely
         else world.random.choice(sorted(group.replicas))
     ]
     copies = 1 if world.random.random() < 0.9 else 2
