Refuse addresses in use among the other settings errors

Cause: a used port ended the daemons with other texts and codes than a wrong setting, and only one of several faults was named.

--- a/features/behaviour/settings.feature
+++ b/features/behaviour/settings.feature
@@ -21,6 +21,44 @@
       | burn    | PLANTAINSTAGE_BURN_MINUTES=0      | --minutes  | 0                 | a whole number from 1 to 180 minutes        |
       | burn    | PLANTAINSTAGE_BURN_FORMAT=yaml    | --format   | yaml              | one of text, json                           |
 
+    Examples: plantainstage-entry
+      | program | change                               | flag             | value          | range                                |
+      | entry   | --drain-delay soon                   | --drain-delay    | soon           | a number from 0.0 to 600.0 seconds   |
+      | entry   | --drain-delay 601                    | --drain-delay    | 601            | a number from 0.0 to 600.0 seconds   |
+      | entry   | --entry-id 'rider desk'              | --entry-id       | rider desk     | 1 to 63 of [A-Za-z0-9_.-]            |
+      | entry   | --data-centre ''                     | --data-centre    |                | 1 to 63 of [A-Za-z0-9_.-]            |
+      | entry   | --listen localhost:7200              | --listen         | localhost:7200 | IP:port with a port from 1 to 65535  |
+      | entry   | --listen 127.0.0.1:65536             | --listen         | 127.0.0.1:65536 | IP:port with a port from 1 to 65535 |
+      | entry   | --listen USED                        | --listen         | USED           | an address of this host with a free port |
+      | entry   | --forward-listen USED                | --forward-listen | USED           | an address of this host with a free port |
+      | entry   | --forward-listen 192.0.2.1:7300      | --forward-listen | 192.0.2.1:7300 | an address of this host with a free port |
+      | entry   | --control 127.0.0.1                  | --control        | 127.0.0.1      | IP:port with a port from 1 to 65535  |
+      | entry   | --control 127.0.0.1:7100             | --control        | 127.0.0.1:7100,127.0.0.1:7100 | at least 1 distinct addresses |
+      | entry   | --statsd-address statsd:8125         | --statsd-address | statsd:8125    | IP:port with a port from 1 to 65535  |
+      | entry   | --log-level LOUD                     | --log-level      | LOUD           | one of DEBUG, INFO, WARNING, ERROR   |
+      | entry   | PLANTAINSTAGE_ENTRY_DRAIN_DELAY=-1   | --drain-delay    | -1             | a number from 0.0 to 600.0 seconds   |
+
+    Examples: plantainstage-control
+      | program | change                               | flag             | value          | range                                |
+      | control | --replica-id ''                      | --replica-id     |                | 1 to 63 of [A-Za-z0-9_.-]            |
+      | control | --listen 127.0.0.1                   | --listen         | 127.0.0.1      | IP:port with a port from 1 to 65535  |
+      | control | --listen USED                        | --listen         | USED           | an address of this host with a free port |
+      | control | --peer-listen USED                   | --peer-listen    | USED           | an address of this host with a free port |
+      | control | --data-folder /dev/null/data         | --data-folder    | /dev/null/data | a folder that this process may write |
+      | control | --peers control-2                    | --peers          | control-2      | ID=CLIENT,PEER with two addresses    |
+      | control | --log-level LOUD                     | --log-level      | LOUD           | one of DEBUG, INFO, WARNING, ERROR   |
+      | control | PLANTAINSTAGE_CONTROL_LOG_LEVEL=LOUD | --log-level      | LOUD           | one of DEBUG, INFO, WARNING, ERROR   |
+
+    Examples: plantainstage-ctl
+      | program | change                               | flag               | value | range                                 |
+      | ctl     | --deadline-ms soon                   | --deadline-ms      | soon  | a whole number                        |
+      | ctl     | --deadline-ms 0                      | --deadline-ms      | 0     | a whole number                        |
+      | ctl     | --late-fraction 2                    | --late-fraction    | 2     | a number                              |
+      | ctl     | --minimum-coverage nan               | --minimum-coverage | nan   | a number                              |
+      | ctl     | --operator 'a b'                     | --operator         | a b   | 1 to 63 of [A-Za-z0-9_.-]             |
+      | ctl     | --number x                           | --number           | x     | a whole number                        |
+      | ctl     | PLANTAINSTAGE_CTL_TIMEOUT=0          | --timeout          | 0     | a number from 0.1 to 3600.0 seconds   |
+
   # Guards against several rounds of correction, one for each wrong setting.
   Scenario Outline: <program> names every wrong setting of one start
     When "<program>" starts with <change>
@@ -30,6 +68,10 @@
       | program | change                                                      | flags                                |
       | burn    | --minutes 0 --format xml --timeout x --plot a.gif           | --format --minutes --plot --timeout  |
       | burn    | --minutes 0 PLANTAINSTAGE_BURN_TIMEOUT=-1                   | --minutes --timeout                  |
+      | entry   | --entry-id '' --drain-delay x --log-level X --control y --listen USED | --control --drain-delay --entry-id --listen --log-level |
+      | entry   | --drain-delay x PLANTAINSTAGE_ENTRY_LOG_LEVEL=X             | --drain-delay --log-level            |
+      | control | --replica-id '' --log-level X --listen USED --data-folder /dev/null/x --peers x | --data-folder --listen --log-level --peers --replica-id |
+      | ctl     | --deadline-ms 0 --late-fraction 2 --operator '' --timeout 0 | --deadline-ms --late-fraction --operator --timeout |
 
   # Guards against a misspelt flag that is silently ignored.
   Scenario Outline: <program> refuses an unknown flag
@@ -39,3 +81,6 @@
     Examples:
       | program | change      | text                         |
       | burn    | --minuets 5 | No such option               |
+      | entry   | --drian 5   | No such option               |
+      | control | --replica x | No such option               |
+      | ctl     | --dead 5    | No such option               |
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -3,16 +3,31 @@
 import os
 import re
 import shlex
+import socket
 import subprocess
 import sys
+import tempfile
 
 from behave import then, when
 
-from support.processes import ROOT
+from support.processes import ROOT, free_address
 
 START_TIMEOUT_S = 60  # a program that takes a wrong setting would run for ever
 VALID = {
     "burn": ["--entry", "127.0.0.1:7200", "--profiles", "/dev/null"],
+    "entry": [
+        *("--entry-id", "entry-1", "--data-centre", "upper-canal"),
+        *("--listen", "FREE", "--forward-listen", "FREE"),
+        *("--control", "127.0.0.1:7100"),
+    ],
+    "control": [
+        *("--replica-id", "control-1", "--listen", "FREE", "--peer-listen", "FREE"),
+        *("--data-folder", "FOLDER", "--bootstrap"),
+    ],
+    "ctl": [
+        *("profile", "publish", "rider-gate", "--index", "ditch-turns"),
+        *("--deadline-ms", "80", "--control", "127.0.0.1:7100"),
+    ],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
 _ERROR = re.compile(r"^error: (--[a-z/-]+): ", re.MULTILINE)
@@ -20,7 +35,8 @@
 
 @when('"{program}" starts with {change}')
 def start_program(context, program, change):
-    parts = shlex.split(change)
+    context.used = used_address(context)
+    parts = shlex.split(change.replace("USED", context.used))
     variables = [part for part in parts if _VARIABLE.fullmatch(part)]
     flags = [part for part in parts if part not in variables]
     environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
@@ -28,7 +44,7 @@
     context.finished = subprocess.run(
         [
             *(sys.executable, "-m", f"plantainstage._programs.{program}"),
-            *VALID[program],
+            *(placed(context, part) for part in VALID[program]),
             *flags,
         ],
         cwd=ROOT,
@@ -41,6 +57,22 @@
     context.errors = context.finished.stderr
 
 
+def used_address(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.resources.callback(listener.close)
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def placed(context, part):
+    match part:
+        case "FREE":
+            return free_address()
+        case "FOLDER":
+            folder = tempfile.TemporaryDirectory()
+            return context.resources.enter_context(folder)
+    return part
+
+
 def check_exit(context):
     assert context.finished.returncode == 2, (context.finished, context.errors)
 
@@ -50,7 +82,8 @@
 )
 def check_error(context, flag, value, expected):
     check_exit(context)
-    start = f"error: {flag}: '{value}' is not valid; expected {expected}. "
+    value = value.replace("USED", context.used)
+    start = f"error: {flag}: '{value}' is not valid; expected {expected}"
     lines = [line for line in context.errors.splitlines() if line.startswith(start)]
     assert lines, context.errors
     assert len(lines[0]) > len(start) + 10, lines[0]
