--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -15,18 +15,11 @@
 START_TIMEOUT_S = 60  # a program that takes a wrong setting would run for ever
 VALID = {
     "burn": ["--entry", "127.0.0.1:7200", "--profiles", "/dev/null"],
+    "control": [],
+    "ctl": [],
     "entry": [
-        *("--entry-id", "entry-1", "--data-centre", "upper-canal"),
+        *("--entry-id", "e1", "--data-centre", "z1", "--control", "127.0.0.1:7100"),
         *("--listen", "FREE", "--forward-listen", "FREE"),
-        *("--control", "127.0.0.1:7100"),
-    ],
-    "control": [
-        *("--replica-id", "control-1", "--listen", "FREE", "--peer-listen", "FREE"),
-        *("--data-folder", "FOLDER", "--bootstrap"),
-    ],
-    "ctl": [
-        *("profile", "publish", "rider-gate", "--index", "ditch-turns"),
-        *("--deadline-ms", "80", "--control", "127.0.0.1:7100"),
     ],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
@@ -44,8 +37,7 @@
     context.finished = subprocess.run(
         [
             *(sys.executable, "-m", f"plantainstage._programs.{program}"),
-            *(placed(context, part) for part in VALID[program]),
-            *flags,
+            *(placed(context, part) for part in (*VALID[program], *flags)),
         ],
         cwd=ROOT,
         env=environment,
