--- a/bench/claim_cost.py
+++ b/bench/claim_cost.py
@@ -63,12 +63,21 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+@dataclass(frozen=True, kw_only=True)
+class ControlGroup:
+    """Running control replicas, by their ids, and their client addresses."""
+
+    addresses: tuple[str, ...]
+    processes: dict[str, subprocess.Popen]
+
+
 @contextlib.contextmanager
-def control_group():
-    """Yields the client addresses of three running control replicas."""
+def control_processes():
+    """Yields a ControlGroup of three replicas and ends it afterwards."""
     names = [f"control-{number}" for number in range(1, REPLICAS + 1)]
     addresses = {name: (free_address(), free_address()) for name in names}
     environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+    processes = {}
     with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
         for name in names:
             client, peer = addresses[name]
@@ -86,11 +95,16 @@
                 ],
                 env=environment,
             )
-            stack.callback(_end, process)
-        yield tuple(client for client, _ in addresses.values())
+            processes[name] = process
+            stack.callback(end_process, process)
+        yield ControlGroup(
+            addresses=tuple(client for client, _ in addresses.values()),
+            processes=processes,
+        )
 
 
-def _end(process):
+def end_process(process):
+    """Asks a process for a planned stop and waits for it."""
     process.terminate()
     try:
         process.wait(10)
@@ -229,8 +243,8 @@
 
 def measure_levels(levels, *, operations):
     """Starts a control group and measures both modes on it."""
-    with control_group() as addresses:
-        asyncio.run(run(addresses, levels, operations))
+    with control_processes() as group:
+        asyncio.run(run(group.addresses, levels, operations))
 
 
 @click.command()
--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -9,7 +9,7 @@
 import click
 
 FOLDER = Path(__file__).resolve().parent
-BENCHMARKS = ("decisions", "restart_time", "commit_cost", "claim_cost")
+BENCHMARKS = ("decisions", "restart_time", "commit_cost", "claim_cost", "in_force_time")
 
 
 def run(name, full):
