End only the request that meets a fault, and bound the side connection

Cause: a violated invariant in a timer or a result left the caller waiting for ever and held up a planned stop; a task that ended left the host without lease renewals unnoticed; cancellations queued behind a silent side connection. The end of a task is not covered by a scenario.

--- a/features/behaviour/entry.feature
+++ b/features/behaviour/entry.feature
@@ -54,3 +54,9 @@
     When an entry host starts with this port as its --listen
     And an entry host starts with this port as its --forward-listen
     Then both have exited with 2 and said "Choose free ports"
+
+  Scenario: A fault of the program ends the request that met it and no other
+    # Guards against a caller that waits for ever after a violated invariant.
+    Given two requests of which one meets a violated invariant in its timer
+    When their timers fire
+    Then the one fails with the violation and the other one finishes
--- a/src/plantainstage/_entry/gathers.py
+++ b/src/plantainstage/_entry/gathers.py
@@ -41,13 +41,11 @@
 
     def caller_gone(self):
         """Cancels what nobody waits for any more."""
-        now = self.gathers.loop.time()
-        self.gathers.carry_out(self, self.gather.on_caller_gone(now))
+        self.gathers.pass_on(self, self.gather.on_caller_gone)
 
     def _on_timer(self):
         self.timer = None
-        now = self.gathers.loop.time()
-        self.gathers.carry_out(self, self.gather.on_timer(now))
+        self.gathers.pass_on(self, self.gather.on_timer)
 
     def wake_at(self, time):
         """Replaces the timer."""
@@ -57,6 +55,13 @@
             self.timer.cancel()
         self.timer = self.gathers.loop.call_at(time, self._on_timer)
 
+    def fail(self, error):
+        """Ends the request after a fault of the program."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.outcome.done():
+            self.outcome.set_exception(error)
+
     def finish(self, action):
         """Makes the outcome known."""
         if self.timer is not None:
@@ -109,6 +114,16 @@
         self.carry_out(run, gather.start(self.loop.time()))
         return run
 
+    def pass_on(self, run, event, *arguments):
+        """Passes an event to a gather and carries out what follows.
+
+        A fault, such as a violated invariant, ends this request and no other.
+        """
+        try:
+            self.carry_out(run, event(*arguments, self.loop.time()))
+        except Exception as error:
+            run.fail(error)
+
     def carry_out(self, run, actions):
         """Carries out the actions of a gather in order."""
         for action in actions:
@@ -137,8 +152,7 @@
     def _report(self, run, action):
         async def report():
             await self.report_crashes(action.fingerprint, action.duration_ms)
-            now = self.loop.time()
-            self.carry_out(run, run.gather.on_quarantine_recorded(now))
+            self.pass_on(run, run.gather.on_quarantine_recorded)
 
         task = asyncio.create_task(report())
         self.reports.add(task)
@@ -158,14 +172,13 @@
 
     def _deliver(self):
         results, self.results = self.results, []
-        now = self.loop.time()
         for result in results:
             item = self.outstanding.pop(result.sub_request_id, None)
             if item is None:
                 self.routing.counters.discarded_results += 1
                 continue
             self.waiting_on[item.owner_id] -= 1
-            self.carry_out(item.run, item.run.gather.on_result(result, now))
+            self.pass_on(item.run, item.run.gather.on_result, result)
 
     def link_lost(self, owner_id, queued_ids):
         """Ends the sub-requests whose link died after they were handed over.
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -148,6 +148,8 @@
             asyncio.create_task(self.announcements.run()),
             asyncio.create_task(self._tick()),
         ]
+        for task in self.tasks:
+            task.add_done_callback(_report_end)
 
     def apply(self, configuration):
         """Brings all tasks to a new configuration version."""
@@ -248,3 +250,15 @@
             client.close()
         log_all_minutes(self.recorder, now=time.time())
         self.metrics.close()
+
+
+def _report_end(task):
+    """Makes the end of a task that never ends by itself known to the program."""
+    if not task.cancelled():
+        asyncio.get_running_loop().call_exception_handler(
+            {
+                "message": "a task of the entry host has ended",
+                "exception": task.exception(),
+                "fatal": True,
+            }
+        )
--- a/src/plantainstage/_programs/entry.py
+++ b/src/plantainstage/_programs/entry.py
@@ -88,6 +88,8 @@
         logger.opt(exception=error).error("unexpected", detail=context["message"])
         if isinstance(error, InvariantViolation):
             host.metrics.count(Metric.INVARIANT_VIOLATIONS)
+        if isinstance(error, InvariantViolation) or context.get("fatal"):
+            # Without its lease or its owners' state the host is of no use.
             stop.set()
 
     return handle
--- a/src/plantainstage/_transport/http_pool.py
+++ b/src/plantainstage/_transport/http_pool.py
@@ -13,6 +13,10 @@
 CONNECT_TIMEOUT_S = 1.0
 # A searcher that refuses connections is not dialled ahead of need for so long.
 REOPEN_PAUSE_S = 0.2
+# The side connection may go silent like any other one.
+SIDE_TIMEOUT_S = 1.0
+# A cancellation that waits behind so many others would come too late.
+MAX_SIDE_REQUESTS = 64
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -145,6 +149,12 @@
         if fresh and self.side is not None:
             self.side.close()
             self.side = None
+        if len(self.side_requests) >= MAX_SIDE_REQUESTS:
+            error = ExchangeError(
+                address=self.address, reason="side_queue_full", bytes_sent=False
+            )
+            on_done(error)
+            return
         request = _SideRequest(path=path, body=body, on_done=on_done)
         self.side_requests.append(request)
         self._next_side_request()
@@ -160,7 +170,12 @@
             return
         request = self.side_requests.popleft()
 
+        limit = asyncio.get_running_loop().call_later(
+            SIDE_TIMEOUT_S, self.side.close, "side_timeout"
+        )
+
         def done(outcome):
+            limit.cancel()
             request.on_done(outcome)
             self._next_side_request()
 
