--- a/tools/chaos/faults.py
+++ b/tools/chaos/faults.py
@@ -114,9 +114,9 @@
         tier.program(host).kill()
         shutil.rmtree(tier.folder / host)
         arguments = tier.hosts[host].arguments
-        first_peer = arguments.index("--peers")
-        arguments[first_peer:] = []
-        arguments[arguments.index("--bootstrap")] = "--join"
+        if "--bootstrap" in arguments:  # the first loss of this folder
+            arguments[arguments.index("--peers") :] = []
+            arguments[arguments.index("--bootstrap")] = "--join"
         tier.start(host)
 
         def repair():
