Expect an address in use among the settings errors

Change: The scenario expects code 2, the flag with the address, a remedy and no traceback, which is as strict as before.

--- a/features/behaviour/operator_command.feature
+++ b/features/behaviour/operator_command.feature
@@ -44,4 +44,4 @@
     # Guards against a traceback in place of a remedy.
     Given a control process with the profile "rider-gate" as change 1
     When another control process starts on its address
-    Then it ends with 1 and logs ListenError with a remedy
+    Then it ends with 2 and names the address in use and a remedy
