--- a/src/plantainstage/_agreement/core.py
+++ b/src/plantainstage/_agreement/core.py
@@ -7,7 +7,7 @@
 import random
 from dataclasses import dataclass, field
 
-from plantainstage._agreement import boot, election, replication, snapshots
+from plantainstage._agreement import boot, election, following, reads, replication
 from plantainstage._agreement.actions import Action
 from plantainstage._agreement.log import Log
 from plantainstage._agreement.membership import is_replaced, next_membership
@@ -130,14 +130,14 @@
             case _ if state.joined:
                 self._receive_joined(state, sender, message)
             case messages.AppendRequest() if not state.membership.members:
-                replication.ask_for_snapshot(state, sender, message)
+                following.ask_for_snapshot(state, sender, message)
             case messages.SnapshotChunk() if not state.membership.members:
                 boot.on_offered_snapshot(state, message.membership)
 
     def _receive_joined(self, state, sender, message):
         match message:
             case messages.AppendRequest():
-                replication.on_append_request(state, sender, message)
+                following.on_append_request(state, sender, message)
             case messages.AppendReply():
                 replication.on_append_reply(state, sender, message)
                 if state.role is Role.LEADER:
@@ -147,9 +147,9 @@
             case messages.VoteReply():
                 election.on_vote_reply(state, sender, message)
             case messages.SnapshotChunk():
-                snapshots.on_snapshot_chunk(state, sender, message)
+                following.on_snapshot_chunk(state, sender, message)
             case messages.SnapshotReply():
-                snapshots.on_snapshot_reply(state, sender, message)
+                replication.on_snapshot_reply(state, sender, message)
             case messages.TimeoutNow():
                 election.on_timeout_now(state, sender, message)
 
@@ -173,7 +173,7 @@
         state = self._advance(now)
         if state.role is not Role.LEADER:
             raise NotLeaderError
-        replication.start_read(state, request)
+        reads.start_read(state, request)
 
     def change_member(self, action, member, *, now):
         """Appends one step of a member change; returns its index and the term.
@@ -211,7 +211,7 @@
         state = self._advance(now)
         if state.role is Role.LEADER and state.round_wanted:
             replication.broadcast(state)
-            replication.release_reads(state)
+            reads.release_reads(state)
 
     def take_actions(self) -> list[Action]:
         """Returns the collected actions and forgets them."""
--- /dev/null
+++ b/src/plantainstage/_agreement/reads.py
@@ -0,0 +1,30 @@
+"""Linearizable reads: leadership is confirmed after the read arrived."""
+
+from plantainstage._agreement.actions import ReadReady
+from plantainstage._agreement.state import CoreState, PendingRead
+
+
+def start_read(state: CoreState, request):
+    """Confirms leadership in a round that begins after this call."""
+    state.reads.append(PendingRead(request=request, round=state.round + 1))
+    state.round_wanted = True
+
+
+def release_reads(state: CoreState):
+    """Releases the reads whose round a majority has answered."""
+    if not state.reads or state.commit_index < state.term_start_index:
+        # Before the first commit of its term a leader may not know which of the
+        # earlier entries are committed.
+        return
+    ready = []
+    while state.reads and _confirmed(state, state.reads[0].round):
+        ready.append(state.reads.pop(0))
+    for read in ready:
+        state.actions.append(ReadReady(request=read.request, index=state.commit_index))
+
+
+def _confirmed(state, round_number):
+    if state.round < round_number:
+        return False
+    answered = {m for m, p in state.progress.items() if p.round >= round_number}
+    return state.is_quorum(answered | {state.member_id})
--- a/src/plantainstage/_agreement/replication.py
+++ b/src/plantainstage/_agreement/replication.py
@@ -1,10 +1,12 @@
-"""Replication of the log: the leader's broadcasts and the members' replies."""
+"""Replication by the leader: its broadcasts and the members' replies."""
 
-from plantainstage._agreement import boot, snapshots
-from plantainstage._agreement.actions import Apply, ReadReady, SaveEntries
+from plantainstage._agreement import snapshots
+from plantainstage._agreement.actions import SaveEntries
+from plantainstage._agreement.commit import commit_upto
 from plantainstage._agreement.log import encode_membership
 from plantainstage._agreement.membership import update_progress
-from plantainstage._agreement.state import CoreState, PendingRead, Progress, Role
+from plantainstage._agreement.reads import release_reads
+from plantainstage._agreement.state import CoreState, Progress, Role
 from plantainstage._errors import check_invariant
 from plantainstage._messages.agreement import (
     AppendReply,
@@ -12,14 +14,12 @@
     Entry,
     EntryKind,
     LogPosition,
+    SnapshotReply,
 )
 
 ENTRY_OVERHEAD_BYTES = 16
 
 
-# ---- Leader ------------------------------------------------------------------
-
-
 def become_leader(state: CoreState):
     """Starts to lead: a no-op opens the term, so that earlier entries commit."""
     state.role = Role.LEADER
@@ -153,6 +153,30 @@
     send_entries(state, sender)
 
 
+def on_snapshot_reply(state: CoreState, sender, reply: SnapshotReply):
+    """Continues at the offset that the member has received."""
+    if reply.term > state.term:
+        state.become_follower(term=reply.term)
+        return
+    progress = state.progress.get(sender)
+    if state.role is not Role.LEADER or reply.term < state.term or progress is None:
+        return
+    note_heard(state, sender, reply.round)
+    transfer = progress.transfer
+    if transfer is None or reply.index != transfer.snapshot.index:
+        return
+    if reply.installed:
+        progress.transfer = None
+        progress.next_index = reply.index + 1
+        on_match(state, sender, progress, reply.index)
+        send_entries(state, sender)
+        return
+    progressed = reply.offset != transfer.offset
+    transfer.offset = reply.offset
+    if progressed:
+        snapshots.send_chunk(state, sender, heartbeat=False)
+
+
 def on_match(state: CoreState, sender, progress, index):
     """Notes that ``sender`` has synced this leader's log up to ``index``."""
     if index >= progress.match_index:
@@ -214,140 +238,3 @@
 def _match(state, member_id):
     progress = state.progress.get(member_id)
     return progress.match_index if progress else 0
-
-
-def commit_upto(state: CoreState, index):
-    """Raises the commit index and hands the entries over to be applied."""
-    check_invariant(
-        state.commit_index < index <= state.log.last.index,
-        invariant="the commit index only rises, within the log",
-        detail=f"{state.commit_index} to {index} of {state.log.last.index}",
-    )
-    entries = state.log.between(state.commit_index + 1, index)
-    state.commit_index = index
-    state.actions.append(Apply(entries=entries))
-
-
-# ---- Reads ------------------------------------------------------------------
-
-
-def start_read(state: CoreState, request):
-    """Confirms leadership in a round that begins after this call."""
-    state.reads.append(PendingRead(request=request, round=state.round + 1))
-    state.round_wanted = True
-
-
-def release_reads(state: CoreState):
-    """Releases the reads whose round a majority has answered."""
-    if not state.reads or state.commit_index < state.term_start_index:
-        # Before the first commit of its term a leader may not know which of the
-        # earlier entries are committed.
-        return
-    ready = []
-    while state.reads and _confirmed(state, state.reads[0].round):
-        ready.append(state.reads.pop(0))
-    for read in ready:
-        state.actions.append(ReadReady(request=read.request, index=state.commit_index))
-
-
-def _confirmed(state, round_number):
-    if state.round < round_number:
-        return False
-    answered = {m for m, p in state.progress.items() if p.round >= round_number}
-    return state.is_quorum(answered | {state.member_id})
-
-
-# ---- Follower ------------------------------------------------------------------
-
-
-def accept_leader(state: CoreState, sender, term):
-    """Follows ``sender`` in ``term``; returns false for an outdated leader."""
-    if term < state.term:
-        return False
-    check_invariant(
-        not (term == state.term and state.role is Role.LEADER),
-        invariant="one leader a term",
-        detail=f"{sender} and {state.member_id} lead term {term}",
-    )
-    state.become_follower(term=term)
-    state.set_leader(sender)
-    state.leader_heard_at = state.now
-    state.reset_election_deadline()
-    return True
-
-
-def on_append_request(state: CoreState, sender, request: AppendRequest):
-    """Appends the leader's entries if they connect to the log."""
-    if not accept_leader(state, sender, request.term):
-        _reject(state, sender, request, state.log.last.index)
-        return
-    boot.note_records(state, sender, request.known)
-    if state.stopped:
-        return
-    if not state.membership.members:
-        ask_for_snapshot(state, sender, request)
-        return
-    previous = request.previous
-    if previous.index > state.log.last.index:
-        _reject(state, sender, request, state.log.last.index)
-        return
-    own_term = state.log.term_at(previous.index)
-    if own_term is not None and own_term != previous.term:
-        check_invariant(
-            previous.index > state.commit_index,
-            invariant="committed entries match the leader's",
-            detail=f"entry {previous.index}: {own_term} and {previous.term}",
-        )
-        first = state.log.first_index_of_term_at(previous.index)
-        _reject(state, sender, request, max(first - 1, state.commit_index))
-        return
-    _append_new(state, request.entries)
-    match = previous.index + len(request.entries)
-    commit = min(request.commit_index, match)
-    if commit > state.commit_index:
-        commit_upto(state, commit)
-    reply = AppendReply(
-        term=state.term, accepted=True, index=match, round=request.round
-    )
-    state.send(sender, reply, after_sync=True)
-
-
-def ask_for_snapshot(state: CoreState, sender, request: AppendRequest):
-    """Asks the leader to begin with a snapshot, which has a membership."""
-    reply = AppendReply(
-        term=request.term,
-        accepted=False,
-        index=0,
-        round=request.round,
-        needs_snapshot=True,
-    )
-    state.send(sender, reply, after_sync=True)
-
-
-def _append_new(state, entries):
-    # Entries that the log already has are skipped: an old request must not cut
-    # off what a later one appended.
-    new = [
-        entry
-        for entry in entries
-        if entry.index > state.log.base.index
-        and state.log.term_at(entry.index) != entry.term
-    ]
-    if not new:
-        return
-    first = new[0].index
-    check_invariant(
-        first > state.commit_index,
-        invariant="committed entries are never replaced",
-        detail=f"entry {first} of term {new[0].term}, commit {state.commit_index}",
-    )
-    kept = tuple(entry for entry in entries if entry.index >= first)
-    state.log.append(kept)
-    state.actions.append(SaveEntries(entries=kept))
-
-
-def _reject(state, sender, request, index):
-    reply = AppendReply(
-        term=state.term, accepted=False, index=index, round=request.round
-    )
-    state.send(sender, reply, after_sync=True)
--- /dev/null
+++ b/src/plantainstage/agreement.py
@@ -0,0 +1,27 @@
+"""The replicated log: its interface, its core and the replica task's settings."""
+
+from plantainstage._agreement.core import Core, DurableState
+from plantainstage._agreement.interface import ReplicatedLog, StateMachine
+from plantainstage._agreement.membership import (
+    MemberChangeProblem,
+    MemberChangeRefusedError,
+)
+from plantainstage._agreement.state import Timing
+from plantainstage._control.replica import Replica
+from plantainstage._control.replica_settings import InitialMember, ReplicaSettings
+from plantainstage._messages.agreement import Member, MemberId
+
+__all__ = [
+    "Core",
+    "DurableState",
+    "InitialMember",
+    "Member",
+    "MemberChangeProblem",
+    "MemberChangeRefusedError",
+    "MemberId",
+    "Replica",
+    "ReplicaSettings",
+    "ReplicatedLog",
+    "StateMachine",
+    "Timing",
+]
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -20,7 +20,8 @@
 
 ELECTION = "_agreement/election.py"
 REPLICATION = "_agreement/replication.py"
-SNAPSHOTS = "_agreement/snapshots.py"
+FOLLOWING = "_agreement/following.py"
+READS = "_agreement/reads.py"
 MEMBERSHIP = "_agreement/membership.py"
 BOOT = "_agreement/boot.py"
 CORE_SCENARIOS = "features/behaviour/agreement_core.feature"
@@ -48,7 +49,7 @@
     ),
     Mutation(
         name="entries are acknowledged before the sync",
-        file=REPLICATION,
+        file=FOLLOWING,
         old="term=state.term, accepted=True, index=match, round=request.round\n    )\n"
         "    state.send(sender, reply, after_sync=True)",
         new="term=state.term, accepted=True, index=match, round=request.round\n    )\n"
@@ -63,51 +64,51 @@
     ),
     Mutation(
         name="no check of the entry before new ones",
-        file=REPLICATION,
+        file=FOLLOWING,
         old="if own_term is not None and own_term != previous.term:",
         new="if False:",
     ),
     Mutation(
         name="an old request cuts off later entries",
-        file=REPLICATION,
+        file=FOLLOWING,
         old="        and state.log.term_at(entry.index) != entry.term\n",
         new="        and entry.index > state.commit_index\n",
     ),
     Mutation(
         name="follower commits beyond what the request proves",
-        file=REPLICATION,
+        file=FOLLOWING,
         old="commit = min(request.commit_index, match)",
         new="commit = min(request.commit_index, state.log.last.index)",
     ),
     Mutation(
         name="read without a confirmation by a quorum",
-        file=REPLICATION,
+        file=READS,
         old="    return state.is_quorum(answered | {state.member_id})",
         new="    return True",
     ),
     Mutation(
         name="read is confirmed by an earlier round",
-        file=REPLICATION,
+        file=READS,
         old="PendingRead(request=request, round=state.round + 1)",
         new="PendingRead(request=request, round=state.round - 1)",
         feature=CORE_SCENARIOS,
     ),
     Mutation(
         name="read before the first commit of the term",
-        file=REPLICATION,
+        file=READS,
         old="if not state.reads or state.commit_index < state.term_start_index:",
         new="if not state.reads:",
     ),
     Mutation(
         name="installing a snapshot drops an acknowledged tail",
-        file=SNAPSHOTS,
+        file=FOLLOWING,
         old="if known and state.log.term_at(chunk.index) == chunk.snapshot_term:",
         new="if False:",
         feature=CORE_SCENARIOS,
     ),
     Mutation(
         name="chunks are joined without looking at their offset",
-        file=SNAPSHOTS,
+        file=FOLLOWING,
         old="    if chunk.offset == len(partial.data):\n",
         new="    if chunk.offset >= 0:\n",
     ),
