--- a/features/support/membership_actors.py
+++ b/features/support/membership_actors.py
@@ -67,6 +67,7 @@
         self.process = f"{self.name}/{next(self.starts)}"
         self.applied = configuration.Configuration(version=0)
         self.lease_until = 0.0
+        self.leaving = False
 
     @property
     def clock(self):
@@ -93,6 +94,9 @@
         self.world.at(RENEW_S / self.rate / 4, self.tick)
         if self.frozen:
             return
+        if self.leaving:
+            self.leave()
+            return
         if self.world.random.random() < 0.25:
             self.renew()
         self.send()
@@ -114,6 +118,7 @@
             entry=self.record(),
             applied_version=self.applied.version,
             releasing=releasing,
+            draining=self.leaving,
         )
 
         def granted(reply):
@@ -150,8 +155,8 @@
         self.checks.sending(self, name, self.world.now + duration / self.rate)
 
     def disturb(self):
-        """Freezes, cuts or restarts the host."""
-        match self.world.random.randrange(3):
+        """Freezes, cuts, restarts or leaves."""
+        match self.world.random.randrange(4):
             case 0:
                 self.world.count("host frozen")
                 self.frozen_until = self.world.now + self.world.random.uniform(0.1, 8)
@@ -161,6 +166,29 @@
             case 2:
                 self.world.count("host restarted")
                 self.start()
+            case 3:
+                self.world.count("host leaves")
+                self.leaving = True
+
+    def leave(self):
+        """Gives the lease back once nothing is in flight; then starts anew."""
+        if any(self.checks.work_left(self, name) for name in UPSTREAMS):
+            self.renew()
+            return
+        self.lease_until = 0.0
+        process = self.process
+        request = control.RenewEntryLease(
+            entry=self.record(),
+            applied_version=self.applied.version,
+            draining=True,
+            leaving=True,
+        )
+
+        def left(reply):
+            if self.process == process and isinstance(reply, control.Done):
+                self.start()
+
+        call(self.world, self.group, request, left, cut=self.cut)
 
 
 def announce(world, group):
@@ -246,11 +274,44 @@
                 self.ask_status(verdict.version)
             case control.ChangeNotConsidered(too_old=True):
                 raise AssertionError(f"the verdict of {change} was forgotten")
+            case control.ChangeNotConsidered() | control.OutcomeUnknown():
+                pass
             case control.ChangeConflict(winner=winner):
                 self.world.count("change in conflict")
                 assert winner.change != change
                 self.checks.verdict(winner)
                 self.next_number = max(self.next_number, change.number + 1)
+            case _:
+                raise AssertionError(f"{reply} is no reply to a change")
+
+    def read(self):
+        """Reads must see every version that was decided before they were sent."""
+        decided_before = max(
+            (verdict.version for verdict in self.checks.verdicts.values()), default=0
+        )
+
+        def decided(reply):
+            match reply:
+                case control.CurrentConfiguration(configuration=newest):
+                    version = newest.version
+                case control.NextNumber(version=version):
+                    pass
+                case _:
+                    raise AssertionError(f"{reply} is no reply to a read")
+            self.world.count("read")
+            assert version >= decided_before, f"{version} read after {decided_before}"
+
+        request = self.world.random.choice(
+            (control.QueryConfiguration(), control.QueryNextNumber())
+        )
+        call(
+            self.world,
+            self.group,
+            request,
+            lambda reply: None,
+            on_decided=decided,
+            to_any=True,
+        )
 
     def ask_status(self, version):
         def decided(reply):
