--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -3,12 +3,14 @@
 import os
 import re
 import shlex
+import socket
 import subprocess
 import sys
+import tempfile
 
 from behave import then, when
 
-from support.processes import ROOT
+from support.processes import ROOT, free_address
 
 START_TIMEOUT_S = 60  # a program that takes a wrong setting would run for ever
 VALID = {
@@ -17,6 +19,7 @@
     "ctl": [],
     "entry": [
         *("--entry-id", "e1", "--data-centre", "z1", "--control", "127.0.0.1:7100"),
+        *("--listen", "FREE", "--forward-listen", "FREE"),
     ],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
@@ -25,7 +28,8 @@
 
 @when('"{program}" starts with {change}')
 def start_program(context, program, change):
-    parts = shlex.split(change)
+    context.used = used_address(context)
+    parts = shlex.split(change.replace("USED", context.used))
     variables = [part for part in parts if _VARIABLE.fullmatch(part)]
     flags = [part for part in parts if part not in variables]
     environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
@@ -33,8 +37,7 @@
     context.finished = subprocess.run(
         [
             *(sys.executable, "-m", f"plantainstage._programs.{program}"),
-            *VALID[program],
-            *flags,
+            *(placed(context, part) for part in (*VALID[program], *flags)),
         ],
         cwd=ROOT,
         env=environment,
@@ -46,6 +49,22 @@
     context.errors = context.finished.stderr
 
 
+def used_address(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.resources.callback(listener.close)
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def placed(context, part):
+    match part:
+        case "FREE":
+            return free_address()
+        case "FOLDER":
+            folder = tempfile.TemporaryDirectory()
+            return context.resources.enter_context(folder)
+    return part
+
+
 def check_exit(context):
     assert context.finished.returncode == 2, (context.finished, context.errors)
 
@@ -55,7 +74,8 @@
 )
 def check_error(context, flag, value, expected):
     check_exit(context)
-    start = f"error: {flag}: '{value}' is not valid; expected {expected}. "
+    value = value.replace("USED", context.used)
+    start = f"error: {flag}: '{value}' is not valid; expected {expected}"
     lines = [line for line in context.errors.splitlines() if line.startswith(start)]
     assert lines, context.errors
     assert len(lines[0]) > len(start) + 10, lines[0]
