--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -20,7 +20,7 @@
 )
 from plantainstage._limits.connections import ConnectionTable
 from plantainstage._limits.fair_queue import FairQueue
-from plantainstage._limits.owner_work import BUSY, HostLease, Queued, Running
+from plantainstage._limits.queue_items import BUSY, HostLease, Queued, Running
 from plantainstage._limits.silence import (
     PROBE_TIMEOUT_S,
     Reachability,
--- a/src/plantainstage/_limits/owner_work.py
+++ b/src/plantainstage/_limits/queue_items.py
@@ -1,4 +1,4 @@
-"""What an owner queue keeps for each sub-request, and the host's lease."""
+"""The lease and the items that an owner queue works on."""
 
 import math
 
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -7,8 +7,8 @@
 import heapq
 
 from plantainstage._errors import check_invariant
-from plantainstage._limits.owner_work import BUSY
 from plantainstage._limits.quarantine import fingerprint_of
+from plantainstage._limits.queue_items import BUSY
 from plantainstage._messages.callers import RunState
 from plantainstage._messages.forward import SubOutcome, SubRequest
 from plantainstage._routing import refusals
