Keep the whole test output when it goes to a file

Cause: behave opened /dev/stdout a second time, which overwrote the beginning of a log that is a file. Change: the progress format writes to the inherited standard output. Result: the closing line 'N passed, N failed' is the last line of a log file.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -45,13 +45,13 @@
         "-m",
         "behave",
         "--format",
-        "progress3",
-        "--outfile",
-        "/dev/stdout",
-        "--format",
         "json",
         "--outfile",
         str(report_path),
+        # Without a file of its own this format writes to standard output. A
+        # second open of /dev/stdout would overwrite a log that is a file.
+        "--format",
+        "progress3",
         *(arguments or ["features"]),
     ]
     environment = dict(os.environ)
