Tell a crashing request from a searcher that was lost

Cause: a query that ran in two slots of one lost searcher, or on two searchers lost within ten minutes, was quarantined although it did no harm. Change: resets of one searcher within a second are one crash, and an answer of a partition clears that partition's resets. Result: features/behaviour/quarantine.feature, 4 passed.

--- /dev/null
+++ b/features/behaviour/quarantine.feature
@@ -0,0 +1,33 @@
+Feature: Requests that crash searchers are told from searchers that are lost
+
+  Scenario: One lost searcher does not quarantine a popular query
+    # Guards against refusing a harmless query for 10 minutes because it ran in
+    # several slots of a searcher that was lost.
+    Given an empty quarantine table
+    When searcher "p1-1" of partition "p1" resets the query at 0.0 s
+    And searcher "p1-1" of partition "p1" resets the query at 0.2 s
+    Then the query is not quarantined at 0.3 s
+
+  Scenario: A query that resets two searchers is quarantined
+    # Guards against a crashing request that takes one searcher after another.
+    Given an empty quarantine table
+    When searcher "p1-1" of partition "p1" resets the query at 0.0 s
+    And searcher "p2-3" of partition "p2" resets the query at 0.1 s
+    Then the query is quarantined at 0.2 s
+
+  Scenario: A query that resets the same searcher after its restart is quarantined
+    # Guards against a crashing request that takes the only replica of a
+    # partition down again with each resend.
+    Given an empty quarantine table
+    When searcher "p1-1" of partition "p1" resets the query at 0.0 s
+    And searcher "p1-1" of partition "p1" resets the query at 5.0 s
+    Then the query is quarantined at 5.1 s
+
+  Scenario: An answer of the partition clears its resets
+    # Guards against two searchers that are lost minutes apart making a popular
+    # query look like the cause.
+    Given an empty quarantine table
+    When searcher "p1-1" of partition "p1" resets the query at 0.0 s
+    And partition "p1" answers the query
+    And searcher "p1-2" of partition "p1" resets the query at 60.0 s
+    Then the query is not quarantined at 60.1 s
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -392,6 +392,10 @@
                 self.median_s *= 1 + step
                 self.silence.observe(elapsed)
                 self.silence.answered()
+                sub_request = running.queued.sub_request
+                self.quarantines.record_answer(
+                    sub_request.fingerprint, sub_request.partition
+                )
             case SubOutcome.REFUSED | SubOutcome.CANCELLED:
                 self.silence.answered()
             case SubOutcome.SILENT:
@@ -401,7 +405,10 @@
             case SubOutcome.RESET:
                 sub_request = running.queued.sub_request
                 if self.quarantines.record_reset(
-                    sub_request.fingerprint, sub_request.sub_request_id, now
+                    fingerprint=sub_request.fingerprint,
+                    upstream_id=self.upstream_id,
+                    partition=sub_request.partition,
+                    now=now,
                 ):
                     duration_ms = round(self.quarantines.duration_s * 1000)
                     actions.append(
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -27,7 +27,11 @@
     run_state,
 )
 from plantainstage._routing.hedging import SPARING_PRESSURE, hedge_time
-from plantainstage._routing.progress import Attempt, Part
+from plantainstage._routing.progress import (
+    POSSIBLE_RUNS_PER_PARTITION,
+    Attempt,
+    Part,
+)
 from plantainstage._routing.view import available_documents, choose_snapshot
 
 __all__ = [
@@ -43,9 +47,6 @@
 # Encoding an answer and writing it take below 1 ms, and event-loop timers fire
 # up to 1 ms late; the reply is final this long before the deadline.
 FINISH_MARGIN_S = 0.002
-# A crashing request must not reach a third searcher of a partition, so that at
-# most two sub-requests of a partition may be running or have run.
-POSSIBLE_RUNS_PER_PARTITION = 2
 FLOAT_TOLERANCE = 1e-9
 
 _ANSWERED = SubOutcome.ANSWERED
@@ -373,6 +374,7 @@
             elapsed = now - attempt.sent_at
             estimate.observe(result, elapsed, now)
             part.view.delay.observe(elapsed)
+            self.routing.quarantines.record_answer(self.fingerprint, part.view.name)
             return
         if outcome is not _NOT_SENT:
             part.bytes_left = True
@@ -422,14 +424,14 @@
 
     def _record_reset(self, attempt, now):
         """Records a reset; whether the fingerprint is quarantined now."""
-        attempt.part.resets += 1
-        check_invariant(
-            attempt.part.resets <= POSSIBLE_RUNS_PER_PARTITION,
-            invariant="crashes_per_partition",
-            detail=f"{self.request_id} partition {attempt.part.view.name}",
-        )
+        attempt.part.count_reset(self.request_id)
         quarantines = self.routing.quarantines
-        quarantines.record_reset(self.fingerprint, attempt.sub_request_id, now)
+        quarantines.record_reset(
+            fingerprint=self.fingerprint,
+            upstream_id=attempt.replica.upstream_id,
+            partition=attempt.part.view.name,
+            now=now,
+        )
         return quarantines.is_quarantined(self.fingerprint, now)
 
     def _stop_for_crashes(self, actions, now):
--- a/src/plantainstage/_routing/progress.py
+++ b/src/plantainstage/_routing/progress.py
@@ -1,7 +1,12 @@
 """What a gather knows of its sub-requests and partitions."""
 
+from plantainstage._errors import check_invariant
 from plantainstage._messages.forward import SubOutcome
 
+# A crashing request must not reach a third searcher of a partition, so that at
+# most two sub-requests of a partition may be running or have run.
+POSSIBLE_RUNS_PER_PARTITION = 2
+
 
 class Attempt:
     """One sub-request that was sent; ``outcome`` is None while outstanding.
@@ -71,6 +76,15 @@
         self.given_up = False
         self.declined = ()
 
+    def count_reset(self, request_id):
+        """Counts a searcher that reset while it ran this partition."""
+        self.resets += 1
+        check_invariant(
+            self.resets <= POSSIBLE_RUNS_PER_PARTITION,
+            invariant="crashes_per_partition",
+            detail=f"{request_id} partition {self.view.name}",
+        )
+
     def tried(self):
         """Returns the ids of the searchers that were tried."""
         return {attempt.replica.upstream_id for attempt in self.attempts}
