--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -20,7 +20,7 @@
 )
 from plantainstage._limits.connections import ConnectionTable
 from plantainstage._limits.fair_queue import FairQueue
-from plantainstage._limits.queue_items import HostLease, Queued, Running
+from plantainstage._limits.queue_items import BUSY, HostLease, Queued, Running
 from plantainstage._limits.silence import (
     PROBE_TIMEOUT_S,
     Reachability,
@@ -47,8 +47,9 @@
 # An exchange that runs longer than this many medians is taken for a straggler.
 STUCK_MEDIANS = 2.0
 # After an exchange without an answer the searcher may still run until the
-# sub-request's deadline, and one-way latency and its timers later.
-SLOT_RELEASE_GRACE_S = 0.1
+# sub-request's deadline. It counts that from the arrival, and its timers may be
+# late: 10 ms were too short on a busy machine (4 of 3 slots in use were seen).
+SLOT_RELEASE_GRACE_S = 0.25
 # The searcher has certainly ended the sub-request after one of these.
 _SLOT_FREE_OUTCOMES = frozenset(
     {
@@ -144,7 +145,15 @@
     # ---- Events --------------------------------------------------------------
 
     def submit(self, requester_id, sub_request, now):
-        """Takes a sub-request of an entry host (possibly this one)."""
+        """Takes a sub-request of an entry host (possibly this one).
+
+        A second delivery of one that waits or runs changes nothing.
+        """
+        if (
+            sub_request.sub_request_id in self.by_id
+            or sub_request.sub_request_id in self.running
+        ):
+            return []
         item = Queued(
             requester_id=requester_id,
             sub_request=sub_request,
@@ -207,9 +216,8 @@
             actions.append(CloseConnection(connection_id=running.connection_id))
         elapsed = now - running.started_at
         self._learn(running, result.outcome, result.reason, elapsed, actions, now)
-        # A 504 leaves the connection usable and says that nothing runs any more.
-        expired = result.outcome is SubOutcome.TIMED_OUT and connection_usable
-        if result.outcome not in _SLOT_FREE_OUTCOMES and not expired:
+        # A complete reply, also 504, shows that the searcher has ended.
+        if result.outcome not in _SLOT_FREE_OUTCOMES and not connection_usable:
             free_at = item.deadline + SLOT_RELEASE_GRACE_S
             if free_at > now:
                 heapq.heappush(self.held_slots, free_at)
@@ -292,7 +300,7 @@
             return "searcher_silent"
         wait = self.expected_wait_s(item.profile, now)
         if wait > 0 and item.sub_request.alternatives > 0 and self._declines(now):
-            return "busy"
+            return BUSY
         if now + wait + self.median_s > item.deadline:
             return "queue_full"
         return ""
