Expect an address in use among the settings errors of entry hosts

Cause: the check of listen addresses reports a used port with the other wrong settings; the scenario expected the earlier text, which is still used when the port is taken after the check. Change: the scenario expects the settings error with range and remedy, for both flags and with exit code 2 as before.

--- a/features/behaviour/entry.feature
+++ b/features/behaviour/entry.feature
@@ -53,7 +53,7 @@
     Given a port that another program uses
     When an entry host starts with this port as its --listen
     And an entry host starts with this port as its --forward-listen
-    Then both have exited with 2 and said "Choose free ports"
+    Then both have exited with 2 and said "expected an address of this host with a free port. Stop the process that listens there, or choose another port."
 
   Scenario: A fault of the program ends the request that met it and no other
     # Guards against a caller that waits for ever after a violated invariant.
