Count a refusal only for the sub-request that it names

Cause: a 503 or 409 says that nothing ran, and a refusal not_run rests on it. On a connection whose replies have lost step with the requests, the refusal of an earlier sub-request would have been taken for that of a later one. Change: refusals carry the id of the sub-request; one with another id, or none, ends the sub-request as invalid (it may have run) and closes the connection.

--- a/examples/standin/server.py
+++ b/examples/standin/server.py
@@ -96,7 +96,10 @@
         if self.request.connection.stream in self.service.silent:
             await self.gone.wait()
             return
-        self.reply(reply.status, reply.body)
+        answer = reply.body
+        if isinstance(answer, upstreams.SearchRefusal):
+            answer = msgspec.structs.replace(answer, sub_request_id=body.sub_request_id)
+        self.reply(reply.status, answer)
 
 
 class CancelHandler(SearcherHandler):
--- a/src/plantainstage/_entry/searcher_owner.py
+++ b/src/plantainstage/_entry/searcher_owner.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 import msgspec
@@ -26,7 +27,12 @@
 )
 from plantainstage._limits.owner_queue import OwnerQueue
 from plantainstage._messages.forward import SubOutcome, SubResult
-from plantainstage._messages.upstreams import CancelBody, SearchAnswer, SearchBody
+from plantainstage._messages.upstreams import (
+    CancelBody,
+    SearchAnswer,
+    SearchBody,
+    SearchRefusal,
+)
 from plantainstage._transport.http_pool import SearcherPool
 
 TIMER_RESOLUTION_S = 1e-6
@@ -44,6 +50,32 @@
 
 _encoder = msgspec.json.Encoder()
 _answer_decoder = msgspec.json.Decoder(SearchAnswer)
+_refusal_decoder = msgspec.json.Decoder(SearchRefusal)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Ended:
+    """What a status other than 200 says about a sub-request."""
+
+    outcome: SubOutcome
+    reason: str
+
+
+_ENDED_BY_STATUS = {
+    409: _Ended(outcome=SubOutcome.REFUSED, reason="snapshot_gone"),
+    503: _Ended(outcome=SubOutcome.REFUSED, reason="shed"),
+    499: _Ended(outcome=SubOutcome.CANCELLED, reason="cancelled"),
+    504: _Ended(outcome=SubOutcome.TIMED_OUT, reason="deadline"),
+}
+
+
+def _names_sub_request(body, sub_request):
+    """Whether a refusal says that it is meant for this sub-request."""
+    try:
+        refusal = _refusal_decoder.decode(body)
+    except msgspec.MsgspecError:
+        return False
+    return refusal.sub_request_id == sub_request.sub_request_id
 
 
 def connection_limit(connections):
@@ -284,6 +316,9 @@
             self._finish(exchange, result, usable=False)
             return
         result = self._interpret(exchange, outcome)
+        if result.outcome is SubOutcome.INVALID:
+            # What comes next on it may be the reply to an earlier sub-request.
+            self.pool.close_connection(exchange.connection_id, "invalid_reply")
         connection = self.pool.connection(exchange.connection_id)
         usable = connection is not None and not connection.closed
         self._finish(exchange, result, usable=usable)
@@ -304,19 +339,15 @@
 
     def _interpret(self, exchange, reply):
         """Returns the SubResult of an HTTP reply."""
-        match reply.status:
-            case 200:
-                return self._answer(exchange, reply.body)
-            case 409:
-                return self._result(exchange, SubOutcome.REFUSED, "snapshot_gone")
-            case 503:
-                return self._result(exchange, SubOutcome.REFUSED, "shed")
-            case 499:
-                return self._result(exchange, SubOutcome.CANCELLED, "cancelled")
-            case 504:
-                return self._result(exchange, SubOutcome.TIMED_OUT, "deadline")
-        reason = f"status_{reply.status}"
-        return self._result(exchange, SubOutcome.INVALID, reason)
+        if reply.status == 200:
+            return self._answer(exchange, reply.body)
+        ended = _ENDED_BY_STATUS.get(reply.status)
+        if ended is None:
+            reason = f"status_{reply.status}"
+            return self._result(exchange, SubOutcome.INVALID, reason)
+        if not _names_sub_request(reply.body, exchange.sub_request):
+            return self._result(exchange, SubOutcome.INVALID, "other_sub_request")
+        return self._result(exchange, ended.outcome, ended.reason)
 
     def _answer(self, exchange, body):
         sub_request = exchange.sub_request
--- a/src/plantainstage/_messages/upstreams.py
+++ b/src/plantainstage/_messages/upstreams.py
@@ -55,9 +55,14 @@
 
 
 class SearchRefusal(msgspec.Struct, frozen=True, kw_only=True):
-    """A searcher's statement that it did not run a sub-request."""
+    """A searcher's statement that a sub-request did not run or has ended.
+
+    It counts only with the id of the sub-request: on a connection that has lost
+    step, the refusal of an earlier one must not end a later one.
+    """
 
     error: str
+    sub_request_id: str = ""
 
 
 class CancelBody(msgspec.Struct, frozen=True, kw_only=True):
