Check fairness, order and epochs of the owner's queue

Cause: weights, the order of non-idempotent work and old epochs were only exercised, not judged, by the randomised runs. Change: three scenarios on OwnerQueue.

--- /dev/null
+++ b/features/steps/owner_queue_steps.py
@@ -0,0 +1,117 @@
+"""Steps for the queue in front of one searcher."""
+
+from behave import given, then, when
+
+from plantainstage._limits.owner_queue import (
+    HostLease,
+    OwnerQueue,
+    ReturnResult,
+    StartExchange,
+)
+from plantainstage._limits.quarantine import QuarantineTable
+from plantainstage._messages.forward import SubOutcome, SubRequest, SubResult
+
+
+def sub_request(key, profile, *, idempotent=True, epoch=1, remaining_ms=60_000.0):
+    return SubRequest(
+        sub_request_id=key,
+        request_id=key,
+        profile=profile,
+        upstream_id="r1",
+        epoch=epoch,
+        index="i",
+        snapshot="s1",
+        partition="p1",
+        fingerprint=key,
+        query=b"1",
+        remaining_ms=remaining_ms,
+        idempotent=idempotent,
+    )
+
+
+def submit(context, item):
+    context.actions += context.queue.submit("e1", item, context.now)
+
+
+def finish_running(context):
+    context.now += 0.001
+    key = next(iter(context.queue.running))
+    result = SubResult(
+        sub_request_id=key,
+        upstream_id="r1",
+        partition="p1",
+        outcome=SubOutcome.ANSWERED,
+    )
+    context.actions += context.queue.finished(
+        result, context.now, connection_usable=True
+    )
+
+
+def started(context):
+    return [
+        action.sub_request
+        for action in context.actions
+        if isinstance(action, StartExchange)
+    ]
+
+
+@given('an owner queue with 1 slot and weights {one:d} for "a" and {other:d} for "b"')
+def make_queue(context, one, other):
+    context.now = 0.0
+    context.actions = []
+    context.queue = OwnerQueue(
+        upstream_id="r1",
+        slots=1,
+        connections=10,
+        lease=HostLease(until=float("inf")),
+        quarantines=QuarantineTable(),
+        weights={"a": one, "b": other},
+    )
+    context.queue.own(epoch=1)
+
+
+@when('40 sub-requests of each of "a" and "b" wait and 40 exchanges finish')
+def fill_queue(context):
+    for number in range(40):
+        submit(context, sub_request(f"a{number}", "a"))
+        submit(context, sub_request(f"b{number}", "b"))
+    context.actions.clear()
+    for _ in range(40):
+        finish_running(context)
+
+
+@then('{low:d} to {high:d} of the started exchanges were for "a"')
+def check_share(context, low, high):
+    count = sum(item.profile == "a" for item in started(context))
+    assert low <= count <= high, count
+
+
+@when('20 non-idempotent sub-requests of "a" with falling deadlines are sent')
+def send_bookings(context):
+    for number in range(20):
+        remaining_ms = 60_000.0 - 100 * number
+        submit(
+            context,
+            sub_request(f"a{number}", "a", idempotent=False, remaining_ms=remaining_ms),
+        )
+    for _ in range(19):
+        finish_running(context)
+
+
+@then("they start in the order of their arrival")
+def check_order(context):
+    keys = [item.sub_request_id for item in started(context)]
+    assert keys == [f"a{number}" for number in range(20)], keys
+
+
+@when("a sub-request for epoch 0 arrives")
+def send_old_epoch(context):
+    submit(context, sub_request("a0", "a", epoch=0))
+
+
+@then('it is returned as not sent because of "{reason}"')
+def check_returned(context, reason):
+    (action,) = context.actions
+    assert isinstance(action, ReturnResult), action
+    assert action.result.outcome is SubOutcome.NOT_SENT
+    assert action.result.reason == reason
