Compare acknowledgements by the leader's term

Its position was taken as (term of the last entry, index), which falls when a later leader replaces a tail by entries of an earlier term.

Votes are checked when they are sent.

--- a/features/support/agreement_simulation.py
+++ b/features/support/agreement_simulation.py
@@ -243,9 +243,8 @@
             case VoteReply(granted=True, pre_vote=False):
                 sender.acted.term = max(sender.acted.term, message.term)
             case AppendReply(accepted=True) if message.term == state.term:
-                term = state.log.term_at(message.index)
-                if core.is_leader and term is not None:
-                    sender.acted.note(term, message)
+                if core.is_leader:
+                    sender.acted.note(message)
 
     # ---- Clients, faults, operator ----------------------------------------------
 
--- a/features/support/simulated_replica.py
+++ b/features/support/simulated_replica.py
@@ -16,8 +16,8 @@
     StorageFailedError,
 )
 from plantainstage._messages.agreement import (
+    Acknowledgement,
     EntryKind,
-    LogPosition,
     MemberId,
     Snapshot,
 )
@@ -59,12 +59,12 @@
 class Acted:
     """What peers have received of a folder; it must never be forgotten."""
 
-    position: LogPosition = LogPosition()
+    position: Acknowledgement = Acknowledgement()
     term: int = 0
 
-    def note(self, term, reply):
+    def note(self, reply):
         """Notes an accepted reply that its leader has received."""
-        position = LogPosition(term=term, index=reply.index)
+        position = Acknowledgement(term=reply.term, index=reply.index)
         self.position = max(self.position, position)
         self.term = max(self.term, reply.term)
 
@@ -76,7 +76,7 @@
     image: object
     boot: int
     time: float
-    position: LogPosition
+    position: Acknowledgement
     term: int
 
 
@@ -199,7 +199,7 @@
                 self.checks.action(self.core, action)
             phases = split_into_phases(batch)
             for action in phases.immediate:
-                self.send(self, action.receiver, action.message)
+                self._do(action)
             if phases.storage:
                 self.store.persist(phases.storage, self.core.known_peers())
                 self.core.synced(now=local)
@@ -223,6 +223,7 @@
     def _do(self, action):
         match action:
             case actions.Send():
+                self.checks.sent(self.core, action)
                 self.send(self, action.receiver, action.message)
             case actions.Apply(entries=entries):
                 for entry in entries:
--- a/features/support/simulation_checks.py
+++ b/features/support/simulation_checks.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from plantainstage._agreement.actions import InstallSnapshot, SaveEntries, Send
+from plantainstage._agreement.actions import InstallSnapshot, SaveEntries
 from plantainstage._agreement.state import Role
 from plantainstage._errors import check_invariant
 from plantainstage._messages.agreement import VoteReply
@@ -38,8 +38,12 @@
                 self.snapshots_installed += 1
             case SaveEntries(entries=entries):
                 self._entries(core, entries)
-            case Send(message=VoteReply(granted=True, pre_vote=False) as vote):
-                self._vote(core, vote.term, action.receiver)
+
+    def sent(self, core, action):
+        """Checks a vote when it is sent; one that a crash prevents is none."""
+        match action.message:
+            case VoteReply(granted=True, pre_vote=False, term=term):
+                self._vote(core, term, action.receiver)
 
     def _entries(self, core, entries):
         log = core.state.log
--- a/src/plantainstage/_agreement/state.py
+++ b/src/plantainstage/_agreement/state.py
@@ -14,6 +14,7 @@
 from plantainstage._agreement.log import Log
 from plantainstage._errors import check_invariant
 from plantainstage._messages.agreement import (
+    Acknowledgement,
     LogPosition,
     MemberId,
     Membership,
@@ -130,7 +131,7 @@
     # Start of the replica.
     joined: bool = False
     boot_members: Membership = Membership()
-    start_position: LogPosition = LogPosition()
+    start_position: Acknowledgement = Acknowledgement()
     start_term: int = 0
     boot_recorded_by: set[MemberId] = field(default_factory=set)
     boot_position: LogPosition = LogPosition()
@@ -226,7 +227,7 @@
             member_id=member_id,
             boot=record.boot,
             boot_nonce=record.boot_nonce,
-            acknowledged=max(record.acknowledged, acknowledged or LogPosition()),
+            acknowledged=max(record.acknowledged, acknowledged or Acknowledgement()),
             acknowledged_term=max(record.acknowledged_term, term),
         )
         if merged != record:
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -178,6 +178,12 @@
         new="    if False:",
         feature=CORE_SCENARIOS,
     ),
+    Mutation(
+        name="acknowledgements are compared by the last entry's term",
+        file=BOOT,
+        old="Acknowledgement(term=state.term, index=state.log.last.index)",
+        new="Acknowledgement(term=state.log.last.term, index=state.log.last.index)",
+    ),
     Mutation(
         name="the boot counter is not raised",
         file="_storage/folder.py",
