--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -20,6 +20,7 @@
 )
 from plantainstage._limits.connections import ConnectionTable
 from plantainstage._limits.fair_queue import FairQueue
+from plantainstage._limits.queue_items import BUSY, HostLease, Queued, Running
 from plantainstage._limits.silence import (
     PROBE_TIMEOUT_S,
     Reachability,
@@ -46,8 +47,9 @@
 # An exchange that runs longer than this many medians is taken for a straggler.
 STUCK_MEDIANS = 2.0
 # After an exchange without an answer the searcher may still run until the
-# sub-request's deadline, and one-way latency and its timers later.
-SLOT_RELEASE_GRACE_S = 0.01
+# sub-request's deadline. It counts that from the arrival, and its timers may be
+# late: 10 ms were too short on a busy machine (4 of 3 slots in use were seen).
+SLOT_RELEASE_GRACE_S = 0.25
 # The searcher has certainly ended the sub-request after one of these.
 _SLOT_FREE_OUTCOMES = frozenset(
     {
@@ -59,59 +61,6 @@
 )
 
 
-class HostLease:
-    """The entry host's lease, shared by all of its owner queues."""
-
-    def __init__(self, *, until: float = -math.inf):
-        self.until = until
-
-    def valid(self, now):
-        """Whether bytes may be sent to searchers."""
-        return now < self.until
-
-
-class _Queued:
-    """A sub-request that waits; ``deadline`` is on the owner's clock."""
-
-    __slots__ = (
-        "requester_id",
-        "sub_request",
-        "deadline",
-        "profile",
-        "idempotent",
-        "removed",
-    )
-
-    def __init__(self, *, requester_id, sub_request, deadline):
-        self.requester_id = requester_id
-        self.sub_request = sub_request
-        self.deadline = deadline
-        self.profile = sub_request.profile
-        self.idempotent = sub_request.idempotent
-        self.removed = False
-
-
-class _Running:
-    """A sub-request that holds a slot and a connection."""
-
-    __slots__ = (
-        "queued",
-        "started_at",
-        "connection_id",
-        "got_byte",
-        "suspect",
-        "aborted",
-    )
-
-    def __init__(self, *, queued, started_at, connection_id):
-        self.queued = queued
-        self.started_at = started_at
-        self.connection_id = connection_id
-        self.got_byte = False
-        self.suspect = False
-        self.aborted = False
-
-
 class OwnerQueue:
     """Sends sub-requests to one searcher within its slots and connections.
 
@@ -196,8 +145,16 @@
     # ---- Events --------------------------------------------------------------
 
     def submit(self, requester_id, sub_request, now):
-        """Takes a sub-request of an entry host (possibly this one)."""
-        item = _Queued(
+        """Takes a sub-request of an entry host (possibly this one).
+
+        A second delivery of one that waits or runs changes nothing.
+        """
+        if (
+            sub_request.sub_request_id in self.by_id
+            or sub_request.sub_request_id in self.running
+        ):
+            return []
+        item = Queued(
             requester_id=requester_id,
             sub_request=sub_request,
             deadline=now + sub_request.remaining_ms / 1000,
@@ -259,7 +216,8 @@
             actions.append(CloseConnection(connection_id=running.connection_id))
         elapsed = now - running.started_at
         self._learn(running, result.outcome, result.reason, elapsed, actions, now)
-        if result.outcome not in _SLOT_FREE_OUTCOMES:
+        # A complete reply, also 504, shows that the searcher has ended.
+        if result.outcome not in _SLOT_FREE_OUTCOMES and not connection_usable:
             free_at = item.deadline + SLOT_RELEASE_GRACE_S
             if free_at > now:
                 heapq.heappush(self.held_slots, free_at)
@@ -342,7 +300,7 @@
             return "searcher_silent"
         wait = self.expected_wait_s(item.profile, now)
         if wait > 0 and item.sub_request.alternatives > 0 and self._declines(now):
-            return "busy"
+            return BUSY
         if now + wait + self.median_s > item.deadline:
             return "queue_full"
         return ""
@@ -380,7 +338,7 @@
         sub_request = item.sub_request
         self.by_id.pop(sub_request.sub_request_id, None)
         connection_id, must_open = self.connections.acquire()
-        self.running[sub_request.sub_request_id] = _Running(
+        self.running[sub_request.sub_request_id] = Running(
             queued=item, started_at=now, connection_id=connection_id
         )
         check_invariant(
