Damage only one folder of a simulated group at a time

Two of three folders gone is outside what the design survives.

Change: the plan counts an older copy that has not been recognised as damaged.

--- a/features/support/simulation_faults.py
+++ b/features/support/simulation_faults.py
@@ -74,6 +74,10 @@
         leader = operator.leader()
         if leader is None or operator.tasks:
             return False
+        replicas = self.simulation.replicas.values()
+        if any(other.rolled_back_to is not None for other in replicas):
+            # An older copy that has not been recognised yet is damaged, too.
+            return False
         state = leader.core.state
         if state.commit_index < max(state.log.membership_index, state.term_start_index):
             return False
