--- a/tools/chaos/faults.py
+++ b/tools/chaos/faults.py
@@ -141,8 +141,14 @@
         wait_until(lambda: self._identity(host), what=f"{host} is known")
         tier.program(host).kill()
         shutil.copytree(folder, copy)
+        before = self._leaders_seen(host)
         tier.start(host)
-        wait_until(lambda: self._caught_up(host), what=f"{host} has caught up")
+        # It follows a leader only after its peers have recorded this boot, which
+        # is what makes the copy an older one.
+        wait_until(
+            lambda: self._leaders_seen(host) > before,
+            what=f"{host} takes part again",
+        )
         tier.program(host).kill()
         shutil.rmtree(folder)
         copy.rename(folder)
@@ -157,12 +163,9 @@
 
         return repair
 
-    def _caught_up(self, host):
-        status = self.tier.call(control.QueryStatus())
-        return any(
-            item.replica_id == host and item.match_index >= status.commit_index
-            for item in status.replicas
-        )
+    def _leaders_seen(self, host):
+        lines = self.tier.log_lines(host)
+        return sum(line["event"] == "leader changed" for line in lines)
 
     def _identity(self, host):
         replicas = self.tier.call(control.QueryStatus()).replicas
