Find the mutations of boot records by a scenario

Cause: the mutation tool ran without bench, which the steps now import, and read that as not found.

Change: the tool copies bench and examples and reports a feature that cannot run; a scenario covers boot records that are spread by the leader.

--- a/features/behaviour/agreement_core.feature
+++ b/features/behaviour/agreement_core.feature
@@ -95,3 +95,10 @@
     Given the cores C, D and E of which D leads
     When C restarts with a log from the time when A and B were its peers
     Then C joins once D and E have recorded its boot
+
+  Scenario: An earlier boot is refused by a member that knows the later one from the leader
+    # Guards against an older copy that asks only members which did not record
+    # its later boot themselves.
+    Given the cores A, B and C of which A leads
+    When C has started again but B heard of it only through A
+    Then a copy of C from before that start is refused by B alone
--- a/features/steps/agreement_core_steps.py
+++ b/features/steps/agreement_core_steps.py
@@ -385,3 +385,27 @@
         group.deliver_all()
     assert group.state("C").joined
     assert group.state("C").boot_recorded_by == {identity("D"), identity("E")}
+
+
+@when("C has started again but B heard of it only through A")
+def start_again_without_b(context):
+    group = context.group
+    context.copy = group.durable_copy("C")
+    group.add("C", boot=2, **context.copy)
+    for _ in range(30):
+        group.take(sender="C", receiver="B")
+        group.advance(0.05, ["A", "C"])
+        group.take(sender="C", receiver="B")
+        group.deliver(group.take(receiver="A"))
+        group.deliver(group.take(sender="A"))
+    group.take()
+
+
+@then("a copy of C from before that start is refused by B alone")
+def check_refused_by_b(context):
+    group = context.group
+    group.add("C", boot=1, **context.copy)
+    group.take(receiver="A")
+    group.deliver(group.take(messages.BootRequest, receiver="B"))
+    group.deliver(group.take(messages.BootReply, sender="B"))
+    assert len(group.actions_of("C", actions.Stop)) == 1
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -143,6 +143,7 @@
         file=BOOT,
         old="    if not reply.recorded:\n",
         new="    if False:\n",
+        feature=CORE_SCENARIOS,
     ),
     Mutation(
         name="acknowledged position is not compared",
@@ -169,6 +170,7 @@
         file=BOOT,
         old="        if own is not None and own.boot < record.boot:\n",
         new="        if False:\n",
+        feature=CORE_SCENARIOS,
     ),
     Mutation(
         name="a starting replica asks only the members that it knows",
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -19,7 +19,7 @@
 from agreement_mutations import MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
-PARTS = ("src", "features", "tools")
+PARTS = ("src", "features", "tools", "bench", "examples")
 RUN_TIMEOUT_S = 300
 
 
@@ -66,6 +66,8 @@
         for line in done.stdout.splitlines()
         if line.startswith("failed: ")
     ]
+    if done.returncode != 0 and not failed:
+        raise click.ClickException(f"{feature} could not run: {done.stdout[-500:]}")
     return "; ".join(failed)
 
 
