Run every benchmark even when one is a click command

Cause: bench/run_all.py ended after restart_time with code 0: the main of that file is a click command, which exits the process.

--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -9,12 +9,17 @@
 import click
 
 FOLDER = Path(__file__).resolve().parent
-BENCHMARKS = ("decisions", "restart_time", "commit_cost", "claim_cost", "in_force_time")
+BENCHMARKS = ("restart_time", "commit_cost", "claim_cost", "in_force_time", "decisions")
 
 
 def run(name, full):
     """Imports one benchmark and calls its ``main``."""
     main = importlib.import_module(name).main
+    if isinstance(main, click.Command):
+        # Outside standalone mode a command returns instead of exiting.
+        has_full = any(option.name == "full" for option in main.params)
+        arguments = ["--full"] if full and has_full else []
+        return main(args=arguments, standalone_mode=False)
     if full and "full" in inspect.signature(main).parameters:
         return main(full=True)
     return main()
