Send nothing more to a searcher that is out, draining or lost

Change: an owner that applies a configuration in which the searcher does not serve returns its queue as not sent, and sends again once the searcher serves.

--- /dev/null
+++ b/features/support/scripted_searcher.py
@@ -0,0 +1,79 @@
+"""A searcher whose replies a scenario decides, on an event loop of its own."""
+
+import asyncio
+import json
+import time
+
+HANG_LIMIT_S = 30
+
+
+class ScriptedSearcher:
+    """Collects sub-requests; each is answered when the scenario says so.
+
+    ``run`` drives the event loop until a coroutine is done.
+    """
+
+    def __init__(self, resources):
+        self.loop = asyncio.new_event_loop()
+        self.received = []
+        self.writers = []
+        self.ended = []
+        self.server = self.run(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        resources.callback(self.close)
+
+    def run(self, work):
+        return self.loop.run_until_complete(work)
+
+    def call(self, function, *arguments):
+        """Calls a function that needs a running loop."""
+
+        async def call():
+            return function(*arguments)
+
+        return self.run(call())
+
+    def wait_for(self, condition):
+        """Runs the loop until the condition holds; fails after 30 s."""
+        limit = time.monotonic() + HANG_LIMIT_S
+        while not condition():
+            assert time.monotonic() < limit, "the condition did not come true"
+            self.run(asyncio.sleep(0.001))
+
+    async def _serve(self, reader, writer):
+        self.writers.append(writer)
+        task = asyncio.current_task()
+        self.ended.append(task)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = head.lower().split(b"content-length:")[1].split(b"\r\n")[0]
+                body = await reader.readexactly(int(length))
+                self.received.append((json.loads(body), writer))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def answer(self, number):
+        """Answers the sub-request received as this number, from 0."""
+        request, writer = self.received[number]
+        body = json.dumps(
+            {
+                "sub_request_id": request["sub_request_id"],
+                "snapshot": request["snapshot"],
+                "partition": request["partition"],
+                "documents": 10,
+                "hits": [],
+            }
+        ).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        writer.write(head + body)
+
+    def close(self):
+        async def close():
+            self.server.close()
+            for writer in self.writers:
+                writer.close()
+            await asyncio.gather(*self.ended, return_exceptions=True)
+
+        self.run(close())
+        self.loop.close()
--- a/src/plantainstage/_entry/owners.py
+++ b/src/plantainstage/_entry/owners.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from plantainstage._entry.searcher_owner import SearcherOwner
+from plantainstage._messages.configuration import UpstreamState
 from plantainstage._messages.forward import SubOutcome, SubResult
 
 
@@ -69,7 +70,12 @@
             self.owned[upstream.upstream_id] = owner
         owner.update(upstream)
         owner.queue.set_weights(weights)
-        owner.own(ownership.epoch)
+        if upstream.state is UpstreamState.SERVING:
+            owner.own(ownership.epoch)
+        else:
+            # Queued work would still be sent after the change is in force. Its
+            # requesters get it back as not sent and use another replica.
+            owner.disown()
 
     def _leave(self, upstream_id):
         owner = self.owned.pop(upstream_id)
