Catch stop signals before a daemon starts anything

The chaos run waits until the process has logged, since nothing can catch a signal while Python loads.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -98,6 +98,7 @@
         environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
         self.log_path = Path(log_path)
         with open(log_path, "ab") as log:
+            self.log_start = log.tell()
             self.process = subprocess.Popen(
                 [sys.executable, *module, *arguments],
                 cwd=ROOT,
@@ -136,6 +137,10 @@
             self.process.kill()
             self.process.wait(STOP_TIMEOUT_S)
 
+    def has_begun(self):
+        """Whether this process has logged; before, a signal only ends it."""
+        return self.log_path.stat().st_size > self.log_start
+
     def log_lines(self):
         """Returns the JSON lines that the program has logged so far."""
         lines = self.log_path.read_text(encoding="utf-8").splitlines()
--- a/src/plantainstage/_programs/control.py
+++ b/src/plantainstage/_programs/control.py
@@ -8,7 +8,7 @@
 from plantainstage._control.daemon import ControlDaemon
 from plantainstage._errors import PlantainstageError
 from plantainstage._programs.logs import configure_logs
-from plantainstage._programs.running import wait_for_stop_signal
+from plantainstage._programs.running import catch_stop_signals
 from plantainstage._settings.base import build_settings
 from plantainstage._settings.control import check_control_settings
 
@@ -76,11 +76,17 @@
     )
     daemon = ControlDaemon(settings=settings)
     try:
-        asyncio.run(daemon.run(wait_for_stop_signal()))
+        asyncio.run(run(daemon))
     except PlantainstageError as error:
         logger.critical("cannot run", error=str(error), type=type(error).__name__)
         raise SystemExit(EXIT_CANNOT_RUN) from None
 
 
+async def run(daemon):
+    """Runs the daemon until a planned stop."""
+    stop = catch_stop_signals()
+    await daemon.run(stop.wait())
+
+
 if __name__ == "__main__":
     main()
