Restore the transfer flag of a campaign, which a scenario reads

Cause: removed CoreState.campaign_is_transfer as unread, judged by src/ alone and after 26 agreement scenarios only. Change: this reverts. The check of the scenario stays as it was. Result: features/failures/control_replicas.feature passes again.

--- a/src/plantainstage/_agreement/election.py
+++ b/src/plantainstage/_agreement/election.py
@@ -28,6 +28,7 @@
     state.role = Role.CANDIDATE
     state.votes = set()
     state.save_hard_state(term=state.term + 1, vote=state.member_id)
+    state.campaign_is_transfer = transfer
     state.reset_election_deadline()
     _request_votes(state, pre_vote=False, transfer=transfer)
 
--- a/src/plantainstage/_agreement/state.py
+++ b/src/plantainstage/_agreement/state.py
@@ -114,6 +114,7 @@
     leader_heard_at: float = float("-inf")
     election_deadline: float = 0.0
     votes: set[MemberId] = field(default_factory=set)
+    campaign_is_transfer: bool = False
     # Leader only.
     progress: dict[MemberId, Progress] = field(default_factory=dict)
     round: int = 0
