--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,9 +25,13 @@
 from plantainstage._membership.leader import PlanKey
 from plantainstage._membership.leases import RENEW_INTERVAL_MS
 from plantainstage._membership.machine import MembershipMachine
-from plantainstage._membership.planner import PlannedSearcher, plan_owners
-from plantainstage._membership.queries import build_configuration, partitions_of
-from plantainstage._membership.reconciliation import plan_commands
+from plantainstage._membership.planner import plan_owners
+from plantainstage._membership.queries import build_configuration
+from plantainstage._membership.reconciliation import (
+    plan_commands,
+    planned_hosts,
+    planned_searchers,
+)
 from plantainstage._membership.state import decode_state, encode_state
 from plantainstage.messages import configuration as types
 from plantainstage.messages import control, upstreams
@@ -35,8 +39,6 @@
 REPLICAS = 3
 PARTITIONS_PER_INDEX = 100
 RENEWALS = 2000
-# The planner sorts all pairs; 16 million tuples would take about 3 GiB.
-MAX_PAIRS = 3_000_000
 RECONCILIATIONS = 10
 MICROSECONDS = 1e6
 
@@ -62,15 +64,6 @@
     sizes: tuple[int, int]
 
 
-class NotMeasured(msgspec.Struct, frozen=True, kw_only=True):
-    """A size that was left out, with the reason."""
-
-    not_measured: str
-    entries: int
-    searchers: int
-    reason: str
-
-
 @dataclass(frozen=True, kw_only=True)
 class Size:
     """The size of a made-up deployment."""
@@ -336,25 +329,11 @@
 
     def measure_planning(self):
         """The ownership plan after a host joined or went."""
-        pairs = self.size.entries * self.size.searchers
-        if pairs > MAX_PAIRS:
-            self.results.append(
-                NotMeasured(
-                    not_measured="planning_cpu",
-                    entries=self.size.entries,
-                    searchers=self.size.searchers,
-                    reason=f"{pairs} pairs would not fit in memory",
-                )
-            )
-            return
-        searchers = [
-            PlannedSearcher(
-                upstream_id=name, partitions=frozenset(partitions_of(record.announced))
-            )
-            for name, record in sorted(self.machine.state.upstreams.items())
-        ]
-        hosts = tuple(sorted(self.machine.state.entries))
+        state = self.machine.state
+        searchers = planned_searchers(state)
+        hosts = planned_hosts(state, sorted(state.entries))
         _, cpu = cpu_of(lambda: plan_owners(searchers=searchers, hosts=hosts))
+        pairs = self.size.entries * self.size.searchers
         self.add("planning_cpu", cpu, "us for each version or change of hosts")
         self.add("planning_cpu_per_pair", cpu / pairs, "us")
 
@@ -370,9 +349,8 @@
 def slopes(results):
     """Returns the growth per entry host and per searcher between sizes."""
     found = []
-    measured = [item for item in results if isinstance(item, Measure)]
-    for name in sorted({item.measure for item in measured}):
-        items = [item for item in measured if item.measure == name]
+    for name in sorted({item.measure for item in results}):
+        items = [item for item in results if item.measure == name]
         found += _slopes_along(items, "entries", "searchers")
         found += _slopes_along(items, "searchers", "entries")
     return found
--- a/features/randomised/membership.feature
+++ b/features/randomised/membership.feature
@@ -38,3 +38,20 @@
     When one of the hosts goes
     Then at most 24 searchers move in the mean over all hosts
     And no host owns two replicas of a partition
+
+  Scenario: Every searcher has an owner of its data centre while that has hosts
+    # Guards against the loss of a data centre that stops searchers elsewhere until
+    # their owners are replaced.
+    Given 27 partitions of 3 searchers and 9 entry hosts
+    Then every searcher has an owner of its own data centre
+    When all hosts of the upper canal go
+    Then every searcher of the other data centres keeps its owner
+    And no host owns more than 27 searchers
+
+  Scenario: A data centre with too few hosts passes searchers on
+    # Guards against one host that owns all searchers of its data centre.
+    Given 27 partitions of 3 searchers and 9 entry hosts
+    When all hosts of the upper canal but one go
+    Then no host owns more than 24 searchers
+    And every searcher of the other data centres keeps its owner
+    And no host owns two replicas of a partition
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -10,10 +10,16 @@
 from plantainstage._control.service import ControlService
 from plantainstage._membership import commands
 from plantainstage._membership.machine import MembershipMachine
-from plantainstage._membership.planner import PlannedSearcher, plan_owners
+from plantainstage._membership.planner import (
+    PlannedHost,
+    PlannedSearcher,
+    plan_owners,
+)
 from plantainstage._messages import configuration, control
 from support.membership_simulation import run_simulation
 
+DATA_CENTRES = ("upper-canal", "middle-canal", "lower-canal")
+
 
 @when(
     "the control service is simulated for {steps:d} events with faults and seed {seed:d}"
@@ -195,12 +201,19 @@
     context.searchers = [
         PlannedSearcher(
             upstream_id=f"rider-desk-{partition:02}-{replica}",
+            data_centre=DATA_CENTRES[replica % len(DATA_CENTRES)],
             partitions=frozenset({f"ditch-turns/{partition}"}),
         )
         for partition in range(partitions)
         for replica in range(replicas)
     ]
-    context.plan_hosts = tuple(f"entry-{number}" for number in range(1, hosts + 1))
+    context.plan_hosts = tuple(
+        PlannedHost(
+            entry_id=f"entry-{number}",
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+        )
+        for number in range(1, hosts + 1)
+    )
     context.plans = [plan_owners(searchers=context.searchers, hosts=context.plan_hosts)]
 
 
@@ -220,7 +233,7 @@
 def check_balance(context, most):
     for plan in context.plans:
         owners = list(plan.values())
-        assert max(owners.count(host) for host in context.plan_hosts) <= most
+        assert max(owners.count(host.entry_id) for host in context.plan_hosts) <= most
 
 
 @when("one of the hosts goes")
@@ -235,6 +248,40 @@
     ]
 
 
+def keep_hosts(context, hosts):
+    context.first = context.plans[0]
+    context.plan_hosts = hosts
+    context.plans = [plan_owners(searchers=context.searchers, hosts=hosts)]
+
+
+@when("all hosts of the upper canal go")
+def remove_data_centre(context):
+    others = [h for h in context.plan_hosts if h.data_centre != "upper-canal"]
+    keep_hosts(context, others)
+
+
+@when("all hosts of the upper canal but one go")
+def leave_one_host(context):
+    upper = [h for h in context.plan_hosts if h.data_centre == "upper-canal"]
+    keep_hosts(context, [h for h in context.plan_hosts if h not in upper[1:]])
+
+
+@then("every searcher has an owner of its own data centre")
+def check_local_owners(context):
+    data_centres = {host.entry_id: host.data_centre for host in context.plan_hosts}
+    (plan,) = context.plans
+    for searcher in context.searchers:
+        assert data_centres[plan[searcher.upstream_id]] == searcher.data_centre
+
+
+@then("every searcher of the other data centres keeps its owner")
+def check_kept_owners(context):
+    (plan,) = context.plans
+    for searcher in context.searchers:
+        if searcher.data_centre != "upper-canal":
+            assert plan[searcher.upstream_id] == context.first[searcher.upstream_id]
+
+
 @then("at most {most:d} searchers move in the mean over all hosts")
 def check_moves(context, most):
     moves = [
--- a/src/plantainstage/_membership/reconciliation.py
+++ b/src/plantainstage/_membership/reconciliation.py
@@ -8,7 +8,11 @@
 from plantainstage._membership.heartbeats import FORGET_LOST_S, HEARTBEAT_LEASE_S
 from plantainstage._membership.leader import PlanKey
 from plantainstage._membership.leases import CLOCK_RATE_MARGIN, start_of
-from plantainstage._membership.planner import PlannedSearcher, plan_owners
+from plantainstage._membership.planner import (
+    PlannedHost,
+    PlannedSearcher,
+    plan_owners,
+)
 from plantainstage._membership.queries import longest_deadline_ms, partitions_of
 from plantainstage._membership.state import EntryStart
 from plantainstage._messages.configuration import UpstreamState
@@ -196,21 +200,33 @@
     """Returns the plan, made anew only when its inputs may have changed."""
     key = PlanKey(version=state.version, hosts=hosts)
     if view.plan_key != key:
-        view.plan = plan_owners(searchers=_searchers(state), hosts=hosts)
+        view.plan = plan_owners(
+            searchers=planned_searchers(state), hosts=planned_hosts(state, hosts)
+        )
         view.plan_key = key
     return view.plan
 
 
-def _searchers(state):
+def planned_searchers(state):
+    """Returns the registered searchers as the plan of owners takes them."""
     return [
         PlannedSearcher(
             upstream_id=name,
+            data_centre=record.announced.data_centre,
             partitions=frozenset(partitions_of(record.announced)),
         )
         for name, record in sorted(state.upstreams.items())
     ]
 
 
+def planned_hosts(state, entry_ids):
+    """Returns the entry hosts of these ids as the plan of owners takes them."""
+    return [
+        PlannedHost(entry_id=name, data_centre=state.entries[name].data_centre)
+        for name in entry_ids
+    ]
+
+
 def _partitions_without_active_owner(state, live):
     """Returns the partitions of which a serving replica cannot be used now."""
     missing = set()
