Bound an owner to 1.5 times the mean number of searchers

Cause: with twice the mean, the fullest of 9 hosts owned 18 of Étain Gravé's 83 searchers (mean 9.2) and 24 after one of 8 hosts had gone; an overloaded owner slows all requests down. Change: MAX_LOAD is 1.5, and the bounds of both scenarios follow it (18 and 21).

--- a/features/randomised/membership.feature
+++ b/features/randomised/membership.feature
@@ -46,12 +46,12 @@
     Then every searcher has an owner of its own data centre
     When all hosts of the upper canal go
     Then every searcher of the other data centres keeps its owner
-    And no host owns more than 27 searchers
+    And no host owns more than 21 searchers
 
   Scenario: A data centre with too few hosts passes searchers on
     # Guards against one host that owns all searchers of its data centre.
     Given 27 partitions of 3 searchers and 9 entry hosts
     When all hosts of the upper canal but one go
-    Then no host owns more than 24 searchers
+    Then no host owns more than 18 searchers
     And every searcher of the other data centres keeps its owner
     And no host owns two replicas of a partition
--- a/src/plantainstage/_membership/planner.py
+++ b/src/plantainstage/_membership/planner.py
@@ -16,7 +16,7 @@
 
 # A data centre with many searchers and few hosts passes on what exceeds this
 # multiple of the mean for each host.
-MAX_LOAD = 2.0
+MAX_LOAD = 1.5
 
 
 @dataclass(frozen=True, kw_only=True)
