Take a peer's results in the turn in which they arrive

Cause: results of a peer waited for a further turn of the event loop, which costs an epoll call for each message; a queued sub-request was a frozen data class, and the choice of a queue's lane made a generator and a key function. Change: Gathers.take_results delivers a peer's batch at once, which is safe because no action of a gather is being carried out then. PeerLink queues structs.

--- a/src/plantainstage/_entry/gathers.py
+++ b/src/plantainstage/_entry/gathers.py
@@ -170,6 +170,16 @@
             self.loop.call_soon(self._deliver)
         self.results.append(result)
 
+    def take_results(self, results):
+        """Takes a peer's results; gathers see them at once.
+
+        To be called from the event loop's own events only, when no action of a
+        gather is being carried out. Waiting for the next turn would cost one
+        more turn for each message.
+        """
+        self.results.extend(results)
+        self._deliver()
+
     def _deliver(self):
         results, self.results = self.results, []
         for result in results:
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -213,8 +213,7 @@
     def _on_peer_message(self, message):
         match message:
             case forward.SubResults(items=items):
-                for result in items:
-                    self.gathers.take_result(result)
+                self.gathers.take_results(items)
             case forward.SubRequests(sender=sender, items=items):
                 # A host that cannot get the results must not cause work.
                 if sender in self.links.peers:
--- a/src/plantainstage/_limits/fair_queue.py
+++ b/src/plantainstage/_limits/fair_queue.py
@@ -69,10 +69,7 @@
         """Removes and returns the next item, or None."""
         if not self.length:
             return None
-        lane = min(
-            (lane for lane in self.lanes.values() if lane.length),
-            key=lambda lane: lane.start,
-        )
+        lane = self._next_lane()
         self.virtual_time = lane.start
         lane.start += 1 / lane.weight
         lane.length -= 1
@@ -82,6 +79,13 @@
             item = heapq.heappop(lane.items)[2]
         return item
 
+    def _next_lane(self):
+        first = None
+        for lane in self.lanes.values():
+            if lane.length and (first is None or lane.start < first.start):
+                first = lane
+        return first
+
     def earliest_deadline(self):
         """Returns the earliest deadline of any item, or infinity."""
         earliest = math.inf
--- a/src/plantainstage/_transport/forward.py
+++ b/src/plantainstage/_transport/forward.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 import pynng
@@ -38,8 +37,7 @@
 _decoder = msgspec.msgpack.Decoder(forward.ForwardMessage)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Queued:
+class _Queued(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     queued_at: float
     item: object
 
