Show that exchanges survive any division of their bytes

Cause: the reading coroutine is run by hand since, with waits and yields of its own, and heads are remembered. Change: features/behaviour/exchanges.feature plays the transport below one connection. A check of HttpConnection that no event can reach is gone.

--- /dev/null
+++ b/features/behaviour/exchanges.feature
@@ -0,0 +1,63 @@
+Feature: Exchanges on one connection to a searcher
+
+  Scenario Outline: A reply <kind> of <length> bytes in pieces of <size> is read whole
+    # Guards against a reading coroutine that is not resumed when further bytes
+    # arrive, or after tornado has let other work run, which it does when it has
+    # read 262,144 bytes.
+    Given a connection to a searcher
+    When a request is sent and a reply <kind> of <length> bytes arrives in pieces of <size>
+    Then the exchange ends with the whole reply
+    And the connection is closed only if the reply ended with it
+
+    Examples:
+      | kind                   | length | size  |
+      | of stated length       | 600000 | 65536 |
+      | of stated length       | 262144 | 65536 |
+      | of stated length       | 100000 | 997   |
+      | in chunks              | 600000 | 4001  |
+      | until the stream's end | 600000 | 65536 |
+
+  Scenario Outline: A stream that ends <moment> counts as sent and reset
+    # Guards against "not sent" for bytes that may have reached the searcher, and
+    # against an exchange that never ends.
+    Given a connection to a searcher
+    When a request is sent and the stream ends <moment>
+    Then the exchange ends as "reset", with bytes sent
+    And the end of the connection is told once
+
+    Examples:
+      | moment                  |
+      | before any byte         |
+      | in the middle of a head |
+      | in the middle of a body |
+
+  Scenario: A reply that is not HTTP ends the exchange as invalid
+    # Guards against a reading coroutine that fails without ending its exchange.
+    Given a connection to a searcher
+    When a request is sent and "HTTP/1.1 two hundred" arrives for a head
+    Then the exchange ends as "invalid_reply", with bytes sent
+    And the end of the connection is told once
+
+  Scenario: A stream that has ended takes no further request
+    # Guards against "may have run" for a request of which no byte left, and
+    # against one that is written to a stream that is closing.
+    Given a connection to a searcher
+    When the stream ends while the connection is idle
+    And a request is sent
+    Then the exchange ends as "connection_closed", with no bytes sent
+
+  Scenario: Bytes that nobody asked for are bounded
+    # Guards against a searcher that fills the memory of an entry host through
+    # an idle connection.
+    Given a connection to a searcher
+    When 65536 bytes arrive while the connection is idle
+    Then nothing more is read from the stream
+    When a request is sent
+    Then the stream is read again
+
+  Scenario: Each request states its own length and each reply is read by its own head
+    # Guards against remembered heads that are taken for those of another length.
+    Given a connection to a searcher
+    When requests and replies of 9, 10, 100 and 9 bytes are exchanged
+    Then each request has stated its length
+    And each exchange has ended with its own reply
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -243,7 +243,7 @@
             self._step()
 
     def _complete(self, reader):
-        if not reader.keep_alive or self.stream.closed():
+        if not reader.keep_alive:
             self.ended = True
             self.stream.close()
         self._finish_exchange(reader.reply())
