--- a/examples/standin/control.py
+++ b/examples/standin/control.py
@@ -19,6 +19,13 @@
     manifest: dict[str, int]
 
 
+class HoldOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """The partitions of a known snapshot to hold from now on."""
+
+    snapshot: str
+    partitions: tuple[str, ...]
+
+
 class Order(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """What to change, for the upstream ids listed or for all.
 
@@ -29,6 +36,7 @@
     upstream_ids: tuple[str, ...] = ()
     behaviour: dict[str, msgspec.Raw] = {}
     take: SnapshotOrder | None = None
+    hold: HoldOrder | None = None
     drop: str = ""
     silence: int = 0
     crash: bool = False
@@ -107,6 +115,8 @@
     if order.take is not None:
         take = order.take
         searcher.take_snapshot(take.snapshot, take.sequence, take.manifest)
+    if order.hold is not None:
+        searcher.hold_partitions(order.hold.snapshot, order.hold.partitions)
     if order.drop:
         searcher.drop_snapshot(order.drop)
     service.announce_soon()
--- a/examples/standin/deployments.py
+++ b/examples/standin/deployments.py
@@ -170,11 +170,13 @@
     }
 
 
-def placements_of(deployment, partitions=None, replicas=None, first_replica=1):
+def placements_of(
+    deployment, partitions=None, replicas=None, first_replica=1, data_centre=""
+):
     """Returns the Placements; ``replicas`` overrides each group's count.
 
     Replicas are numbered from ``first_replica``, so that two processes may
-    share a partition.
+    share a partition. ``data_centre`` leaves out those of all others.
     """
     wanted = manifest_of(deployment, partitions)
     places = []
@@ -186,6 +188,8 @@
             count = replicas or group.replicas
             for replica in range(first_replica - 1, first_replica - 1 + count):
                 zone = deployment.data_centres[replica % len(deployment.data_centres)]
+                if data_centre not in ("", zone):
+                    continue
                 places.append(
                     Placement(
                         upstream_id=f"{partition}-{replica + 1}",
--- a/examples/standin/searcher.py
+++ b/examples/standin/searcher.py
@@ -145,8 +145,11 @@
 class Searcher:
     """One searcher that holds one partition of one or more snapshots."""
 
-    def __init__(self, *, placement, address, index, manifest, seed, behaviour):
+    def __init__(
+        self, *, placement, address, index, manifest, seed, behaviour, runs_file=None
+    ):
         self.placement = placement
+        self.runs_file = runs_file
         self.address = address
         self.index = index
         self.snapshots = {
@@ -277,20 +280,24 @@
         return service_ms / 1000
 
     def _keep(self, body, snapshot, started, outcome):
-        if len(self.runs) < MAX_RUNS:
-            self.runs.append(
-                Run(
-                    upstream_id=self.placement.upstream_id,
-                    request_id=body.request_id,
-                    sub_request_id=body.sub_request_id,
-                    snapshot=body.snapshot,
-                    partition=body.partition,
-                    documents=snapshot.manifest[body.partition],
-                    started=started,
-                    ended=time.monotonic(),
-                    outcome=outcome,
-                )
-            )
+        if len(self.runs) >= MAX_RUNS:
+            return
+        run = Run(
+            upstream_id=self.placement.upstream_id,
+            request_id=body.request_id,
+            sub_request_id=body.sub_request_id,
+            snapshot=body.snapshot,
+            partition=body.partition,
+            documents=snapshot.manifest[body.partition],
+            started=started,
+            ended=time.monotonic(),
+            outcome=outcome,
+        )
+        self.runs.append(run)
+        if self.runs_file is not None:
+            # Unbuffered and before the reply, so that the record of an answer
+            # outlives a process that is killed.
+            self.runs_file.write(msgspec.json.encode(run) + b"\n")
 
     def _reply(self, body, snapshot, outcome):
         match outcome:
@@ -333,6 +340,14 @@
             manifest=manifest,
         )
 
+    def hold_partitions(self, snapshot, partitions):
+        """Holds exactly these partitions of a known snapshot, perhaps none."""
+        known = self.snapshots.get(snapshot)
+        if known is not None:
+            self.snapshots[snapshot] = msgspec.structs.replace(
+                known, partitions=tuple(partitions)
+            )
+
     def drop_snapshot(self, snapshot):
         """Stops holding a snapshot; sub-requests for it get 409."""
         self.snapshots.pop(snapshot, None)
--- a/examples/standin_searcher.py
+++ b/examples/standin_searcher.py
@@ -28,6 +28,8 @@
 @click.option("--partitions", type=int, help="Limits the number of partitions.")
 @click.option("--replicas", type=int, help="Searchers of each partition.")
 @click.option("--first-replica", default=1, show_default=True)
+@click.option("--data-centre", default="", help="Leaves out all other ones.")
+@click.option("--runs-file", default="", help="Gets one JSON line for each run.")
 @click.option("--entry", multiple=True, required=True, help="IP:port, repeatable.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--service-ms", default=3.0, show_default=True)
@@ -47,6 +49,8 @@
     partitions,
     replicas,
     first_replica,
+    data_centre,
+    runs_file,
     entry,
     seed,
     **behaviour,
@@ -55,7 +59,9 @@
     logging.getLogger("tornado").setLevel(logging.ERROR)
     shape = DEPLOYMENTS[deployment]
     manifest = manifest_of(shape, partitions)
-    places = placements_of(shape, partitions, replicas, first_replica)
+    places = placements_of(shape, partitions, replicas, first_replica, data_centre)
+    # Open until the process ends, however that happens.
+    runs = open(runs_file, "ab", buffering=0) if runs_file else None  # noqa: SIM115
     searchers = [
         Searcher(
             placement=placement,
@@ -64,6 +70,7 @@
             manifest=manifest,
             seed=seed,
             behaviour=Behaviour(**behaviour),
+            runs_file=runs,
         )
         for position, placement in enumerate(places)
     ]
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -1,6 +1,7 @@
 """A small tier of separate processes for scenarios."""
 
 import asyncio
+import json
 import tempfile
 from pathlib import Path
 
@@ -33,6 +34,7 @@
         self.entry_addresses = []
         self.programs = {}
         self.standins = {}
+        self.last_records = {}
 
     def start(self, name, module, *arguments):
         """Starts a program under ``name``; it ends with the scenario."""
@@ -50,30 +52,70 @@
         self.control_addresses.append(address)
         return self.start("control-1", CONTROL, "--listen", address)
 
-    def start_entry(self, name, *flags, module=ENTRY):
+    def start_controls(self, count):
+        """Starts a group of control replicas with folders of their own."""
+        names = [f"control-{number + 1}" for number in range(count)]
+        places = {name: (free_address(), free_address()) for name in names}
+        for name, (listen, peer_listen) in places.items():
+            peers = [
+                part
+                for other in names
+                if other != name
+                for part in ("--peers", f"{other}={','.join(places[other])}")
+            ]
+            self.control_addresses.append(listen)
+            self.start(
+                name,
+                CONTROL,
+                *("--replica-id", name, "--listen", listen, "--bootstrap"),
+                *("--peer-listen", peer_listen, "--data-folder", self.folder / name),
+                *peers,
+            )
+
+    def start_entry(self, name, *flags, module=ENTRY, data_centre="upper-canal"):
         address = free_address()
         self.entry_addresses.append(address)
         control = [part for a in self.control_addresses for part in ("--control", a)]
         return self.start(
             name,
             module,
-            *("--entry-id", name, "--data-centre", "upper-canal"),
+            *("--entry-id", name, "--data-centre", data_centre),
             *("--listen", address, "--forward-listen", free_address()),
             *control,
             *flags,
         )
 
     def start_searchers(self, *flags, partitions, replicas, name="searchers"):
+        shape = ("--partitions", partitions, "--replicas", replicas)
+        return self.start_standins(
+            *shape, *flags, count=partitions * replicas, name=name
+        )
+
+    def start_standins(self, *flags, count, name):
+        """Starts a process of ``count`` searchers whose shape the flags give."""
         self.standins[name] = free_address()
         entries = [part for a in self.entry_addresses for part in ("--entry", a)]
         return self.start(
             name,
             SEARCHER,
-            *("--first-port", free_ports(partitions * replicas)),
-            *("--partitions", partitions, "--replicas", replicas),
+            *("--first-port", free_ports(count)),
             *("--control-listen", self.standins[name], *entries, *flags),
+            *("--runs-file", self._runs_path(name)),
         )
 
+    def _runs_path(self, name):
+        return self.folder / f"{name}.runs"
+
+    def kill(self, *names):
+        """Ends processes with SIGKILL, all signals before the first wait."""
+        for name in names:
+            if name in self.standins:
+                self.last_records[name] = self.records_of(name)
+        for name in names:
+            self.programs[name].process.kill()
+        for name in names:
+            self.programs[name].kill()
+
     def wait_until_ready(self):
         for address in self.entry_addresses:
             wait_until(
@@ -98,7 +140,7 @@
 
     def publish(self, **fields):
         """Publishes a profile and waits until it is in force everywhere."""
-        profile = configuration.Profile(index="ditch-turns", **fields)
+        profile = configuration.Profile(**{"index": "ditch-turns", **fields})
         number = self.control_call(control.QueryNextNumber()).number
         change = control.Change(
             number=number,
@@ -127,13 +169,17 @@
         return status == 200 and body["coverage"]["fraction"] == 1.0
 
     def records(self):
-        """Returns the searchers' own records."""
+        """Returns the records; of a killed process, those just before its end."""
         return [
             record
-            for address in self.standins.values()
-            for record in get_json(address, "/control/searchers")["searchers"]
+            for name in self.standins
+            for record in self.last_records.get(name) or self.records_of(name)
         ]
 
+    def records_of(self, name):
+        """Returns the records that the searchers of one process have now."""
+        return get_json(self.standins[name], "/control/searchers")["searchers"]
+
     def runs(self, request_id=""):
         """Returns the sub-requests that reached the searchers."""
         path = f"/control/runs?request_id={request_id}"
@@ -143,6 +189,16 @@
             for run in get_json(address, path)["runs"]
         ]
 
+    def kept_runs(self):
+        """Returns all runs from the searchers' files, of killed ones too."""
+        lines = [
+            line
+            for name in self.standins
+            for line in self._runs_path(name).read_bytes().splitlines(keepends=True)
+        ]
+        # A kill can cut the last line; its answer was not sent then.
+        return [json.loads(line) for line in lines if line.endswith(b"\n")]
+
     def order(self, **order):
         """Steers all searchers; returns the sum of silenced connections."""
         return sum(
