Load the whole tier as real processes

Cause: decisions were measured over models in virtual time; the whole tier had not been loaded at the shape of both deployments.

--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -16,6 +16,7 @@
     "in_force_time",
     "entry_cpu",
     "decisions",
+    "tier_load",
 )
 
 
--- /dev/null
+++ b/bench/tier_processes/load.py
@@ -0,0 +1,180 @@
+"""A steady open load from asynchronous callers over kept-alive connections.
+
+Requests are due at seeded random times, whether or not earlier ones have been
+answered, and latency runs from the due time: a caller that waits for a slow
+answer would otherwise hide the requests that it did not send meanwhile.
+"""
+
+import asyncio
+import json
+import random
+from collections import defaultdict
+from dataclasses import dataclass
+
+from chaos.history import Attempt
+
+from plantainstage._errors import ExchangeError
+from plantainstage._transport.http_connection import HttpConnection
+
+CALLERS = 6
+MAX_IN_FLIGHT = 150  # of each caller; bounds memory in overload
+REPLY_TIMEOUT_S = 5.0
+QUERY_PATH = "/v1/query"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Request:
+    """A request with its attempts; several when an entry host was lost."""
+
+    due_at: float
+    attempts: tuple[Attempt, ...]
+
+    @property
+    def last(self):
+        """The attempt that the caller got its answer from."""
+        return self.attempts[-1]
+
+    @property
+    def elapsed_s(self):
+        """Seconds from the due time to the answer."""
+        return self.last.ended_at - self.due_at
+
+
+class Connections:
+    """Kept-alive connections to one address."""
+
+    def __init__(self, address):
+        self.address = address
+        self.idle = []
+
+    async def post(self, path, body):
+        """Returns an HttpReply; raises ExchangeError or TimeoutError."""
+        connection = await self._take()
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                reply = await connection.post(path=path, body=body)
+        except TimeoutError:
+            connection.close()
+            raise
+        if not connection.closed:
+            self.idle.append(connection)
+        return reply
+
+    async def _take(self):
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.closed:
+                return connection
+        return await HttpConnection.open(
+            address=self.address, timeout_s=REPLY_TIMEOUT_S
+        )
+
+    def close(self):
+        """Closes what is idle."""
+        for connection in self.idle:
+            connection.close()
+
+
+class Load:
+    """Sends ``rate`` requests a second over all entry hosts for some seconds."""
+
+    def __init__(self, *, entries, profile, rate, seconds, seed, prefix):
+        self.entries = {name: Connections(item) for name, item in entries.items()}
+        self.profile = profile
+        self.rate = rate
+        self.seconds = seconds
+        self.seed = seed
+        self.prefix = prefix
+        self.lost = set()
+        self.requests = []
+        self.unsent = 0
+        self.started_at = 0.0
+
+    async def run(self):
+        """Returns the Requests, in the order of their answers."""
+        self.started_at = asyncio.get_running_loop().time()
+        await asyncio.gather(*(self._call(number) for number in range(CALLERS)))
+        for connections in self.entries.values():
+            connections.close()
+        return self.requests
+
+    async def _call(self, caller):
+        chance = random.Random(f"{self.seed}:{self.prefix}:{caller}")
+        loop = asyncio.get_running_loop()
+        due_at = self.started_at
+        tasks = set()
+        number = 0
+        while True:
+            due_at += chance.expovariate(self.rate / CALLERS)
+            if due_at > self.started_at + self.seconds:
+                break
+            await asyncio.sleep(max(due_at - loop.time(), 0))
+            if len(tasks) >= MAX_IN_FLIGHT:
+                self.unsent += 1
+                continue
+            number += 1
+            name = f"{self.prefix}-{caller}-{number}"
+            task = loop.create_task(self._request(name, due_at, chance))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def _request(self, name, due_at, chance):
+        """Sends one request, again through another host if its host is lost."""
+        attempts = []
+        while True:
+            entry = self._choose(chance)
+            token = f"{name}-{len(attempts)}"
+            attempt = await self._attempt(entry, token)
+            attempts.append(attempt)
+            if attempt.status or len(attempts) > len(self.entries):
+                break
+            # The platform's load balancer takes a host out that resets.
+            self.lost.add(entry)
+        self.requests.append(Request(due_at=due_at, attempts=tuple(attempts)))
+
+    def _choose(self, chance):
+        names = [name for name in self.entries if name not in self.lost]
+        return chance.choice(names or list(self.entries))
+
+    async def _attempt(self, entry, token):
+        body = {"profile": self.profile, "query": {"token": token}, "request_id": token}
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        status, answer, error = 0, {}, ""
+        try:
+            reply = await self.entries[entry].post(
+                QUERY_PATH, json.dumps(body).encode()
+            )
+            status, answer = reply.status, reply.body
+        except (ExchangeError, TimeoutError) as failure:
+            error = f"reply: {failure!r}"
+        ended_at = loop.time()
+        return Attempt(
+            entry=entry,
+            request_id=token,
+            token=token,
+            profile=self.profile,
+            idempotent=True,
+            partitions=(),
+            sent_at=sent_at,
+            ended_at=ended_at,
+            status=status,
+            body=json.loads(answer) if answer else {},
+            error=error,
+        )
+
+
+async def run_with_fault(load, fault):
+    """Runs the load, and ``fault`` (blocking) beside it in a thread."""
+    requests, _ = await asyncio.gather(load.run(), asyncio.to_thread(fault))
+    return requests
+
+
+def by_window(requests, started_at, window_s):
+    """Returns lists of requests by the window in which they were due."""
+    windows = defaultdict(list)
+    for request in requests:
+        windows[int((request.due_at - started_at) / window_s)].append(request)
+    return list(windows.values())
--- /dev/null
+++ b/bench/tier_processes/measure.py
@@ -0,0 +1,196 @@
+"""Figures of one run, from what the callers got and the searchers recorded."""
+
+import sys
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+from chaos.checks import Checks
+from chaos.history import History
+
+from tier_processes.load import by_window
+
+WINDOW_S = 2.0  # stands for a minute in the worst-window measure
+SCHEDULING_S = 0.005  # a late answer is later than the deadline and this
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of output; latencies are seen by callers, from the due time.
+
+    ``worst_window`` is the share of late, refused and lost requests in the worst
+    window, ``extra_load`` the share of sub-requests beyond the first of each
+    partition, ``cpu_us`` the entry hosts' CPU time for each sub-request (absent
+    when one was killed). ``late_at_host`` counts answers whose own elapsed time is
+    late; the others were late on their way or in this process. ``violations``
+    counts broken promises of all kinds.
+    """
+
+    scenario: str
+    deployment: str
+    entry_hosts: int
+    seed: int
+    rate: float
+    seconds: float
+    requests: int
+    good: int
+    late: int
+    late_at_host: int
+    refused: dict[str, int]
+    lost: int
+    partial: int
+    not_sent: int
+    resent: int
+    worst_window: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    sub_requests: int
+    extra_load: float
+    refused_by_searchers: int
+    coverage_exact: bool
+    caps_exceeded: int
+    peak_connections_share: float
+    violations: int
+    snapshots: dict[str, int]
+    cpu_us: float | None
+
+
+class BenchHistory(History):
+    """Prints to standard error, since the figures go to standard output."""
+
+    def step(self, text):
+        """Prints one step."""
+        print(text, file=sys.stderr, flush=True)
+
+
+@dataclass(kw_only=True)
+class Before:
+    """Counts at the start of the measured load."""
+
+    received: dict[str, int]
+    cpu_s: float
+
+
+def received_by(tier):
+    """Returns the sub-requests that each searcher has received."""
+    return {item["upstream_id"]: item["received"] for item in tier.records()}
+
+
+def is_late(request, deadline_s):
+    """Whether the answer came after the deadline and the scheduling margin."""
+    return request.elapsed_s > deadline_s + SCHEDULING_S
+
+
+def is_bad(request, deadline_s):
+    """Whether the request was late, refused or lost."""
+    return request.last.status != 200 or is_late(request, deadline_s)
+
+
+def quantile_ms(elapsed, share):
+    """Returns a quantile of seconds, in milliseconds."""
+    ordered = sorted(elapsed)
+    position = min(int(len(ordered) * share), len(ordered) - 1)
+    return round(ordered[position] * 1000, 1) if ordered else 0.0
+
+
+def worst_window(requests, started_at, seconds, deadline_s):
+    """Returns the highest share of bad requests in any whole window."""
+    shares = [
+        sum(is_bad(item, deadline_s) for item in window) / len(window)
+        for window in by_window(requests, started_at, min(WINDOW_S, seconds))
+    ]
+    return round(max(shares, default=0.0), 4)
+
+
+def check(tier, requests, runs, records):
+    """Returns the History of a check of all promises against the records."""
+    history = BenchHistory()
+    history.attempts = [item for request in requests for item in request.attempts]
+    Checks(
+        history=history, runs=runs, searchers=records, manifests=tier.manifests()
+    ).run_all()
+    return history
+
+
+def figures_of(*, tier, scenario, load, before, cpu_s):
+    """Returns the Figures of a load that has ended."""
+    requests = load.requests
+    runs = [
+        run for run in tier.kept_runs() if run["request_id"].startswith(load.prefix)
+    ]
+    records = tier.records()
+    history = check(tier, requests, runs, records)
+    pairs = {(run["request_id"], run["partition"]) for run in runs}
+    refused_by = _refused_by_searchers(tier, runs, before.received)
+    answered = [item for item in requests if item.last.status == 200]
+    late = [item for item in answered if is_late(item, tier.deadline_s)]
+    elapsed = [item.elapsed_s for item in answered]
+    caps = [text for text in history.violations if "its cap is" in text]
+    return Figures(
+        scenario=scenario,
+        deployment=tier.deployment.name,
+        entry_hosts=len(tier.entry_centres),
+        seed=tier.seed,
+        rate=round(load.rate, 1),
+        seconds=load.seconds,
+        requests=len(requests),
+        good=len(answered) - len(late),
+        late=len(late),
+        late_at_host=sum(
+            item.last.body["elapsed_ms"] / 1000 > tier.deadline_s + SCHEDULING_S
+            for item in answered
+        ),
+        refused=_refusals(requests),
+        lost=sum(item.last.status == 0 for item in requests),
+        partial=sum(
+            bool(item.last.body["coverage"]["partitions_missing"]) for item in answered
+        ),
+        not_sent=load.unsent,
+        resent=sum(len(item.attempts) > 1 for item in requests),
+        worst_window=worst_window(
+            requests, load.started_at, load.seconds, tier.deadline_s
+        ),
+        p50_ms=quantile_ms(elapsed, 0.5),
+        p99_ms=quantile_ms(elapsed, 0.99),
+        p999_ms=quantile_ms(elapsed, 0.999),
+        sub_requests=len(runs),
+        extra_load=round((len(runs) + refused_by - len(pairs)) / max(len(pairs), 1), 4),
+        refused_by_searchers=refused_by,
+        coverage_exact=not any("coverage" in text for text in history.violations),
+        caps_exceeded=len(caps),
+        peak_connections_share=max(
+            round(item["max_connections"] / item["connections"], 2) for item in records
+        ),
+        violations=len(history.violations),
+        snapshots=dict(Counter(item.last.body["snapshot"] for item in answered)),
+        cpu_us=None
+        if _lost_entry(tier)
+        else round((cpu_s - before.cpu_s) / max(len(runs), 1) * 1e6, 1),
+    )
+
+
+def _lost_entry(tier):
+    return any(
+        tier.programs[name].process.poll() is not None for name in tier.entry_centres
+    )
+
+
+def _refusals(requests):
+    return dict(
+        Counter(
+            f"{item.last.body.get('error')}/{item.last.body.get('run')}"
+            for item in requests
+            if item.last.status not in (0, 200)
+        )
+    )
+
+
+def _refused_by_searchers(tier, runs, received_before):
+    """Counts what living searchers received and did not run (503 and 409)."""
+    ran = Counter(run["upstream_id"] for run in runs)
+    return sum(
+        max(item["received"] - received_before[name] - ran[name], 0)
+        for process in tier.standins.keys() - tier.last_records.keys()
+        for item in tier.records_of(process)
+        for name in (item["upstream_id"],)
+    )
--- /dev/null
+++ b/bench/tier_processes/tier.py
@@ -0,0 +1,90 @@
+"""A tier at the full shape of a deployment, one searcher process a data centre."""
+
+from standin.deployments import manifest_of, placements_of
+from support.processes import post_json
+from support.tier import Tier
+
+CONTROLS = 3
+# Service times (12 ms on average) and deadlines (80 and 120 ms) are those of
+# bench/tier_model, all times two: the processes share one machine, so that the
+# CPU time of a request is a larger part of its latency than on hosts of their own.
+SERVICE_MS, JITTER_MS = 18.0, 12.0
+PROFILE = "bench"
+DEADLINE_MS = {"kogi": 160, "mauritius": 240}
+MINIMUM_COVERAGE = {"kogi": 0.95, "mauritius": 0.99}
+NEXT_SNAPSHOT = "s2"
+
+
+def searcher_process(data_centre):
+    """Returns the name of the process of a data centre's searchers."""
+    return f"searchers-{data_centre}"
+
+
+class DeploymentTier(Tier):
+    """Control, entry hosts over all data centres, and every searcher."""
+
+    def __init__(self, resources, *, deployment, entries, seed):
+        super().__init__(resources)
+        self.deployment = deployment
+        self.seed = seed
+        self.deadline_s = DEADLINE_MS[deployment.name] / 1000
+        centres = deployment.data_centres
+        self.entry_centres = {
+            f"entry-{number + 1}": centres[number % len(centres)]
+            for number in range(entries)
+        }
+        self.placements = placements_of(deployment)
+
+    def start_all(self):
+        """Starts everything and publishes the profile."""
+        self.start_controls(CONTROLS)
+        for name, centre in self.entry_centres.items():
+            self.start_entry(name, "--drain-delay", "0", data_centre=centre)
+        for centre in self.deployment.data_centres:
+            self._start_data_centre(centre)
+        self.wait_until_ready()
+        self._check_running()
+        self.publish(
+            name=PROFILE,
+            index=self.deployment.index,
+            deadline_ms=DEADLINE_MS[self.deployment.name],
+            minimum_coverage=MINIMUM_COVERAGE[self.deployment.name],
+        )
+        self.wait_until_full(PROFILE)
+
+    def _check_running(self):
+        """Fails on a process that has ended, as after a race for a port."""
+        for name, program in self.programs.items():
+            if program.process.poll() is not None:
+                log = program.log_path.read_text(encoding="utf-8")
+                raise AssertionError(f"{name} has ended: {log[-500:]}")
+
+    def _start_data_centre(self, centre):
+        name = searcher_process(centre)
+        self.start_standins(
+            *("--deployment", self.deployment.name, "--data-centre", centre),
+            *("--service-ms", SERVICE_MS, "--jitter-ms", JITTER_MS),
+            *("--seed", self.seed),
+            count=sum(item.data_centre == centre for item in self.placements),
+            name=name,
+        )
+
+    def entries(self):
+        """Returns the address of each entry host by name."""
+        return dict(zip(self.entry_centres, self.entry_addresses, strict=True))
+
+    def manifests(self):
+        """Returns the documents of each partition in both snapshots."""
+        first = manifest_of(self.deployment)
+        return {
+            "s1": first,
+            NEXT_SNAPSHOT: {name: 2 * count for name, count in first.items()},
+        }
+
+    # ---- Orders and faults -------------------------------------------------------
+
+    def order_searcher(self, placement, **order):
+        """Steers one searcher."""
+        address = self.standins[searcher_process(placement.data_centre)]
+        order["upstream_ids"] = [placement.upstream_id]
+        post_json(address, "/control/order", order)
--- a/examples/standin/searcher.py
+++ b/examples/standin/searcher.py
@@ -37,9 +37,12 @@
     crash_ms: float = 1000.0
 
 
-class Run(msgspec.Struct, frozen=True, kw_only=True):
+class Run(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """One sub-request that reached the searcher, with how it ended.
 
+    It holds no containers, and hundreds of thousands of them are kept: full
+    collections over them would stop all searchers of the process.
+
     ``started`` and ``ended`` are seconds on the machine's monotonic clock.
     """
 
