--- a/features/steps/moving_data_steps.py
+++ b/features/steps/moving_data_steps.py
@@ -13,7 +13,7 @@
 from standin.deployments import KOGI, manifest_of  # noqa: E402
 from support.checked_callers import CheckedCallers, send, violations  # noqa: E402
 
-REPLIES_BETWEEN = 6  # between two searchers' changes, so that queries meet each
+REPLIES_BETWEEN = 6  # so that queries meet each state of a change
 
 
 def manifests_of(context):
@@ -30,16 +30,22 @@
     context.entries = set(range(len(context.tier.entry_addresses)))
 
 
-def order_each(context, **order):
-    """Orders one searcher after the other, with replies in between."""
+def order_each(context, condition, **order):
+    """Orders one searcher after the other; queries meet each state in between."""
     for record in context.tier.records():
-        context.tier.order(upstream_ids=[record["upstream_id"]], **order)
+        upstream_id = record["upstream_id"]
+        context.tier.order(upstream_ids=[upstream_id], **order)
+        context.tier.wait_until_announced(upstream_id, condition)
         context.callers.wait_for_more(REPLIES_BETWEEN)
 
 
-def hold(context, upstream_ids, partitions):
+def hold(context, upstream_id, partitions):
     context.tier.order(
-        upstream_ids=upstream_ids, hold={"snapshot": "s1", "partitions": partitions}
+        upstream_ids=[upstream_id],
+        hold={"snapshot": "s1", "partitions": partitions},
+    )
+    context.tier.wait_until_announced(
+        upstream_id, lambda holdings: set(holdings["s1"]) == set(partitions)
     )
 
 
@@ -60,7 +66,9 @@
     start_callers(context, profile)
     manifest = manifests_of(context)[snapshot]
     order_each(
-        context, take={"snapshot": snapshot, "sequence": 2, "manifest": manifest}
+        context,
+        lambda holdings: snapshot in holdings,
+        take={"snapshot": snapshot, "sequence": 2, "manifest": manifest},
     )
 
 
@@ -75,7 +83,7 @@
 
 @when('one searcher after the other drops "{snapshot}"')
 def drop_snapshot(context, snapshot):
-    order_each(context, drop=snapshot)
+    order_each(context, lambda holdings: snapshot not in holdings, drop=snapshot)
 
 
 @then(
@@ -101,14 +109,14 @@
 def give_up(context, profile, partition):
     start_callers(context, profile)
     for upstream_id in holders(context, partition):
-        hold(context, [upstream_id], [])
+        hold(context, upstream_id, [])
         context.callers.wait_for_more(REPLIES_BETWEEN)
 
 
 @when('the searcher "{upstream_id}" takes "{partition}" as well')
 def take_partition(context, upstream_id, partition):
     own = upstream_id.rpartition("-")[0]
-    hold(context, [upstream_id], [own, partition])
+    hold(context, upstream_id, [own, partition])
 
 
 @when('every caller has an answer without "{partition}"')
@@ -163,7 +171,8 @@
 @given('only searchers of "{centre}" hold "{partition}"')
 def hold_in_one(context, centre, partition):
     for other in set(KOGI.data_centres) - {centre}:
-        hold(context, holders(context, partition, other), [])
+        for upstream_id in holders(context, partition, other):
+            hold(context, upstream_id, [])
 
 
 @given(
--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -148,12 +148,35 @@
             body=control.PublishProfile(profile=profile),
         )
         verdict = self.control_call(control.SubmitChange(change=change)).verdict
+        self.wait_until_in_force(verdict.version)
+
+    def wait_until_in_force(self, version):
+        """Waits until every entry host has a version."""
 
         def in_force():
-            status = self.control_call(control.QueryStatus(version=verdict.version))
+            status = self.control_call(control.QueryStatus(version=version))
             return status.settled and not status.lacking
 
-        wait_until(in_force, what="the profile is in force")
+        wait_until(in_force, what=f"version {version} is in force")
+
+    def wait_until_announced(self, upstream_id, condition):
+        """Waits until an announcement that meets ``condition`` is in force.
+
+        ``condition`` gets the partitions that the searcher holds by snapshot.
+        """
+
+        def version_of_it():
+            value = self.control_call(control.QueryConfiguration()).configuration
+            holdings = {
+                holding.snapshot: holding.partitions
+                for upstream in value.upstreams
+                if upstream.upstream_id == upstream_id
+                for holding in upstream.holdings
+            }
+            return value.version if condition(holdings) else 0
+
+        version = wait_until(version_of_it, what=f"{upstream_id} has announced it")
+        self.wait_until_in_force(version)
 
     def wait_until_full(self, profile):
         """Waits until every entry host answers with full coverage."""
