Prefer an owner in the searcher's own data centre

Cause: a lost data centre also took away searchers elsewhere that its entry hosts owned, until a lease and the longest deadline had passed. Change: the plan first takes pairs of one data centre, up to 1.25 times a host's even share, then all pairs as before.

--- a/features/randomised/membership.feature
+++ b/features/randomised/membership.feature
@@ -38,3 +38,14 @@
     When one of the hosts goes
     Then at most 24 searchers move in the mean over all hosts
     And no host owns two replicas of a partition
+
+  Scenario: A lost data centre leaves every searcher elsewhere with its owner
+    # Guards against a lost data centre that also takes away searchers of others,
+    # whose owners it held, until their leases and deadlines have passed.
+    Given the 83 searchers of the deployment "kogi" and 9 entry hosts over its data centres
+    Then no host owns two replicas of a partition
+    And no host owns more than 12 searchers
+    And each searcher is owned in its own data centre
+    When one of the hosts goes
+    Then at most 12 searchers move in the mean over all hosts
+    And no host owns more than 14 searchers
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,7 +1,9 @@
 """Steps for the simulated control service and its pure parts."""
 
 import asyncio
+import itertools
 import random
+import sys
 
 from behave import given, then, when
 
@@ -13,6 +15,11 @@
 from plantainstage._membership.planner import PlannedSearcher, plan_owners
 from plantainstage._messages import configuration, control
 from support.membership_simulation import run_simulation
+from support.processes import ROOT
+
+sys.path.append(str(ROOT / "examples"))
+
+from standin.deployments import DEPLOYMENTS, placements_of  # noqa: E402
 
 
 @when(
@@ -201,9 +208,42 @@
         for replica in range(replicas)
     ]
     context.plan_hosts = tuple(f"entry-{number}" for number in range(1, hosts + 1))
+    context.host_centres = None
     context.plans = [plan_owners(searchers=context.searchers, hosts=context.plan_hosts)]
 
 
+@given(
+    'the 83 searchers of the deployment "{name}" and {hosts:d} entry hosts over its data centres'
+)
+def make_plan_of_deployment(context, name, hosts):
+    deployment = DEPLOYMENTS[name]
+    context.searchers = [
+        PlannedSearcher(
+            upstream_id=item.upstream_id,
+            partitions=frozenset({item.partition}),
+            data_centre=item.data_centre,
+        )
+        for item in placements_of(deployment)
+    ]
+    centres = itertools.cycle(deployment.data_centres)
+    context.plan_hosts = tuple(f"entry-{number}" for number in range(1, hosts + 1))
+    context.host_centres = dict(zip(context.plan_hosts, centres, strict=False))
+    context.plans = [
+        plan_owners(
+            searchers=context.searchers,
+            hosts=context.plan_hosts,
+            data_centres=context.host_centres,
+        )
+    ]
+
+
+@then("each searcher is owned in its own data centre")
+def check_own_data_centre(context):
+    (plan,) = context.plans
+    for item in context.searchers:
+        assert context.host_centres[plan[item.upstream_id]] == item.data_centre, item
+
+
 @then("no host owns two replicas of a partition")
 def check_spread(context):
     for plan in context.plans:
@@ -230,6 +270,7 @@
         plan_owners(
             searchers=context.searchers,
             hosts=[host for host in context.plan_hosts if host != gone],
+            data_centres=context.host_centres,
         )
         for gone in context.plan_hosts
     ]
--- a/src/plantainstage/_membership/reconciliation.py
+++ b/src/plantainstage/_membership/reconciliation.py
@@ -196,7 +196,11 @@
     """Returns the plan, made anew only when its inputs may have changed."""
     key = PlanKey(version=state.version, hosts=hosts)
     if view.plan_key != key:
-        view.plan = plan_owners(searchers=_searchers(state), hosts=hosts)
+        view.plan = plan_owners(
+            searchers=_searchers(state),
+            hosts=hosts,
+            data_centres={host: state.entries[host].data_centre for host in hosts},
+        )
         view.plan_key = key
     return view.plan
 
@@ -206,6 +210,7 @@
         PlannedSearcher(
             upstream_id=name,
             partitions=frozenset(partitions_of(record.announced)),
+            data_centre=record.announced.data_centre,
         )
         for name, record in sorted(state.upstreams.items())
     ]
