--- a/bench/tier_load.py
+++ b/bench/tier_load.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import json
+import signal
 import subprocess
 import sys
 import time
@@ -175,7 +176,7 @@
     """Warms the tier up, runs one scenario, and prints its figures."""
     send(tier, rate=rate, seconds=WARM_UP_S, prefix="warm")
     fault = FAULTS[scenario]
-    before = measure.Before(received=measure.received_by(tier), cpu_s=entry_cpu(tier))
+    cpu_before_s = entry_cpu(tier)
     load = send(
         tier,
         rate=rate,
@@ -184,7 +185,10 @@
         fault=lambda: fault(tier, seconds),
     )
     figures = measure.figures_of(
-        tier=tier, scenario=scenario, load=load, before=before, cpu_s=entry_cpu(tier)
+        tier=tier,
+        scenario=scenario,
+        load=load,
+        cpu_s=entry_cpu(tier) - cpu_before_s,
     )
     emit(figures)
     if scenario == "stragglers":
@@ -202,6 +206,8 @@
 @click.option("--seed", default=1, show_default=True)
 def main(full, names, scenarios, entries, seconds, rate, seed):
     """Measure the tier as real processes."""
+    # An exit by exception ends all processes that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     names = names or (tuple(DEPLOYMENTS) if full else ("kogi",))
     scenarios = scenarios or (tuple(FAULTS) if full else QUICK_SCENARIOS)
     seconds = seconds or (FULL_SECONDS if full else QUICK_SECONDS)
