--- a/features/failures/moving_data.feature
+++ b/features/failures/moving_data.feature
@@ -5,7 +5,7 @@
     # another snapshot, and against a choice of the newest snapshot before it has
     # all partitions.
     Given an entry tier of 2 hosts with 3 partitions of 2 searchers
-    And the entry profile "rider-gate" with 3000 ms and coverage 1.0
+    And the entry profile "rider-gate" with 3000 ms and coverage 0.3
     When callers query under "rider-gate" while one searcher after the other takes snapshot "s2"
     And every caller has an answer of "s2"
     And one searcher after the other drops "s1"
