--- a/bench/tier_load.py
+++ b/bench/tier_load.py
@@ -190,11 +190,13 @@
         prefix="load",
         fault=lambda: fault(tier, seconds),
     )
+    cpu_s = entry_cpu(tier) - cpu_before_s
+    tier.wait_until_idle()
     figures = measure.figures_of(
         tier=tier,
         scenario=scenario,
         load=load,
-        cpu_s=entry_cpu(tier) - cpu_before_s,
+        cpu_s=cpu_s,
     )
     emit(figures)
     if scenario == "stragglers":
--- a/bench/tier_processes/tier.py
+++ b/bench/tier_processes/tier.py
@@ -1,7 +1,7 @@
 """A tier at the full shape of a deployment, one searcher process a data centre."""
 
 from standin.deployments import manifest_of, placements_of
-from support.processes import post_json
+from support.processes import post_json, wait_until
 from support.tier import Tier
 
 CONTROLS = 3
@@ -88,3 +88,14 @@
         address = self.standins[searcher_process(placement.data_centre)]
         order["upstream_ids"] = [placement.upstream_id]
         post_json(address, "/control/order", order)
+
+    def wait_until_idle(self):
+        """Waits until no living searcher runs anything; all runs are kept then."""
+
+        def idle():
+            living = self.standins.keys() - self.last_records.keys()
+            return not any(
+                record["running"] for name in living for record in self.records_of(name)
+            )
+
+        wait_until(idle, what="the searchers have ended what they ran")
