--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,7 +1,9 @@
 """Steps for the simulated control service and its pure parts."""
 
 import asyncio
+import itertools
 import random
+import sys
 
 from behave import given, then, when
 
@@ -17,6 +19,11 @@
 )
 from plantainstage._messages import configuration, control
 from support.membership_simulation import run_simulation
+from support.processes import ROOT
+
+sys.path.append(str(ROOT / "examples"))
+
+from standin.deployments import DEPLOYMENTS, placements_of  # noqa: E402
 
 DATA_CENTRES = ("upper-canal", "middle-canal", "lower-canal")
 
@@ -217,6 +224,27 @@
     context.plans = [plan_owners(searchers=context.searchers, hosts=context.plan_hosts)]
 
 
+@given(
+    'the 83 searchers of the deployment "{name}" and {hosts:d} entry hosts over its data centres'
+)
+def make_plan_of_deployment(context, name, hosts):
+    deployment = DEPLOYMENTS[name]
+    context.searchers = [
+        PlannedSearcher(
+            upstream_id=item.upstream_id,
+            data_centre=item.data_centre,
+            partitions=frozenset({item.partition}),
+        )
+        for item in placements_of(deployment)
+    ]
+    centres = itertools.cycle(deployment.data_centres)
+    context.plan_hosts = tuple(
+        PlannedHost(entry_id=f"entry-{number}", data_centre=next(centres))
+        for number in range(1, hosts + 1)
+    )
+    context.plans = [plan_owners(searchers=context.searchers, hosts=context.plan_hosts)]
+
+
 @then("no host owns two replicas of a partition")
 def check_spread(context):
     for plan in context.plans:
