Count probes as extra load, and send none without room

Cause: a probe for a silent connection was sent whenever one was due, on top of the profile's extra_load_limit, and went on after the searcher had left. Change: the owner takes room for each probe from its own host's budget of the suspected exchange's profile before it is sent. Without room the exchange waits for its deadline, and an unreachable searcher is tried with one sub-request at a time. A refused connection gives the room back. Probes are in the minute records and in the randomised check of the extra load; the model refuses a probe of a searcher that is down, as its connections do. No probes without ownership.

--- a/bench/tier_model/entry.py
+++ b/bench/tier_model/entry.py
@@ -42,6 +42,7 @@
         self.policy = policy
         self.gathers = {}  # sub-request id -> request
         self.queues = {}
+        self.probes = []  # (time, profile)
         self.cpu_ns = 0
         self.messages = 0
 
@@ -145,8 +146,9 @@
                     self.loop.at(wake_time, self._wake_queue, queue, wake_time)
                 case CloseConnection(connection_id=number, silent=silent):
                     queue.close(number, silent)
-                case ProbeSearcher(timeout_s=timeout_s):
-                    queue.probe(timeout_s)
+                case ProbeSearcher(timeout_s=timeout_s, profile=profile):
+                    if queue.probe(timeout_s):
+                        self.probes.append((self.loop.now, profile))
                 case ReportCrashedFingerprint(fingerprint=fingerprint):
                     self.tier.quarantine(self, fingerprint)
 
@@ -208,12 +210,19 @@
         self.loop.after(self.hop_s, self.searcher.cancel, sub_request_id)
 
     def probe(self, timeout_s):
-        """Opens a side connection and waits for any reply."""
+        """Opens a side connection and waits for any reply.
+
+        Returns whether the probe is sent, which a refused connection prevents.
+        """
+        if not self.searcher.alive:
+            self.loop.after(2 * self.hop_s, self._probe_refused)
+            return False
         needed = self.searcher.shape.connect_s + 4 * self.hop_s
-        if self.searcher.alive and needed < timeout_s:
+        if needed < timeout_s:
             self.loop.after(needed, self._probed, True)
         else:
             self.loop.after(timeout_s, self._probed, False)
+        return True
 
     def close(self, connection_id, silent):
         """Closes a connection and ends an exchange on it."""
@@ -261,6 +270,10 @@
     def _probed(self, answered):
         self.entry._queue_event(self, self.logic.probe_finished, answered)
 
+    def _probe_refused(self):
+        event = self.logic.probe_finished
+        self.entry._queue_event(self, event, False, sent=False)
+
     def _closed(self, connection_id):
         key = (self.entry.entry_id, connection_id)
         self.loop.after(self.hop_s, self.searcher.connection_closed, key)
--- a/bench/tier_model/policies.py
+++ b/bench/tier_model/policies.py
@@ -56,6 +56,7 @@
             connections=shape.connections,
             lease=self.lease,
             quarantines=self.routing.quarantines,
+            budgets=self.budgets,
             weights=weights,
         )
         queue.own(epoch=1)
--- a/features/behaviour/owner_queue.feature
+++ b/features/behaviour/owner_queue.feature
@@ -17,3 +17,27 @@
     Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
     When a sub-request for epoch 0 arrives
     Then it is returned as not sent because of "not_owner"
+
+  Scenario: Probes for silent connections stay within the profile's extra load
+    # Guards against probes that come on top of the load that operators allow.
+    Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
+    And the extra-load budget of "a" has room for 2 probes
+    When 10 sub-requests of "a" in turn get no byte until their deadline
+    Then 2 probes have been sent for "a"
+    And 2 sub-requests were closed as silent and 8 reached their deadline
+
+  Scenario: A refused connection takes nothing from the extra load
+    # Guards against a searcher that is down using up the hedges of a profile.
+    Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
+    And the extra-load budget of "a" has room for 1 probe
+    When the searcher refuses every connection for 5 s of requests of "a"
+    Then the extra-load budget of "a" still has room for 1 probe
+
+  Scenario: A searcher that may not be probed is tried again with one sub-request
+    # Guards against a searcher that is never used again after a fault, because
+    # its requests are all refused and so make no room for a probe.
+    Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
+    And the extra-load budget of "a" has room for 0 probes
+    When the searcher refuses every connection for 5 s of requests of "a"
+    And it takes connections again
+    Then the next sub-request of "a" within 1 s is started
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from plantainstage._entry.owners import Owners
+from plantainstage._limits.extra_load import ExtraLoadBudgets
 from plantainstage._limits.owner_queue import HostLease
 from plantainstage._limits.quarantine import QuarantineTable
 from plantainstage.messages import configuration, forward
@@ -74,8 +75,10 @@
             entry_id="entry-1",
             lease=HostLease(until=math.inf),
             quarantines=QuarantineTable(),
+            budgets=ExtraLoadBudgets(),
             on_result=take,
             on_crashes=lambda action: None,
+            on_probe=lambda profile: None,
         )
     )
     context.resources.callback(lambda: searcher.call(context.owners.abort))
--- a/features/steps/owner_queue_steps.py
+++ b/features/steps/owner_queue_steps.py
@@ -2,35 +2,15 @@
 
 from behave import given, then, when
 
+from plantainstage._limits.extra_load import ExtraLoadBudgets
 from plantainstage._limits.owner_queue import (
     HostLease,
     OwnerQueue,
     ReturnResult,
-    StartExchange,
 )
 from plantainstage._limits.quarantine import QuarantineTable
-from plantainstage._messages.forward import SubOutcome, SubRequest, SubResult
-
-
-def sub_request(key, profile, *, idempotent=True, epoch=1, remaining_ms=60_000.0):
-    return SubRequest(
-        sub_request_id=key,
-        request_id=key,
-        profile=profile,
-        upstream_id="r1",
-        epoch=epoch,
-        index="i",
-        snapshot="s1",
-        partition="p1",
-        fingerprint=key,
-        query=b"1",
-        remaining_ms=remaining_ms,
-        idempotent=idempotent,
-    )
-
-
-def submit(context, item):
-    context.actions += context.queue.submit("e1", item, context.now)
+from plantainstage._messages.forward import SubOutcome, SubResult
+from support.owner_queue import started, sub_request, submit
 
 
 def finish_running(context):
@@ -47,14 +27,6 @@
     )
 
 
-def started(context):
-    return [
-        action.sub_request
-        for action in context.actions
-        if isinstance(action, StartExchange)
-    ]
-
-
 @given('an owner queue with 1 slot and weights {one:d} for "a" and {other:d} for "b"')
 def make_queue(context, one, other):
     context.now = 0.0
@@ -65,6 +37,7 @@
         connections=10,
         lease=HostLease(until=float("inf")),
         quarantines=QuarantineTable(),
+        budgets=ExtraLoadBudgets(),
         weights={"a": one, "b": other},
     )
     context.queue.own(epoch=1)
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from plantainstage._entry.searcher_owner import SearcherOwner
+from plantainstage._limits.extra_load import ExtraLoadBudgets
 from plantainstage._limits.owner_queue import HostLease
 from plantainstage._limits.quarantine import QuarantineTable
 from plantainstage.messages import configuration, forward
@@ -50,9 +51,11 @@
         upstream=upstream,
         lease=HostLease(until=math.inf),
         quarantines=QuarantineTable(),
+        budgets=ExtraLoadBudgets(),
         weights={},
         on_result=on_result,
         on_crashes=lambda action: None,
+        on_probe=lambda profile: None,
     )
 
 
--- a/features/support/decision_checks.py
+++ b/features/support/decision_checks.py
@@ -107,7 +107,7 @@
         require(errors == 0, "coverage and snapshot are exact", f"{errors} answers")
         self._check_runs(tier)
         self._check_crashes(tier)
-        self._check_extra_load()
+        self._check_extra_load(tier)
 
     def _check_runs(self, tier):
         arrived = defaultdict(int)
@@ -158,12 +158,16 @@
 
     flight_s = 0.006  # connection set-up and one hop of what already left
 
-    def _check_extra_load(self):
+    def _check_extra_load(self, tier):
         limits = {"rider-gate": 0.2, "ward-gate": 0.1}
         first, extra = defaultdict(list), defaultdict(list)
         for key, (host, time, profile, is_extra) in self.sends.items():
             if key in self.arrivals:
                 (extra if is_extra else first)[host, profile].append(time)
+        for entry in tier.host_list:
+            for time, profile in entry.probes:
+                self.counts["probes"] += 1
+                extra[entry.entry_id, profile].append(time)
         for key, times in extra.items():
             self.counts["extra arrived"] += len(times)
             for time in times:
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -113,17 +113,20 @@
             client=self.clients[1],
             links=self.links,
         )
+        self.budgets = ExtraLoadBudgets()
         self.owners = Owners(
             entry_id=self.record.entry_id,
             lease=self.lease,
             quarantines=self.routing.quarantines,
+            budgets=self.budgets,
             on_result=self._on_owner_result,
             on_crashes=self.quarantining.report_soon,
+            on_probe=self._on_probe,
         )
         self.gathers = Gathers(
             lease=self.lease,
             routing=self.routing,
-            budgets=ExtraLoadBudgets(),
+            budgets=self.budgets,
             send=self._send,
             cancel=self._cancel,
             report_crashes=self.quarantining.report,
@@ -162,6 +165,7 @@
         self.routing.quarantines.apply_recorded(
             configuration.quarantines, now=now, unix_ms=time.time() * 1000
         )
+        self.budgets.set_limits(configuration.profiles)
         self.owners.apply(configuration)
         self.queries.view = ConfigurationView(
             configuration=configuration, routing=self.routing
@@ -210,6 +214,12 @@
         elif requester_id in self.links.peers:
             self.links.peers[requester_id].send_result(result)
 
+    def _on_probe(self, profile):
+        self.recorder.sub_requests_sent(
+            profile=profile, now=time.time(), first=0, extra=1
+        )
+        self.metrics.count(Metric.EXTRA_SUB_REQUESTS)
+
     def _on_peer_message(self, message):
         match message:
             case forward.SubResults(items=items):
--- a/src/plantainstage/_entry/owners.py
+++ b/src/plantainstage/_entry/owners.py
@@ -21,14 +21,18 @@
         entry_id: str,
         lease,
         quarantines,
+        budgets,
         on_result: Callable,
         on_crashes: Callable,
+        on_probe: Callable,
     ):
         self.entry_id = entry_id
         self.lease = lease
         self.quarantines = quarantines
+        self.budgets = budgets
         self.on_result = on_result
         self.on_crashes = on_crashes
+        self.on_probe = on_probe
         self.owned = {}
         self.leaving = []
         self.searcher_of = {}  # sub-request id -> SearcherOwner, while unfinished
@@ -63,9 +67,11 @@
                 upstream=upstream,
                 lease=self.lease,
                 quarantines=self.quarantines,
+                budgets=self.budgets,
                 weights=weights,
                 on_result=self._finished,
                 on_crashes=self.on_crashes,
+                on_probe=self.on_probe,
             )
             self.owned[upstream.upstream_id] = owner
         owner.update(upstream)
--- a/src/plantainstage/_entry/searcher_owner.py
+++ b/src/plantainstage/_entry/searcher_owner.py
@@ -104,7 +104,7 @@
     """The queue, the connections and the running exchanges of one searcher.
 
     ``on_result`` gets (entry id of the requester, SubResult). ``on_crashes``
-    gets a ReportCrashedFingerprint.
+    gets a ReportCrashedFingerprint, ``on_probe`` the profile of a sent probe.
     """
 
     def __init__(
@@ -113,15 +113,18 @@
         upstream,
         lease,
         quarantines,
+        budgets,
         weights,
         on_result: Callable,
         on_crashes: Callable,
+        on_probe: Callable,
     ):
         self.upstream = upstream
         self.lease = lease
         self.quarantines = quarantines
         self.on_result = on_result
         self.on_crashes = on_crashes
+        self.on_probe = on_probe
         self.loop = asyncio.get_running_loop()
         self.queue = OwnerQueue(
             upstream_id=upstream.upstream_id,
@@ -129,6 +132,7 @@
             connections=upstream.connections,
             lease=lease,
             quarantines=quarantines,
+            budgets=budgets,
             weights=weights,
         )
         self.pool = SearcherPool(
@@ -238,8 +242,8 @@
             case CloseConnection():
                 reason = "silent" if action.silent else "closed"
                 self.pool.close_connection(action.connection_id, reason)
-            case ProbeSearcher(timeout_s=timeout_s):
-                self._probe(timeout_s)
+            case ProbeSearcher():
+                self._probe(action)
             case ReportCrashedFingerprint():
                 self.on_crashes(action)
 
@@ -449,7 +453,7 @@
     def _ignore(self, outcome):
         """The exchange itself shows whether the cancellation took effect."""
 
-    def _probe(self, timeout_s):
+    def _probe(self, action):
         finished = False
 
         def done(outcome):
@@ -461,12 +465,16 @@
             answered = not isinstance(outcome, ExchangeError)
             if not answered:
                 logger.warning("probe failed", searcher=self.upstream.upstream_id)
-            self._carry_out(self.queue.probe_finished(answered, self.loop.time()))
+            sent = answered or outcome.bytes_sent
+            if sent:
+                self.on_probe(action.profile)
+            now = self.loop.time()
+            self._carry_out(self.queue.probe_finished(answered, now, sent=sent))
 
         error = ExchangeError(
             address=self.upstream.address, reason="probe_timeout", bytes_sent=True
         )
-        limit = self.loop.call_later(timeout_s, done, error)
+        limit = self.loop.call_later(action.timeout_s, done, error)
         if not self.lease.valid(self.loop.time()):
             return  # counts as unanswered after the time limit
         self.pool.side_request(
--- a/src/plantainstage/_limits/actions.py
+++ b/src/plantainstage/_limits/actions.py
@@ -36,10 +36,12 @@
 class ProbeSearcher:
     """Ask the searcher for any reply on a newly opened side connection.
 
-    Call ``probe_finished`` with whether a reply came within ``timeout_s``.
+    Call ``probe_finished`` with whether a reply came within ``timeout_s``. The
+    probe is an extra sub-request of ``profile``, whose budget has room for it.
     """
 
     timeout_s: float
+    profile: str
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/plantainstage/_limits/extra_load.py
+++ b/src/plantainstage/_limits/extra_load.py
@@ -108,3 +108,25 @@
             )
         budget.limit = profile.extra_load_limit
         return budget
+
+    def set_limits(self, profiles):
+        """Puts the limits of published profiles in force."""
+        for profile in profiles:
+            self.for_profile(profile)
+
+    def take_for_any(self, names, now):
+        """Takes room in the first of these profiles that has some.
+
+        Returns the profile's name with what ``give_back`` takes, or None.
+        """
+        for name in names:
+            budget = self.by_profile.get(name)
+            taken = budget.take(now) if budget is not None else None
+            if taken is not None:
+                return name, taken
+        return None
+
+    def give_back(self, taken_for):
+        """Returns what ``take_for_any`` gave for a probe that was not sent."""
+        name, taken = taken_for
+        self.by_profile[name].give_back(taken)
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -8,6 +8,7 @@
 import math
 
 from plantainstage._errors import check_invariant
+from plantainstage._limits import suspects
 from plantainstage._limits.actions import (
     AbortExchange,
     CloseConnection,
@@ -20,7 +21,13 @@
 )
 from plantainstage._limits.connections import ConnectionTable
 from plantainstage._limits.fair_queue import FairQueue
-from plantainstage._limits.queue_items import BUSY, HostLease, Queued, Running
+from plantainstage._limits.queue_items import (
+    BUSY,
+    SLOT_FREE_OUTCOMES,
+    HostLease,
+    Queued,
+    Running,
+)
 from plantainstage._limits.silence import (
     PROBE_TIMEOUT_S,
     Reachability,
@@ -50,27 +57,19 @@
 # sub-request's deadline. It counts that from the arrival, and its timers may be
 # late: 10 ms were too short on a busy machine (4 of 3 slots in use were seen).
 SLOT_RELEASE_GRACE_S = 0.25
-# The searcher has certainly ended the sub-request after one of these.
-_SLOT_FREE_OUTCOMES = frozenset(
-    {
-        SubOutcome.ANSWERED,
-        SubOutcome.REFUSED,
-        SubOutcome.NOT_SENT,
-        SubOutcome.CANCELLED,
-    }
-)
 
 
 class OwnerQueue:
     """Sends sub-requests to one searcher within its slots and connections.
 
-    ``slots`` and ``connections`` are the searcher's announced caps, ``lease``
-    and ``quarantines`` are shared by the host's queues. The queue sends nothing
-    until ``own`` was called with the epoch of an active ownership. For example::
+    ``slots`` and ``connections`` are the searcher's announced caps, ``lease``,
+    ``quarantines`` and ``budgets`` are shared by the host's queues. The queue
+    sends nothing until ``own`` was called with the epoch of an active ownership.
+    For example::
 
         queue = OwnerQueue(
             upstream_id="r1", slots=3, connections=30, lease=lease,
-            quarantines=routing.quarantines,
+            quarantines=routing.quarantines, budgets=budgets,
         )
         queue.own(epoch=4)
         for action in queue.submit("e2", sub_request, now):
@@ -92,12 +91,14 @@
         connections: int,
         lease: HostLease,
         quarantines,
+        budgets,
         weights=None,
     ):
         self.upstream_id = upstream_id
         self.slots = slots
         self.lease = lease
         self.quarantines = quarantines
+        self.budgets = budgets
         self.connections = ConnectionTable(cap=connections)
         self.silence = SilenceDetector()
         self.waiting = FairQueue()
@@ -110,11 +111,15 @@
         self.median_s = INITIAL_SERVICE_S  # for the sub-request itself
         self.wake_at = math.inf
         self.any_suspect = False  # may stay true after the last one has ended
+        self.probe_profile = ""  # of the exchange that was suspected last
+        self.probe_room = None  # what the probe under way takes of its budget
 
     # ---- Ownership -----------------------------------------------------------
 
     def own(self, *, epoch):
         """Allows sending for this ownership epoch."""
+        if self.epoch is None:
+            self.silence.try_again()
         self.epoch = epoch
 
     def disown(self, now):
@@ -217,7 +222,7 @@
         elapsed = now - running.started_at
         self._learn(running, result.outcome, result.reason, elapsed, actions, now)
         # A complete reply, also 504, shows that the searcher has ended.
-        if result.outcome not in _SLOT_FREE_OUTCOMES and not connection_usable:
+        if result.outcome not in SLOT_FREE_OUTCOMES and not connection_usable:
             free_at = item.deadline + SLOT_RELEASE_GRACE_S
             if free_at > now:
                 heapq.heappush(self.held_slots, free_at)
@@ -247,18 +252,20 @@
         self.connections.forget(connection_id)
         return []
 
-    def probe_finished(self, answered, now):
-        """Takes whether a probe was answered; closes silent connections."""
+    def probe_finished(self, answered, now, *, sent=True):
+        """Takes whether a probe was answered; closes silent connections.
+
+        ``sent`` is false when certainly no byte of the probe left.
+        """
         actions = []
+        if not sent:
+            self.budgets.give_back(self.probe_room)
         self.silence.probe_finished(answered)
         if answered:
-            for running in self.running.values():
-                if running.suspect and not running.got_byte:
-                    actions.append(
-                        CloseConnection(
-                            connection_id=running.connection_id, silent=True
-                        )
-                    )
+            for running in suspects.silent(self.running.values()):
+                actions.append(
+                    CloseConnection(connection_id=running.connection_id, silent=True)
+                )
         else:
             self._return_all_unsent("searcher_silent", actions)
         self._dispatch(actions, now)
@@ -296,7 +303,10 @@
         return ""
 
     def _reason_full(self, item, now):
-        if self.silence.state is Reachability.UNREACHABLE:
+        state = self.silence.state
+        if state is Reachability.UNREACHABLE or (
+            state is Reachability.TRIAL and self.running
+        ):
             return "searcher_silent"
         wait = self.expected_wait_s(item.profile, now)
         if wait > 0 and item.sub_request.alternatives > 0 and self._declines(now):
@@ -418,18 +428,16 @@
                         )
                     )
             case SubOutcome.TIMED_OUT if not running.got_byte:
+                self.probe_profile = running.queued.profile
                 self._probe(actions, now)
             case SubOutcome.NOT_SENT if reason == "connection_refused":
+                self.probe_profile = running.queued.profile
                 self.silence.refused()
                 self._return_all_unsent("searcher_silent", actions)
 
     def _suspect(self, actions, now):
-        threshold = self.silence.suspect_after_s
-        for running in self.running.values():
-            if running.got_byte or running.suspect:
-                continue
-            if now >= running.started_at + threshold:
-                running.suspect = self.any_suspect = True
+        if suspects.mark(self.running.values(), self.silence.suspect_after_s, now):
+            self.any_suspect = True
         # A connection may become suspect too soon after the last probe for
         # another one; it then stays unproved and has to be probed for later.
         if self._needs_proof():
@@ -438,18 +446,27 @@
     def _needs_proof(self):
         """Whether a probe has to show if the searcher, or a connection, is dead."""
         if self.silence.state is Reachability.UNREACHABLE:
-            return True
-        if not self.any_suspect or self.silence.state is not Reachability.REACHABLE:
+            return self.epoch is not None
+        if not self.any_suspect or self.silence.state is Reachability.PROBING:
             return False
-        self.any_suspect = any(
-            running.suspect and not running.got_byte
-            for running in self.running.values()
-        )
+        self.any_suspect = bool(suspects.silent(self.running.values()))
         return self.any_suspect
 
     def _probe(self, actions, now):
-        if self.silence.needs_probe(now):
-            actions.append(ProbeSearcher(timeout_s=PROBE_TIMEOUT_S))
+        """Sends a probe that is due, if a suspected exchange's profile has room."""
+        if not self.silence.probe_due(now):
+            return
+        silent = suspects.silent(self.running.values())
+        profiles = [item.queued.profile for item in silent] or [self.probe_profile]
+        self.probe_room = self.budgets.take_for_any(profiles, now)
+        if self.probe_room is None:
+            self.silence.probe_denied(now)
+            return
+        self.silence.probe_sent(now)
+        self.probe_profile = self.probe_room[0]
+        actions.append(
+            ProbeSearcher(timeout_s=PROBE_TIMEOUT_S, profile=self.probe_profile)
+        )
 
     def _drop_late(self, actions, now):
         late = [
@@ -470,11 +487,7 @@
             time = self.held_slots[0]
         if self.running:
             threshold = self.silence.suspect_after_s
-            # In the order of their start, so that the first one is the next due.
-            for running in self.running.values():
-                if not (running.got_byte or running.suspect):
-                    time = min(time, running.started_at + threshold)
-                    break
+            time = min(time, suspects.next_at(self.running.values(), threshold))
         if self.waiting:
             latest_start = self.waiting.earliest_deadline() - self.median_s
             time = min(time, max(latest_start, now))
--- a/src/plantainstage/_limits/queue_items.py
+++ b/src/plantainstage/_limits/queue_items.py
@@ -2,7 +2,18 @@
 
 import math
 
+from plantainstage._messages.forward import SubOutcome
+
 BUSY = "busy"  # reason of NOT_SENT: it would wait, and there are alternatives
+# The searcher has certainly ended the sub-request after one of these.
+SLOT_FREE_OUTCOMES = frozenset(
+    {
+        SubOutcome.ANSWERED,
+        SubOutcome.REFUSED,
+        SubOutcome.NOT_SENT,
+        SubOutcome.CANCELLED,
+    }
+)
 
 
 class HostLease:
--- a/src/plantainstage/_limits/silence.py
+++ b/src/plantainstage/_limits/silence.py
@@ -21,6 +21,9 @@
     REACHABLE = "reachable"
     PROBING = "probing"
     UNREACHABLE = "unreachable"
+    # Not reachable when last heard of, and no probe may be sent: one sub-request
+    # at a time shows whether it is there again.
+    TRIAL = "trial"
 
 
 class SilenceDetector:
@@ -47,16 +50,27 @@
         else:
             self.p99_s *= 1 - P99_STEP * (1 - P99)
 
-    def needs_probe(self, now):
-        """Whether a probe should be sent now; counts it as sent."""
+    def probe_due(self, now):
+        """Whether a probe should be sent now, if it is allowed."""
         if self.state is Reachability.PROBING:
             return False
-        if self.next_probe is not None and now < self.next_probe:
-            return False
-        if self.state is Reachability.REACHABLE:
+        return self.next_probe is None or now >= self.next_probe
+
+    def probe_sent(self, now):
+        """A probe is under way; ``probe_finished`` follows."""
+        if self.state is not Reachability.UNREACHABLE:
             self.state = Reachability.PROBING
         self.next_probe = now + PROBE_INTERVAL_S
-        return True
+
+    def probe_denied(self, now):
+        """No probe may be sent, so that only sub-requests can show a return."""
+        self.try_again()
+        self.next_probe = now + PROBE_INTERVAL_S
+
+    def try_again(self):
+        """Lets a sub-request through to a searcher that was unreachable."""
+        if self.state is Reachability.UNREACHABLE:
+            self.state = Reachability.TRIAL
 
     def probe_finished(self, answered):
         """Takes the outcome of a probe."""
