Let operators list quarantines and lift them

Cause: a harmless request that ran on two crashing searchers was refused for 10 minutes, and neither its caller nor an operator could find or end that. Change: plantainstage-ctl quarantine list and quarantine lift; the lift is a numbered change. The replicated state keeps index, time and searchers of a quarantine, and lists a lift until the quarantine would have ended. Entry hosts apply each lift once; for 10 minutes one crash quarantines again. The refusal names the fingerprint.

--- a/features/behaviour/operator_command.feature
+++ b/features/behaviour/operator_command.feature
@@ -13,6 +13,7 @@
       | wait 2                                                   | 0    | in_force       |
       | profile retire nobody                                    | 3    | rejected       |
       | upstream out nobody                                      | 3    | rejected       |
+      | quarantine lift 00                                       | 3    | rejected       |
       | replica remove control-9 00                              | 3    | rejected       |
       | profile retire rider-gate --number 1 --operator bo       | 4    | conflict       |
       | profile retire rider-gate --number 9                     | 7    | not_considered |
--- a/features/behaviour/quarantine.feature
+++ b/features/behaviour/quarantine.feature
@@ -31,3 +31,31 @@
     And partition "p1" answers the query
     And searcher "p1-2" of partition "p1" resets the query at 60.0 s
     Then the query is not quarantined at 60.1 s
+
+  Scenario: A lifted query is quarantined again by one crash
+    # Guards against a lift that costs two more searchers when it was a mistake.
+    Given an empty quarantine table
+    When searcher "p1-1" of partition "p1" resets the query at 0.0 s
+    And searcher "p2-3" of partition "p2" resets the query at 0.1 s
+    And a configuration lists its lift in version 7 at 5.0 s
+    Then the query is not quarantined at 5.1 s
+    When searcher "p1-2" of partition "p1" resets the query at 6.0 s
+    Then the query is quarantined at 6.1 s
+
+  Scenario: A lift that is still listed does not end a later quarantine
+    # Guards against a query that goes on crashing searchers because each new
+    # configuration repeats the lift of its first quarantine.
+    Given an empty quarantine table
+    When a configuration lists its lift in version 7 at 5.0 s
+    And searcher "p1-2" of partition "p1" resets the query at 6.0 s
+    And a configuration lists its lift in version 7 at 7.0 s
+    Then the query is quarantined at 7.1 s
+
+  Scenario: A restarted control replica still knows quarantines and lifts
+    # Guards against a lift that a restart takes back on hosts that hear of it late,
+    # and against lifts that are kept for ever.
+    Given a replicated state with two quarantines until 600 s, one of them lifted
+    When the state is restored from its snapshot
+    Then its configuration is as before, with one quarantine and one lift
+    When the quarantines that end by 600 s are dropped
+    Then its configuration has no quarantine and no lift
--- a/features/failures/entry.feature
+++ b/features/failures/entry.feature
@@ -28,6 +28,19 @@
     Then at most 2 searchers have crashed
     And the resends are refused as "request_quarantined"
 
+  Scenario: An operator finds a quarantine by the refusal and lifts it
+    # Guards against a harmless query that stays refused for 10 minutes because it
+    # ran beside a crashing one, and against a lift that lets a crashing one go on.
+    Given an entry tier of 2 hosts with 1 partitions of 4 searchers
+    And the entry profile "rider-gate" with 2000 ms and coverage 1.0
+    And 100 queries have built up the extra-load budget of "rider-gate"
+    When a crashing query is sent through every entry host in turn
+    Then the operator finds the fingerprint of the refusals with index and searchers
+    When the operator lifts the quarantine
+    Then it is in force everywhere and no fingerprint is listed
+    And every entry host takes the query until 1 more searcher has crashed
+    And the operator finds the fingerprint of the refusals with index and searchers
+
   Scenario: Connections that go silent are found and replaced long before the deadline
     # Guards against sub-requests that wait for their deadline on dead
     # connections, and against "not_run" for what may have run.
--- a/src/plantainstage/_control/entry_requests.py
+++ b/src/plantainstage/_control/entry_requests.py
@@ -111,9 +111,13 @@
             message=f"A quarantine of {request.duration_ms} ms is not possible.",
             remedy=f"Ask for 1 to {QUARANTINE_LIMIT_MS} ms.",
         )
+    now_ms = core.wall_ms()
     return await core.propose(
         commands.AddQuarantine(
             fingerprint=request.fingerprint,
-            expires_ms=core.wall_ms() + request.duration_ms,
+            expires_ms=now_ms + request.duration_ms,
+            index=request.index,
+            since_ms=now_ms,
+            searchers=request.searchers,
         )
     )
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -112,6 +112,7 @@
             entry_id=self.record.entry_id,
             client=self.clients[1],
             links=self.links,
+            cause=self._cause_of,
         )
         self.budgets = ExtraLoadBudgets()
         self.owners = Owners(
@@ -165,6 +166,7 @@
         self.routing.quarantines.apply_recorded(
             configuration.quarantines, now=now, unix_ms=time.time() * 1000
         )
+        self.routing.quarantines.apply_lifted(configuration.lifted, now=now)
         self.budgets.set_limits(configuration.profiles)
         self.owners.apply(configuration)
         self.queries.view = ConfigurationView(
@@ -237,6 +239,16 @@
                 now = asyncio.get_running_loop().time()
                 self.routing.quarantines.apply_notice(message, now)
 
+    def _cause_of(self, fingerprint):
+        """Returns the searchers that crashed with a fingerprint, and their index."""
+        searchers = self.routing.quarantines.crashed_searchers(fingerprint)
+        indexes = {
+            item.index
+            for item in self.session.configuration.upstreams
+            if item.upstream_id in searchers
+        }
+        return searchers, min(indexes, default="")
+
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/src/plantainstage/_entry/quarantining.py
+++ b/src/plantainstage/_entry/quarantining.py
@@ -16,12 +16,16 @@
 
 
 class Quarantining:
-    """Sends notices to the peers and records quarantines through control."""
+    """Sends notices to the peers and records quarantines through control.
 
-    def __init__(self, *, entry_id, client, links):
+    ``cause`` returns the crashed searchers and the index of a fingerprint.
+    """
+
+    def __init__(self, *, entry_id, client, links, cause):
         self.entry_id = entry_id
         self.client = client
         self.links = links
+        self.cause = cause
         self.recordings = {}
 
     def report_soon(self, action):
@@ -55,8 +59,12 @@
             link.send_other(notice)
 
     async def _record(self, fingerprint, duration_ms):
+        searchers, index = self.cause(fingerprint)
         request = control.ReportQuarantine(
-            fingerprint=fingerprint, duration_ms=duration_ms
+            fingerprint=fingerprint,
+            duration_ms=duration_ms,
+            index=index,
+            searchers=searchers,
         )
         loop = asyncio.get_running_loop()
         limit = loop.time() + RECORD_LIMIT_S
--- a/src/plantainstage/_limits/quarantine.py
+++ b/src/plantainstage/_limits/quarantine.py
@@ -6,6 +6,7 @@
 
 QUARANTINE_S = 600.0
 CRASHES_TO_QUARANTINE = 2
+CRASHES_AFTER_LIFT = 1  # it has crashed searchers before
 SAME_CRASH_S = 1.0  # a searcher takes longer to restart than to lose its sockets
 
 
@@ -74,6 +75,8 @@
     def __init__(self, *, duration_s: float = QUARANTINE_S):
         self.duration_s = duration_s
         self.until = {}
+        self.lifts = {}  # fingerprint -> version of the newest lift applied here
+        self.lifted_until = {}  # fingerprint -> until when one crash is enough
         self.resets = {}  # fingerprint -> _Resets, in the order of the last reset
 
     def is_quarantined(self, fingerprint, now):
@@ -97,9 +100,10 @@
         resets = self.resets.pop(fingerprint, None) or _Resets()
         resets.add(partition, upstream_id, now)
         self.resets[fingerprint] = resets
-        if resets.crashes() < CRASHES_TO_QUARANTINE or self.is_quarantined(
-            fingerprint, now
-        ):
+        needed = CRASHES_TO_QUARANTINE
+        if now < self.lifted_until.get(fingerprint, now):
+            needed = CRASHES_AFTER_LIFT
+        if resets.crashes() < needed or self.is_quarantined(fingerprint, now):
             return False
         self.quarantine(fingerprint, now + self.duration_s)
         return True
@@ -127,7 +131,30 @@
             if remaining_s > 0:
                 self.quarantine(item.fingerprint, now + remaining_s)
 
+    def apply_lifted(self, lifted, *, now):
+        """Takes over an operator's lifts, each once.
+
+        A fingerprint that was quarantined again here must stay so while the list
+        still has its earlier lift.
+        """
+        for item in lifted:
+            name = item.fingerprint
+            if self.lifts.get(name, 0) < item.version:
+                self.until.pop(name, None)
+                self.resets.pop(name, None)
+                self.lifted_until[name] = now + self.duration_s
+        self.lifts = {item.fingerprint: item.version for item in lifted}
+
+    def crashed_searchers(self, fingerprint):
+        """Returns the searchers that this host saw crash with it."""
+        resets = self.resets.get(fingerprint)
+        partitions = resets.partitions.values() if resets is not None else ()
+        return tuple(sorted({name for searchers in partitions for name in searchers}))
+
     def _forget(self, now):
+        for fingerprint, until in list(self.lifted_until.items()):
+            if until <= now:
+                del self.lifted_until[fingerprint]
         # Entries are in the order of their last reset, so the loop stops early.
         for fingerprint, resets in list(self.resets.items()):
             if now - resets.last < self.duration_s:
--- a/src/plantainstage/_membership/changes.py
+++ b/src/plantainstage/_membership/changes.py
@@ -6,6 +6,7 @@
 
 from plantainstage._errors import check_invariant
 from plantainstage._membership.profiles import profile_faults
+from plantainstage._membership.quarantines import lift_quarantine
 from plantainstage._membership.state import VERDICTS_KEPT
 from plantainstage._messages import control
 
@@ -91,6 +92,11 @@
                 reason=f"upstream {name!r} was not taken out",
                 remedy="List the upstreams with: plantainstage-ctl upstream list",
             )
+        case control.LiftQuarantine(fingerprint=name) if name not in state.quarantines:
+            return Rejection(
+                reason=f"no fingerprint {name!r} is quarantined",
+                remedy="List the quarantines with: plantainstage-ctl quarantine list",
+            )
     return None
 
 
@@ -110,6 +116,8 @@
         case control.PutUpstreamIn(upstream_id=name):
             state.out.remove(name)
             state.raise_version()
+        case control.LiftQuarantine(fingerprint=name):
+            lift_quarantine(state, name)
     return state.version
 
 
--- a/src/plantainstage/_membership/commands.py
+++ b/src/plantainstage/_membership/commands.py
@@ -113,10 +113,16 @@
 
 
 class AddQuarantine(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Refuses a fingerprint until ``expires_ms`` (Unix time)."""
+    """Refuses a fingerprint until ``expires_ms`` (Unix time).
+
+    For the other fields see ``Quarantine``.
+    """
 
     fingerprint: str
     expires_ms: int
+    index: str = ""
+    since_ms: int = 0
+    searchers: tuple[str, ...] = ()
 
 
 class ExpireQuarantines(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/src/plantainstage/_membership/queries.py
+++ b/src/plantainstage/_membership/queries.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainstage._membership.state import QuarantineCause
 from plantainstage._messages.configuration import (
     Configuration,
     Ownership,
@@ -34,9 +35,20 @@
             if record.owner is not None and name in state.upstreams
         ),
         quarantines=tuple(
-            Quarantine(fingerprint=name, expires_ms=until)
-            for name, until in sorted(state.quarantines.items())
+            _quarantine(state, name) for name in sorted(state.quarantines)
         ),
+        lifted=tuple(state.lifted[name] for name in sorted(state.lifted)),
+    )
+
+
+def _quarantine(state, name):
+    cause = state.causes.get(name, QuarantineCause())
+    return Quarantine(
+        fingerprint=name,
+        expires_ms=state.quarantines[name],
+        index=cause.index,
+        since_ms=cause.since_ms,
+        searchers=cause.searchers,
     )
 
 
--- a/src/plantainstage/_membership/reconciliation.py
+++ b/src/plantainstage/_membership/reconciliation.py
@@ -9,6 +9,7 @@
 from plantainstage._membership.leader import PlanKey
 from plantainstage._membership.leases import CLOCK_RATE_MARGIN, start_of
 from plantainstage._membership.planner import PlannedSearcher, plan_owners
+from plantainstage._membership.quarantines import next_expiry_ms
 from plantainstage._membership.queries import longest_deadline_ms, partitions_of
 from plantainstage._membership.state import EntryStart
 from plantainstage._messages.configuration import UpstreamState
@@ -70,7 +71,8 @@
 
 
 def _expired_quarantines(state, now_ms):
-    if any(until <= now_ms for until in state.quarantines.values()):
+    next_ms = next_expiry_ms(state)
+    if next_ms is not None and next_ms <= now_ms:
         return commands.ExpireQuarantines(now_ms=now_ms)
     return None
 
--- a/src/plantainstage/_membership/state.py
+++ b/src/plantainstage/_membership/state.py
@@ -10,6 +10,7 @@
 
 from plantainstage._messages.configuration import (
     EntryHost,
+    LiftedQuarantine,
     Manifest,
     Profile,
     Upstream,
@@ -73,6 +74,14 @@
         return len(self.nonces)
 
 
+class QuarantineCause(msgspec.Struct, frozen=True, kw_only=True):
+    """What operators are told about a quarantine, see ``Quarantine``."""
+
+    index: str = ""
+    since_ms: int = 0
+    searchers: tuple[str, ...] = ()
+
+
 class ManifestKey(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """Names a snapshot of an index."""
 
@@ -113,6 +122,8 @@
     claims: dict[str, ClaimRecord] = field(default_factory=dict)
     claims_by_time: SortedSet = field(default_factory=SortedSet)
     quarantines: dict[str, int] = field(default_factory=dict)
+    causes: dict[str, QuarantineCause] = field(default_factory=dict)
+    lifted: dict[str, LiftedQuarantine] = field(default_factory=dict)
 
     def raise_version(self):
         """Starts the next configuration version and returns it."""
@@ -153,6 +164,8 @@
     claims: dict[str, ClaimRecord]
     claims_by_time: tuple[ClaimKey, ...]
     quarantines: dict[str, int]
+    causes: dict[str, QuarantineCause] = {}
+    lifted: dict[str, LiftedQuarantine] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -179,6 +192,8 @@
             claims=dict(sorted(state.claims.items())),
             claims_by_time=tuple(state.claims_by_time),
             quarantines=dict(sorted(state.quarantines.items())),
+            causes=dict(sorted(state.causes.items())),
+            lifted=dict(sorted(state.lifted.items())),
         )
     )
 
@@ -206,6 +221,8 @@
         claims=snapshot.claims,
         claims_by_time=SortedSet(snapshot.claims_by_time),
         quarantines=snapshot.quarantines,
+        causes=snapshot.causes,
+        lifted=snapshot.lifted,
     )
 
 
--- a/src/plantainstage/_messages/configuration.py
+++ b/src/plantainstage/_messages/configuration.py
@@ -113,9 +113,28 @@
 
 
 class Quarantine(msgspec.Struct, frozen=True, kw_only=True):
-    """A request fingerprint that is refused until ``expires_ms`` (Unix time)."""
+    """A request fingerprint that is refused until ``expires_ms`` (Unix time).
+
+    ``searchers`` lists those that are known to have crashed while they ran a
+    request of this ``index``; ``since_ms`` is the Unix time of the first report.
+    """
+
+    fingerprint: str
+    expires_ms: int
+    index: str = ""
+    since_ms: int = 0
+    searchers: tuple[str, ...] = ()
+
+
+class LiftedQuarantine(msgspec.Struct, frozen=True, kw_only=True):
+    """A quarantine that an operator lifted in configuration ``version``.
+
+    It is listed until the quarantine would have ended, for hosts that know the
+    quarantine from a notice only.
+    """
 
     fingerprint: str
+    version: int
     expires_ms: int
 
 
@@ -129,3 +148,4 @@
     entry_hosts: tuple[EntryHost, ...] = ()
     ownerships: tuple[Ownership, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
+    lifted: tuple[LiftedQuarantine, ...] = ()
--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -43,7 +43,15 @@
     upstream_id: str
 
 
-ChangeBody = PublishProfile | RetireProfile | TakeUpstreamOut | PutUpstreamIn
+class LiftQuarantine(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Ends the quarantine of a request fingerprint before its time."""
+
+    fingerprint: str
+
+
+ChangeBody = (
+    PublishProfile | RetireProfile | TakeUpstreamOut | PutUpstreamIn | LiftQuarantine
+)
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
@@ -176,10 +184,15 @@
 
 
 class ReportQuarantine(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Asks to refuse a fingerprint for ``duration_ms`` on every entry host."""
+    """Asks to refuse a fingerprint for ``duration_ms`` on every entry host.
+
+    ``searchers`` are those of ``index`` that the reporting host saw crash.
+    """
 
     fingerprint: str
     duration_ms: int
+    index: str = ""
+    searchers: tuple[str, ...] = ()
 
 
 class MemberAction(enum.Enum):
--- a/src/plantainstage/_operator/status_text.py
+++ b/src/plantainstage/_operator/status_text.py
@@ -1,5 +1,7 @@
 """Status of the tier, configuration and verdicts as text."""
 
+from datetime import UTC, datetime
+
 from plantainstage._operator.changes import is_in_force
 from plantainstage._operator.replicas import describe_replica
 
@@ -54,6 +56,23 @@
     return lines
 
 
+def describe_quarantines(configuration):
+    """Returns one line for each quarantined fingerprint."""
+    return [
+        f"{item.fingerprint} index {item.index or 'unknown'} "
+        f"since {_utc(item.since_ms)} until {_utc(item.expires_ms)} "
+        f"searchers {' '.join(item.searchers) or 'unknown'}"
+        for item in configuration.quarantines
+    ]
+
+
+def _utc(unix_ms):
+    if not unix_ms:
+        return "unknown"
+    time = datetime.fromtimestamp(unix_ms / 1000, tz=UTC)
+    return time.isoformat(timespec="seconds")
+
+
 def describe_profile(profile):
     """Returns one line with everything that a profile promises."""
     return (
--- a/src/plantainstage/_programs/ctl.py
+++ b/src/plantainstage/_programs/ctl.py
@@ -4,6 +4,7 @@
 
 from plantainstage._operator.outcomes import EXIT_CODE_HELP
 from plantainstage._programs.ctl_profiles import profile_group
+from plantainstage._programs.ctl_quarantines import quarantine_group
 from plantainstage._programs.ctl_replicas import replica_group
 from plantainstage._programs.ctl_status import (
     change_group,
@@ -24,6 +25,7 @@
 for command in (
     profile_group,
     upstream_group,
+    quarantine_group,
     replica_group,
     change_group,
     status_command,
--- /dev/null
+++ b/src/plantainstage/_programs/ctl_quarantines.py
@@ -0,0 +1,40 @@
+"""``plantainstage-ctl quarantine``: list and lift quarantines of requests."""
+
+import click
+
+from plantainstage._messages import control as messages
+from plantainstage._operator.status_text import describe_quarantines
+from plantainstage._programs.ctl_options import (
+    change_command,
+    finish,
+    operator_command,
+    run_change,
+    run_session,
+)
+
+
+@click.group("quarantine")
+def quarantine_group():
+    """List the requests that are refused because searchers crashed; lift that."""
+
+
+@quarantine_group.command("list")
+@operator_command
+def list_quarantines(as_json, **options):
+    """List all quarantined fingerprints with index, time and crashed searchers."""
+    configuration = run_session(
+        lambda session: session.configuration(), as_json=as_json, **options
+    )
+    body = {
+        "version": configuration.version,
+        "quarantines": configuration.quarantines,
+    }
+    finish(body, describe_quarantines(configuration), as_json=as_json)
+
+
+@quarantine_group.command("lift")
+@click.argument("fingerprint")
+@change_command
+def lift(fingerprint, **options):
+    """Allow requests with FINGERPRINT again, before their quarantine ends."""
+    run_change(lambda: messages.LiftQuarantine(fingerprint=fingerprint), **options)
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -114,7 +114,7 @@
         profile = self.profile
         if self.routing.quarantines.is_quarantined(self.fingerprint, now):
             self.routing.counters.quarantine_refusals += 1
-            return self._refuse(refusals.quarantined(RunState.NOT_RUN), now)
+            return self._refuse(refusals.quarantined(self, RunState.NOT_RUN), now)
         names = self.body.partitions
         chosen = choose_snapshot(
             self.view, profile.index, names, profile.minimum_coverage
@@ -469,7 +469,7 @@
 
     def _finish(self, actions, now):
         if self.recording_crashes:
-            finish = FinishRequest(refusal=refusals.quarantined(run_state(self)))
+            finish = FinishRequest(refusal=refusals.quarantined(self, run_state(self)))
         elif self.answered >= self.needed:
             finish = FinishRequest(answer=build_answer(self, now))
         else:
--- a/src/plantainstage/_routing/refusals.py
+++ b/src/plantainstage/_routing/refusals.py
@@ -4,12 +4,18 @@
 from plantainstage._messages.callers import RunState
 
 
-def quarantined(run):
-    """Refuses a request that crashed searchers."""
+def quarantined(gather, run):
+    """Refuses a request that crashed searchers; operators need its fingerprint."""
     return RefusalError(
         code="request_quarantined",
-        message="Searchers crashed while they ran this request.",
-        remedy="Change the query; the same query is refused for 10 minutes.",
+        message=(
+            "Searchers crashed while they ran this request (fingerprint "
+            f"{gather.fingerprint})."
+        ),
+        remedy=(
+            "Change the query; the same query is refused for 10 minutes, or until an "
+            "operator lifts the quarantine of its fingerprint."
+        ),
         run=run,
         http_status=422,
     )
