Stop all entry hosts at once without a wait for a handover

Cause: a stopping host waited 5 s for another one to own its searchers, also when all others were stopping and none could. Change: a host tells its peers once its last request has ended. One that waits to release its searchers goes on when each peer in the configuration has said so. In the first scenario a refused connection counts as a caller that came too late: nothing took its request.

--- a/features/behaviour/entry.feature
+++ b/features/behaviour/entry.feature
@@ -48,6 +48,24 @@
     Then both stop with exit code 0
     And every caller got a full answer, or was told to ask another host
 
+  Scenario: A planned stop of all entry hosts under load cuts off no request
+    # Guards against a host that releases its searchers while another one still has
+    # requests for them, and against a wait for a handover that cannot happen.
+    Given an entry tier of 3 hosts with 2 partitions of 2 searchers
+    And the entry profile "rider-gate" with 3000 ms and coverage 1.0
+    When callers send queries to ready hosts while all hosts stop
+    Then every host has stopped with exit code 0 and waited for no handover in vain
+    And every caller was answered in full, told to ask another host, or came too late
+
+  Scenario: A stopping host serves another one that still takes requests
+    # Guards against a host that takes a stop of all hosts for one in which nobody
+    # needs its searchers any more.
+    Given 2 entry hosts of which the first drains for 2 s and the second for 0 s
+    And the entry profile "rider-gate" with 3000 ms and coverage 1.0
+    When both are stopped and the first gets queries until it refuses them
+    Then it has answered every query in full until it said "stopping"
+    And both have stopped with exit code 0 and waited for no handover in vain
+
   Scenario: An entry host whose port is in use says what to do and exits with 2
     # Guards against a traceback, and against a host that serves on one port only.
     Given a port that another program uses
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -219,15 +219,13 @@
         replies.append(reply)
 
 
-@when("callers send queries to ready hosts while one host and those searchers stop")
-def stop_under_load(context):
-    tier = context.tier
-    stop = threading.Event()
+def start_load(context, stop):
+    """Returns the threads of callers, once replies come in."""
     context.replies = []
     threads = [
         threading.Thread(
             target=_call_while_ready,
-            args=(tier, entry, sleep_ms, stop, context.replies),
+            args=(context.tier, entry, sleep_ms, stop, context.replies),
         )
         for entry in range(3)
         for sleep_ms in (2, *[LONGER_THAN_DRAIN_DELAY_MS] * 4)
@@ -235,6 +233,34 @@
     for thread in threads:
         thread.start()
     wait_until(lambda: len(context.replies) > 30, what="the load has begun")
+    return threads
+
+
+@when("callers send queries to ready hosts while all hosts stop")
+def stop_all_under_load(context):
+    threads = start_load(context, threading.Event())
+    programs = context.tier.programs
+    context.stopped = [programs[f"entry-{number}"] for number in (1, 2, 3)]
+    for program in context.stopped:
+        program.signal(15)
+    context.exit_codes = [program.process.wait(60) for program in context.stopped]
+    for thread in threads:
+        thread.join()
+
+
+@then("every host has stopped with exit code 0 and waited for no handover in vain")
+def check_all_stopped(context):
+    assert context.exit_codes == [0, 0, 0], context.exit_codes
+    for program in context.stopped:
+        log = program.log_path.read_text(encoding="utf-8")
+        assert "not finished in time" not in log, log[-2000:]
+
+
+@when("callers send queries to ready hosts while one host and those searchers stop")
+def stop_under_load(context):
+    tier = context.tier
+    stop = threading.Event()
+    threads = start_load(context, stop)
     entry, more = tier.programs["entry-2"], tier.programs["more"]
     for program in (entry, more, entry):  # the entry host gets the signal twice
         program.signal(15)
@@ -251,6 +277,14 @@
     assert context.exit_codes == (0, 0), context.exit_codes
 
 
+@then("every caller was answered in full, told to ask another host, or came too late")
+def check_answered_before_end(context):
+    # Nothing listens any more: the request was never taken.
+    late = "ConnectionRefusedError"
+    context.replies = [item for item in context.replies if late not in str(item)]
+    check_all_answered(context)
+
+
 @then("every caller got a full answer, or was told to ask another host")
 def check_all_answered(context):
     bad = [
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -55,6 +55,7 @@
             forward_address=settings.forward_listen,
         )
         self.draining = False
+        self.finished_peers = {}  # entry id -> incarnation that sends no more
         self.tasks = []
         self.lease = HostLease()
         self.metrics = make_metrics(
@@ -238,6 +239,24 @@
             case forward.QuarantineNotice():
                 now = asyncio.get_running_loop().time()
                 self.routing.quarantines.apply_notice(message, now)
+            case forward.RequestsFinished(sender=sender, incarnation=incarnation):
+                self.finished_peers[sender] = incarnation
+
+    def tell_finished(self):
+        """Tells the peers that this host sends no more sub-requests."""
+        notice = forward.RequestsFinished(
+            sender=self.record.entry_id, incarnation=self.record.incarnation
+        )
+        for link in self.links.peers.values():
+            link.send_other(notice)
+
+    def needed_by_peers(self):
+        """Whether another host may still send sub-requests to this one."""
+        return any(
+            self.finished_peers.get(peer.entry_id) != peer.incarnation
+            for peer in self.session.configuration.entry_hosts
+            if peer.entry_id != self.record.entry_id
+        )
 
     def _cause_of(self, fingerprint):
         """Returns the searchers that crashed with a fingerprint, and their index."""
--- a/src/plantainstage/_entry/stopping.py
+++ b/src/plantainstage/_entry/stopping.py
@@ -30,9 +30,7 @@
     await host.queries.wait_idle()
     await host.claims.finish()
     await host.quarantining.finish()
-    if len(host.session.configuration.entry_hosts) > 1:
-        await _wait(lambda: not host.owners.owned, HANDOVER_LIMIT_S, "handover")
-        await _wait_until_known(host)
+    await _hand_over(host)
     host.owners.leave_all()
     await _wait(lambda: not host.owners.busy, FINISH_LIMIT_S, "sub-requests")
     await _wait(lambda: not host.owners.releasing(), FINISH_LIMIT_S, "searchers")
@@ -47,6 +45,22 @@
     host.close()
 
 
+async def _hand_over(host):
+    """Waits until other hosts own the searchers, or none needs them any more.
+
+    When all hosts stop, no other one can take the searchers over. Each then serves
+    the others until all have finished their requests.
+    """
+    host.tell_finished()
+    await _wait(
+        lambda: not (host.owners.owned and host.needed_by_peers()),
+        HANDOVER_LIMIT_S,
+        "handover",
+    )
+    if host.needed_by_peers():
+        await _wait_until_known(host)
+
+
 async def _wait_until_known(host):
     """Waits until no other host can still send sub-requests to this one.
 
--- a/src/plantainstage/_messages/forward.py
+++ b/src/plantainstage/_messages/forward.py
@@ -114,6 +114,13 @@
     number: int
 
 
+class RequestsFinished(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """The sender is stopping and will send no more sub-requests."""
+
+    sender: str
+    incarnation: str
+
+
 ForwardMessage = (
     SubRequests
     | SubResults
@@ -121,4 +128,5 @@
     | QuarantineNotice
     | LinkProbe
     | LinkEcho
+    | RequestsFinished
 )
