Let the scenario of silent connections always meet one

Cause: on a busy machine "Connections that go silent are found ..." failed in 2 of 6 runs with "no request met a silent connection": all of its 50 requests, 0.3 s in all, went to the other searcher, which had been faster. A budget of one extra sub-request could also be spent by a hedge before the probe needs it. Change: 400 queries build up the budget, and up to 1,000 requests are sent until one is lost.

--- a/features/failures/entry.feature
+++ b/features/failures/entry.feature
@@ -46,7 +46,7 @@
     # connections, and against "not_run" for what may have run.
     Given an entry tier of 2 hosts with 1 partitions of 2 searchers
     And the entry profile "turn-booking" with 40000 ms and coverage 1.0
-    And 20 queries have built up the extra-load budget of "turn-booking"
+    And 400 queries have built up the extra-load budget of "turn-booking"
     When all open connections of the searcher "rider-desk-01-1" go silent
     And non-idempotent requests are sent through all entry hosts until one is lost
     Then it was refused with "unknown" before half of its 40 s had passed
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-MOST_REQUESTS = 50
+# The router prefers the searcher that was faster, on a busy machine for some time.
+MOST_REQUESTS = 1000
 
 
 @when('all open connections of the searcher "{upstream_id}" go silent')
