--- a/features/failures/entry.feature
+++ b/features/failures/entry.feature
@@ -28,21 +28,50 @@
     Then at most 2 searchers have crashed
     And the resends are refused as "request_quarantined"
 
+  Scenario: An operator finds a quarantine by the refusal and lifts it
+    # Guards against a harmless query that stays refused for 10 minutes because it
+    # ran beside a crashing one, and against a lift that lets a crashing one go on.
+    Given an entry tier of 2 hosts with 1 partitions of 4 searchers
+    And the entry profile "rider-gate" with 2000 ms and coverage 1.0
+    And 100 queries have built up the extra-load budget of "rider-gate"
+    When a crashing query is sent through every entry host in turn
+    Then the operator finds the fingerprint of the refusals with index and searchers
+    When the operator lifts the quarantine
+    Then it is in force everywhere and no fingerprint is listed
+    And every entry host takes the query until 1 more searcher has crashed
+    And the operator finds the fingerprint of the refusals with index and searchers
+
   Scenario: Connections that go silent are found and replaced long before the deadline
     # Guards against sub-requests that wait for their deadline on dead
     # connections, and against "not_run" for what may have run.
     Given an entry tier of 2 hosts with 1 partitions of 2 searchers
     And the entry profile "turn-booking" with 40000 ms and coverage 1.0
-    And 20 queries have built up the extra-load budget of "turn-booking"
+    And 400 queries have built up the extra-load budget of "turn-booking"
     When all open connections of the searcher "rider-desk-01-1" go silent
     And non-idempotent requests are sent through all entry hosts until one is lost
     Then it was refused with "unknown" before half of its 40 s had passed
     And every other one was answered and every host answers in full
 
-  Scenario: A searcher that has become slow is not taken for silent for good
+  Scenario Outline: A searcher that has become slow is not taken for silent for good
     # Guards against a threshold that never grows, because every exchange that
     # would raise it is closed as silent.
     Given an entry tier of 1 hosts with 1 partitions of 1 searchers
     And the entry profile "rider-gate" with 3000 ms and coverage 1.0
+    And 40 queries have built up the extra-load budget of "rider-gate"
+    And searchers that <offer> the status request
     When every searcher needs 400 ms for each query
     Then every host answers in full under "rider-gate" in spite of this
+
+    Examples:
+      | offer        |
+      | offer        |
+      | do not offer |
+
+  Scenario: A query that takes long on an otherwise fast searcher loses no attempt
+    # Guards against a slow query whose connection is taken for silent because the
+    # searcher answers the probe, although it still runs the query.
+    Given an entry tier of 1 hosts with 1 partitions of 1 searchers
+    And the entry profile "turn-booking" with 3000 ms and coverage 1.0
+    And 100 queries have built up the extra-load budget of "turn-booking"
+    When a non-idempotent query that takes 400 ms is sent
+    Then it was answered by its only run, after the searcher was asked about it
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -55,6 +55,7 @@
             forward_address=settings.forward_listen,
         )
         self.draining = False
+        self.finished_peers = {}  # entry id -> incarnation that sends no more
         self.tasks = []
         self.lease = HostLease()
         self.metrics = make_metrics(
@@ -112,18 +113,22 @@
             entry_id=self.record.entry_id,
             client=self.clients[1],
             links=self.links,
+            cause=self._cause_of,
         )
+        self.budgets = ExtraLoadBudgets()
         self.owners = Owners(
             entry_id=self.record.entry_id,
             lease=self.lease,
             quarantines=self.routing.quarantines,
+            budgets=self.budgets,
             on_result=self._on_owner_result,
             on_crashes=self.quarantining.report_soon,
+            on_probe=self._on_probe,
         )
         self.gathers = Gathers(
             lease=self.lease,
             routing=self.routing,
-            budgets=ExtraLoadBudgets(),
+            budgets=self.budgets,
             send=self._send,
             cancel=self._cancel,
             report_crashes=self.quarantining.report,
@@ -162,6 +167,8 @@
         self.routing.quarantines.apply_recorded(
             configuration.quarantines, now=now, unix_ms=time.time() * 1000
         )
+        self.routing.quarantines.apply_lifted(configuration.lifted, now=now)
+        self.budgets.set_limits(configuration.profiles)
         self.owners.apply(configuration)
         self.queries.view = ConfigurationView(
             configuration=configuration, routing=self.routing
@@ -210,6 +217,12 @@
         elif requester_id in self.links.peers:
             self.links.peers[requester_id].send_result(result)
 
+    def _on_probe(self, profile):
+        self.recorder.sub_requests_sent(
+            profile=profile, now=time.time(), first=0, extra=1
+        )
+        self.metrics.count(Metric.EXTRA_SUB_REQUESTS)
+
     def _on_peer_message(self, message):
         match message:
             case forward.SubResults(items=items):
@@ -225,6 +238,34 @@
             case forward.QuarantineNotice():
                 now = asyncio.get_running_loop().time()
                 self.routing.quarantines.apply_notice(message, now)
+            case forward.RequestsFinished(sender=sender, incarnation=incarnation):
+                self.finished_peers[sender] = incarnation
+
+    def tell_finished(self):
+        """Tells the peers that this host sends no more sub-requests."""
+        notice = forward.RequestsFinished(
+            sender=self.record.entry_id, incarnation=self.record.incarnation
+        )
+        for link in self.links.peers.values():
+            link.send_other(notice)
+
+    def needed_by_peers(self):
+        """Whether another host may still send sub-requests to this one."""
+        return any(
+            self.finished_peers.get(peer.entry_id) != peer.incarnation
+            for peer in self.session.configuration.entry_hosts
+            if peer.entry_id != self.record.entry_id
+        )
+
+    def _cause_of(self, fingerprint):
+        """Returns the searchers that crashed with a fingerprint, and their index."""
+        searchers = self.routing.quarantines.crashed_searchers(fingerprint)
+        indexes = {
+            item.index
+            for item in self.session.configuration.upstreams
+            if item.upstream_id in searchers
+        }
+        return searchers, min(indexes, default="")
 
     async def _tick(self):
         while True:
--- a/src/plantainstage/_limits/queue_items.py
+++ b/src/plantainstage/_limits/queue_items.py
@@ -2,7 +2,18 @@
 
 import math
 
+from plantainstage._messages.forward import SubOutcome
+
 BUSY = "busy"  # reason of NOT_SENT: it would wait, and there are alternatives
+# The searcher has certainly ended the sub-request after one of these.
+SLOT_FREE_OUTCOMES = frozenset(
+    {
+        SubOutcome.ANSWERED,
+        SubOutcome.REFUSED,
+        SubOutcome.NOT_SENT,
+        SubOutcome.CANCELLED,
+    }
+)
 
 
 class HostLease:
@@ -46,6 +57,7 @@
         "connection_id",
         "got_byte",
         "suspect",
+        "check_after_s",
         "aborted",
     )
 
@@ -55,4 +67,5 @@
         self.connection_id = connection_id
         self.got_byte = False
         self.suspect = False
+        self.check_after_s = 0.0  # set once the searcher said that it runs
         self.aborted = False
--- a/src/plantainstage/_membership/changes.py
+++ b/src/plantainstage/_membership/changes.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from plantainstage._membership.profiles import profile_faults
+from plantainstage._membership.quarantines import lift_quarantine
 from plantainstage._messages import control
 
 _encoder = msgspec.msgpack.Encoder()
@@ -82,6 +83,11 @@
                 reason=f"upstream {name!r} was not taken out",
                 remedy="List the upstreams with: plantainstage-ctl upstream list",
             )
+        case control.LiftQuarantine(fingerprint=name) if name not in state.quarantines:
+            return Rejection(
+                reason=f"no fingerprint {name!r} is quarantined",
+                remedy="List the quarantines with: plantainstage-ctl quarantine list",
+            )
     return None
 
 
@@ -101,6 +107,8 @@
         case control.PutUpstreamIn(upstream_id=name):
             state.out.remove(name)
             state.raise_version()
+        case control.LiftQuarantine(fingerprint=name):
+            lift_quarantine(state, name)
     return state.version
 
 
--- a/src/plantainstage/_membership/state.py
+++ b/src/plantainstage/_membership/state.py
@@ -15,6 +15,7 @@
 )
 from plantainstage._messages.configuration import (
     EntryHost,
+    LiftedQuarantine,
     Manifest,
     Profile,
     Upstream,
@@ -77,6 +78,14 @@
         return len(self.nonces)
 
 
+class QuarantineCause(msgspec.Struct, frozen=True, kw_only=True):
+    """What operators are told about a quarantine, see ``Quarantine``."""
+
+    index: str = ""
+    since_ms: int = 0
+    searchers: tuple[str, ...] = ()
+
+
 class ManifestKey(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """Names a snapshot of an index."""
 
@@ -116,6 +125,8 @@
     claims: dict[str, ClaimRecord] = field(default_factory=dict)
     claims_by_time: SortedSet = field(default_factory=SortedSet)
     quarantines: dict[str, int] = field(default_factory=dict)
+    causes: dict[str, QuarantineCause] = field(default_factory=dict)
+    lifted: dict[str, LiftedQuarantine] = field(default_factory=dict)
 
     @property
     def next_number(self):
@@ -165,6 +176,8 @@
     claims_by_time: tuple[ClaimKey, ...]
     quarantines: dict[str, int]
     verdict_chunks: tuple[VerdictChunk, ...]
+    causes: dict[str, QuarantineCause] = {}
+    lifted: dict[str, LiftedQuarantine] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -192,6 +205,8 @@
             claims=dict(sorted(state.claims.items())),
             claims_by_time=tuple(state.claims_by_time),
             quarantines=dict(sorted(state.quarantines.items())),
+            causes=dict(sorted(state.causes.items())),
+            lifted=dict(sorted(state.lifted.items())),
         )
     )
 
@@ -220,6 +235,8 @@
         claims=snapshot.claims,
         claims_by_time=SortedSet(snapshot.claims_by_time),
         quarantines=snapshot.quarantines,
+        causes=snapshot.causes,
+        lifted=snapshot.lifted,
     )
 
 
