Give hedges that were not sent back to the budget, and serve whole requests

Cause: A trace of stragglers at Etain Grave shows three kinds of refused requests: two stragglers for one partition (the floor, since a third run is not allowed), hedges denied by the budget, and hedges too late to be answered. The budget had room that nobody could use: an extra sub-request that came back as not sent after its partition or its request had ended kept its room for the whole window, hedges were sent milliseconds before the end, and a denied hedge looked again only after the learnt 95th percentile. Hedges were also spent on requests of which another missing partition got none. Change: Room is given back whenever an extra sub-request is not sent. No extra sub-request is sent later than one median before the end, and a denied one looks for room every 0.3 medians. An extra sub-request needs room for all sub-requests that its request must repeat to reach the minimum coverage. The last moment for a hedge is 2.7 instead of 2.3 medians before the end.

--- a/src/plantainstage/_limits/extra_load.py
+++ b/src/plantainstage/_limits/extra_load.py
@@ -50,11 +50,14 @@
         allowed = self.limit * self._whole_first(now)
         return min(1.0, self.extra / allowed) if allowed > 0 else 1.0
 
-    def take(self, now):
-        """Takes room for one extra sub-request; returns it, or None if full."""
+    def take(self, now, *, room=1):
+        """Takes room for one extra sub-request; returns it, or None.
+
+        There must be room for ``room`` of them, of which one is taken.
+        """
         bucket = self._bucket(now)
         allowed = self.limit * self._whole_first(now)
-        if self.extra + 1 > allowed:
+        if self.extra + room > allowed:
             return None
         bucket[2] += 1
         self.extra += 1
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -26,12 +26,14 @@
     build_shortfall,
     run_state,
 )
-from plantainstage._routing.hedging import SPARING_PRESSURE, hedge_time
-from plantainstage._routing.progress import (
-    POSSIBLE_RUNS_PER_PARTITION,
-    Attempt,
-    Part,
+from plantainstage._routing.crashes import crash_report, record_reset
+from plantainstage._routing.hedging import (
+    RECHECK_MEDIANS,
+    SPARING_PRESSURE,
+    hedge_time,
+    repeats_needed,
 )
+from plantainstage._routing.progress import Attempt, Part
 from plantainstage._routing.view import available_documents, choose_snapshot
 
 __all__ = [
@@ -154,7 +156,7 @@
             return []
         self._resolve(attempt, sub_result, now)
         outcome = sub_result.outcome
-        crashed = outcome is SubOutcome.RESET and self._record_reset(attempt, now)
+        crashed = outcome is SubOutcome.RESET and record_reset(self, attempt, now)
         if self.finished:
             return self._late_result(attempt, crashed, now)
         actions = []
@@ -246,7 +248,7 @@
             check_invariant(
                 False, invariant="no_send_after_finish", detail=self.request_id
             )
-        if part.possible_runs >= POSSIBLE_RUNS_PER_PARTITION or (
+        if not part.may_run_again() or (
             not idempotent and (part.bytes_left or part.outstanding)
         ):
             check_invariant(
@@ -294,12 +296,15 @@
         replica = None
         if self._may_send(part, now):
             replica = part.next_untried(self.routing.choose, now)
+        extra = None
+        if replica is not None and attempt.extra is not None:
+            extra = self.budget.take(now)  # the room that _resolve gave back
+            if extra is None:
+                self._wait_for_room(part, actions, now)
+                return
         if replica is not None:
-            self._send(part, replica, actions, now, extra=attempt.extra)
-            return
-        if attempt.extra is not None:
-            self.budget.give_back(attempt.extra)
-        if part.outstanding == 0:
+            self._send(part, replica, actions, now, extra=extra)
+        elif part.outstanding == 0:
             self._give_up(part)
 
     def _may_send(self, part, now):
@@ -307,12 +312,12 @@
             return False
         if not self.body.idempotent:
             return not part.bytes_left and part.outstanding == 0
-        return part.possible_runs < POSSIBLE_RUNS_PER_PARTITION
+        return part.may_run_again()
 
     def _send_extra(self, part, actions, now):
         """Sends a hedge or a retry within the budget, or waits for room."""
         replica = None
-        if self._may_send(part, now):
+        if self._may_send(part, now) and now < part.last_useful(self.finish_at):
             replica = self.routing.choose(part.view.replicas, part.reached(), now)
         if replica is None:
             if part.outstanding == 0:
@@ -323,7 +328,9 @@
         ):
             return  # a hedge would hand one more searcher to a crashing request
         counters = self.routing.counters
-        taken = self.budget.take(now)
+        taken = self.budget.take(
+            now, room=repeats_needed(self.parts, self.attainable - self.needed)
+        )
         if taken is not None:
             if part.outstanding:
                 counters.hedges += 1
@@ -332,8 +339,12 @@
             self._send(part, replica, actions, now, extra=taken)
             return
         counters.budget_denials += 1
-        again = now + part.view.delay.value
-        if again < self.finish_at:
+        self._wait_for_room(part, actions, now)
+
+    def _wait_for_room(self, part, actions, now):
+        """Looks for room in the budget again while an answer is still possible."""
+        again = now + RECHECK_MEDIANS * part.view.delay.median
+        if again < part.last_useful(self.finish_at):
             self._add_due(again, part)
             actions.append(self._wake())
         elif part.outstanding == 0:
@@ -378,6 +389,8 @@
             return
         if outcome is not _NOT_SENT:
             part.bytes_left = True
+        elif attempt.extra is not None:
+            self.budget.give_back(attempt.extra)
         if outcome in NOT_RUN_OUTCOMES:
             part.possible_runs -= 1
             if result.reason == BUSY:
@@ -422,18 +435,6 @@
 
     # ---- Crashes -------------------------------------------------------------
 
-    def _record_reset(self, attempt, now):
-        """Records a reset; whether the fingerprint is quarantined now."""
-        attempt.part.count_reset(self.request_id)
-        quarantines = self.routing.quarantines
-        quarantines.record_reset(
-            fingerprint=self.fingerprint,
-            upstream_id=attempt.replica.upstream_id,
-            partition=attempt.part.view.name,
-            now=now,
-        )
-        return quarantines.is_quarantined(self.fingerprint, now)
-
     def _stop_for_crashes(self, actions, now):
         """Sends no more and refuses once the quarantine is recorded."""
         if self.recording_crashes:
@@ -442,7 +443,7 @@
         self.due.clear()
         for attempt in self.attempts.values():
             self._cancel(attempt, actions, now)
-        actions.append(self._crash_report())
+        actions.append(crash_report(self))
         actions.append(self._wake())
 
     def _late_result(self, attempt, crashed, now):
@@ -454,11 +455,7 @@
         self.routing.counters.late_results += 1
         if attempt.extra is None and attempt.outcome is not _NOT_SENT:
             self.budget.record_first(1, sent_at=attempt.sent_at, now=now)
-        return [self._crash_report()] if crashed else []
-
-    def _crash_report(self):
-        duration_ms = round(self.routing.quarantines.duration_s * 1000)
-        return ReportCrashes(fingerprint=self.fingerprint, duration_ms=duration_ms)
+        return [crash_report(self)] if crashed else []
 
     # ---- Finishing -----------------------------------------------------------
 
--- a/src/plantainstage/_routing/hedging.py
+++ b/src/plantainstage/_routing/hedging.py
@@ -2,10 +2,13 @@
 
 # A hedge that is sent less than this many median latencies before the end
 # rarely answers in time.
-HEDGE_MEDIANS = 2.3
+HEDGE_MEDIANS = 2.7
 # Beyond this used share of the budget, hedges go only to requests that would
 # otherwise miss the minimum coverage.
 SPARING_PRESSURE = 0.5
+# Room in a full budget comes from other requests, and a hedge loses value with
+# each millisecond; the learnt delay would be too long a wait.
+RECHECK_MEDIANS = 0.3
 
 
 def hedge_time(delay, pressure, finish_at, now):
@@ -23,3 +26,20 @@
         return early
     scarcity = (pressure - SPARING_PRESSURE) / (1 - SPARING_PRESSURE)
     return early + (latest - early) * scarcity
+
+
+def repeats_needed(parts, spare):
+    """Returns how many hedges the minimum coverage may need, at least 1.
+
+    ``spare`` is the number of documents that may stay unanswered. A scarce
+    budget is given only to requests whose missing partitions it can all serve:
+    a hedge is lost if another missing partition of its request gets none.
+    """
+    needed = 0
+    for part in parts:
+        if part.result is None and not part.given_up and part.may_run_again():
+            if part.view.documents <= spare:
+                spare -= part.view.documents
+            else:
+                needed += 1
+    return max(1, needed)
--- a/src/plantainstage/_routing/progress.py
+++ b/src/plantainstage/_routing/progress.py
@@ -76,6 +76,14 @@
         self.given_up = False
         self.declined = ()
 
+    def may_run_again(self):
+        """Whether one more sub-request cannot be a third run of the partition."""
+        return self.possible_runs < POSSIBLE_RUNS_PER_PARTITION
+
+    def last_useful(self, finish_at):
+        """Returns when it is too late for an extra sub-request to be answered."""
+        return finish_at - self.view.delay.median
+
     def count_reset(self, request_id):
         """Counts a searcher that reset while it ran this partition."""
         self.resets += 1
