Run every scenario at both deployments, and protect profiles within their share

Change: The benchmark has the scenarios lost-data-centre, moving-partitions, cold-starts (with and without the ramp) and flood; all scenarios run at both deployments with both baselines, in four processes. A request whose entry host is lost counts as bad, but not as a late answer. Host admission remembers what it usually admits, and a profile within its weighted share of that is admitted whatever the level, unless it is the one with the most demand for its weight.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -27,10 +27,10 @@
 QUICK_OVERLOAD = Plan(warm_up_s=0.7, minutes=1, minute_s=1.5, load=BASE_LOAD)
 FULL = Plan(warm_up_s=3.0, minutes=2, minute_s=20.0, load=BASE_LOAD)
 FULL_OVERLOAD = Plan(warm_up_s=2.0, minutes=2, minute_s=5.0, load=BASE_LOAD)
-# A baseline's queues grow without bound, which the larger factors only repeat.
-PLAINTAINSTAGE_ONLY = frozenset({"overload-2x", "overload-5x"})
-QUICK_SECOND_DEPLOYMENT = frozenset({"stragglers", "crashing-request"})
-PROCESSES = 2
+OVERLOAD = frozenset({"overload-1x", "overload-2x", "overload-5x", "flood"})
+# The ramp only matters where searchers start cold.
+RAMP_SCENARIOS = frozenset({"cold-starts"})
+PROCESSES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -67,16 +67,14 @@
     """Returns the tasks of a quick or a full run."""
     tasks = []
     for scenario in scenarios:
-        overload = scenario.startswith("overload")
+        overload = scenario in OVERLOAD
         if full:
             plan = FULL_OVERLOAD if overload else FULL
         else:
             plan = QUICK_OVERLOAD if overload else QUICK
-        for number, deployment in enumerate(deployments):
-            if number and not full and scenario not in QUICK_SECOND_DEPLOYMENT:
-                continue
+        for deployment in deployments:
             for policy in POLICIES:
-                if policy != "plantainstage" and scenario in PLAINTAINSTAGE_ONLY:
+                if policy == "without-ramp" and scenario not in RAMP_SCENARIOS:
                     continue
                 tasks.append(
                     Task(
@@ -93,13 +91,15 @@
 def print_table(results):
     """Prints the measures of all runs, one line each."""
     print(
-        f"{'scenario':20}{'deployment':13}{'policy':15}{'bad/min':>8}{'cover':>8}"
-        f"{'extra':>8}{'p50':>8}{'p99':>8}{'p99.9':>8}{'good/s':>8}{'cpu us':>8}"
+        f"{'scenario':20}{'deployment':13}{'policy':15}{'bad/min':>8}"
+        f"{'cover':>8}{'cov err':>8}{'extra':>8}{'p50':>8}{'p99':>8}{'p99.9':>8}"
+        f"{'good/s':>8}{'cpu us':>8}"
     )
     for item in results:
         print(
             f"{item.scenario:20}{item.deployment:13}{item.policy:15}"
             f"{item.bad_worst_minute:8.4f}{item.coverage_mean:8.4f}"
+            f"{item.coverage_errors:8d}"
             f"{item.extra_load:8.4f}{item.p50_ms:8.1f}{item.p99_ms:8.1f}"
             f"{item.p999_ms:8.1f}{item.good_per_s:8.1f}"
             f"{item.cpu_us_per_sub_request:8.1f}"
@@ -142,7 +142,7 @@
 
 
 @click.command()
-@click.option("--full", is_flag=True, help="Both deployments and longer runs.")
+@click.option("--full", is_flag=True, help="Longer runs.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--scenario", "scenarios", multiple=True, default=tuple(SCENARIOS))
 @click.option("--deployment", "deployments", multiple=True, default=tuple(DEPLOYMENTS))
--- a/bench/tier_model/baselines.py
+++ b/bench/tier_model/baselines.py
@@ -121,6 +121,9 @@
         self.idle = []
         self.last = 0
 
+    def own(self, *, epoch):
+        """Baselines know no epochs."""
+
     def submit(self, requester_id, sub_request, now):
         """Queues a sub-request."""
         self.queue.append((requester_id, sub_request))
--- a/bench/tier_model/deployment.py
+++ b/bench/tier_model/deployment.py
@@ -228,7 +228,10 @@
                 slots=item.shape.slots,
                 connections=item.shape.connections,
                 holdings=tuple(
-                    SnapshotHolding(snapshot=name, partitions=(item.shape.partition,))
+                    SnapshotHolding(
+                        snapshot=name,
+                        partitions=tuple(sorted(item.announced_partitions)),
+                    )
                     for name in sorted(item.announced)
                 ),
                 state=UpstreamState(item.state),
--- a/bench/tier_model/entry.py
+++ b/bench/tier_model/entry.py
@@ -40,6 +40,7 @@
         self.entry_id = host.entry_id
         self.zone = host.data_centre
         self.policy = policy
+        self.alive = True
         self.gathers = {}  # sub-request id -> request
         self.queues = {}
         self.cpu_ns = 0
@@ -57,6 +58,8 @@
         self._gather_actions(request, actions)
 
     def _gather_event(self, request, method, *arguments):
+        if not self.alive:
+            return
         began = _cpu()
         actions = method(*arguments, self.loop.now)
         self.cpu_ns += _cpu() - began
@@ -107,6 +110,8 @@
         if other is self:
             method(*arguments)
             return
+        if not (self.alive and other.alive):
+            return
         self.messages += 1
         delay = self.tier.deployment.latency_s(self.zone, other.zone)
         self.loop.after(delay, method, *arguments)
@@ -128,6 +133,8 @@
             self._queue_event(queue, queue.logic.cancel, sub_request_id)
 
     def _queue_event(self, queue, method, *arguments, **options):
+        if not self.alive:
+            return
         began = _cpu()
         actions = method(*arguments, self.loop.now, **options)
         self.cpu_ns += _cpu() - began
--- a/bench/tier_model/policies.py
+++ b/bench/tier_model/policies.py
@@ -18,6 +18,7 @@
     """Gather and OwnerQueue as they run in the entry process."""
 
     name = "plantainstage"
+    ramps = True  # as in the entry process
 
     def __init__(self, *, host, deployment, seed, window_s):
         self.routing = RoutingState(
@@ -31,10 +32,19 @@
         self.budgets = ExtraLoadBudgets(window_s=window_s)
         self.lease = HostLease(until=float("inf"))
         self.view = None
+        self.incarnations = {}
 
-    def apply(self, configuration):
+    def apply(self, configuration, now):
         """Puts a configuration version in force on this host."""
+        before = self.incarnations
         self.view = ConfigurationView(configuration=configuration, routing=self.routing)
+        self.incarnations = {
+            item.upstream_id: item.incarnation for item in configuration.upstreams
+        }
+        if before and self.ramps:
+            for upstream_id, incarnation in self.incarnations.items():
+                if before.get(upstream_id) != incarnation:
+                    self.routing.start_ramp(upstream_id, now)
 
     def gather(self, record, body, profile, now):
         """Returns the logic of one request."""
@@ -67,6 +77,13 @@
         quarantines.quarantine(fingerprint, now + quarantines.duration_s)
 
 
+class WithoutRampPolicy(PlantainstagePolicy):
+    """The program's decisions, but a searcher that starts cold is not spared."""
+
+    name = "without-ramp"
+    ramps = False
+
+
 class BaselinePolicy:
     """A random replica for each partition; waits for all answers.
 
@@ -85,7 +102,7 @@
         self.replicas = {}
         self.snapshot = None
 
-    def apply(self, configuration):
+    def apply(self, configuration, now):
         """Puts a configuration version in force on this host."""
         self.configuration = configuration
         self.snapshot = max(configuration.manifests, key=lambda item: item.sequence)
@@ -123,5 +140,11 @@
 
 
 POLICIES = {
-    item.name: item for item in (BaselinePolicy, FixedHedgePolicy, PlantainstagePolicy)
+    item.name: item
+    for item in (
+        BaselinePolicy,
+        FixedHedgePolicy,
+        WithoutRampPolicy,
+        PlantainstagePolicy,
+    )
 }
--- a/bench/tier_model/records.py
+++ b/bench/tier_model/records.py
@@ -19,16 +19,20 @@
         "request_id",
         "started_at",
         "profile",
+        "entry",
         "on_finish",
+        "host_lost",
         "finished_at",
         "answer",
         "refusal",
     )
 
-    def __init__(self, *, request_id, started_at, profile, on_finish=None):
+    def __init__(self, *, request_id, started_at, profile, entry=None, on_finish=None):
         self.request_id = request_id
         self.started_at = started_at
         self.profile = profile
+        self.entry = entry
+        self.host_lost = False  # it was lost with the request; nobody can reply
         self.on_finish = on_finish
         self.finished_at = None
         self.answer = None
@@ -73,6 +77,7 @@
     bad_worst_minute: float
     bad_share: float
     late_beyond_slack: int
+    lost_with_host: int
     refused_not_run: int
     refused_other: int
     coverage_mean: float
@@ -89,6 +94,7 @@
     crashed_further: int
     crashed_further_partition: int
     crashed_resend: int
+    good_share_by_profile: dict[str, float]
 
 
 def measure(tier, *, scenario, policy, start, end, window_s):
@@ -114,7 +120,9 @@
         late_beyond_slack=sum(
             item.latency_s > item.profile.deadline_ms / 1000 + DEADLINE_SLACK_S
             for item in records
+            if not item.host_lost
         ),
+        lost_with_host=sum(item.host_lost for item in records),
         refused_not_run=sum(
             item.refusal is not None and item.refusal.run.value == "not_run"
             for item in records
@@ -133,10 +141,20 @@
         p999_ms=histogram.get_value_at_percentile(99.9) / 1000,
         cpu_us_per_sub_request=cpu_ns / 1000 / max(1, sent),
         sub_requests=sent,
+        good_share_by_profile=_good_shares(records),
         **_crashes(tier),
     )
 
 
+def _good_shares(records):
+    """Returns the share of good requests of each profile."""
+    sent, good = Counter(), Counter()
+    for record in records:
+        sent[record.profile.name] += 1
+        good[record.profile.name] += record.good
+    return {name: good[name] / count for name, count in sent.items()}
+
+
 def _crashes(tier):
     """Counts crashed searchers: by first sends, further sends and resends.
 
--- a/bench/tier_model/scenarios.py
+++ b/bench/tier_model/scenarios.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass
 
+import msgspec
+
 from .searchers import CRASH_MARK, SERVICE_MEDIAN_S
 from .tier import Tier
 
@@ -10,6 +12,10 @@
 LYING_SHARE = 0.2  # searchers whose load reports are noise
 CRASH_RESEND_S = 0.05
 CRASH_RESENDS = 30
+MOVES = 12  # pairs of searchers that exchange their partitions
+RESTART_DOWN_S = 0.3
+STEADY_PROFILE = "steady"
+STEADY_LOAD = 0.2  # share of capacity, below half, which is the profile's share
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -121,6 +127,61 @@
             tier.loop.at(plan.warm_up_s, setattr, searcher, "slow_factor", 10.0)
 
 
+def moving_partitions(tier, plan):
+    """Pairs of searchers exchange their partitions while they serve."""
+    names = list(tier.searchers)
+    tier.random.shuffle(names)
+    start = plan.warm_up_s + 0.2
+    span = plan.minute_s * 0.6
+    for number in range(MOVES):
+        one = tier.searchers[names[2 * number]]
+        other = tier.searchers[names[2 * number + 1]]
+        at = start + span * number / MOVES
+        for mover, target in ((one, other), (other, one)):
+            partition = target.shape.partition
+            tier.loop.at(at, _take_partition, tier, mover, partition)
+            tier.loop.at(at + 1.0, _drop_partition, tier, mover, partition)
+
+
+def _take_partition(tier, searcher, partition):
+    searcher.partitions.add(partition)
+    searcher.announced_partitions = set(searcher.partitions)
+    tier.publish()
+
+
+def _drop_partition(tier, searcher, kept):
+    # The searcher drops the data at once; entry hosts learn of it later.
+    searcher.partitions = {kept}
+    searcher.announced_partitions = {kept}
+    tier.publish()
+
+
+def lost_data_centre(tier, plan):
+    """All searchers and entry hosts of one data centre are lost at once."""
+    zone = tier.deployment.zones[0]
+    tier.loop.at(plan.warm_up_s + 0.2, tier.lose_zone, zone)
+
+
+def cold_starts(tier, plan):
+    """One searcher in three restarts, in turn, and answers slowly at first."""
+    names = list(tier.searchers)[::3]
+    tier.random.shuffle(names)
+    start = plan.warm_up_s + 0.2
+    span = plan.minute_s * 0.7
+    for number, name in enumerate(names):
+        at = start + span * number / len(names)
+        tier.loop.at(at, tier.restart, name, RESTART_DOWN_S)
+
+
+def flood(tier, plan):
+    """One profile floods; another one of the same weight stays in its share."""
+    steady = msgspec.structs.replace(tier.profiles[0], name=STEADY_PROFILE)
+    tier.profiles = (*tier.profiles, steady)
+    tier.publish(spread_s=0.0)
+    rate = tier.capacity(MEAN_SERVICE_S) * STEADY_LOAD
+    tier.start_load(rate=rate, until=plan.end_s, profile=steady)
+
+
 SCENARIOS = {
     "no-fault": (no_fault, None),
     "stragglers": (stragglers, None),
@@ -133,6 +194,10 @@
     "crashing-request": (crashing_request, None),
     "silent-connections": (silent_connections, None),
     "slow-data-centre": (slow_data_centre, None),
+    "lost-data-centre": (lost_data_centre, None),
+    "moving-partitions": (moving_partitions, None),
+    "cold-starts": (cold_starts, None),
+    "flood": (flood, 5.0),
 }
 
 
--- a/bench/tier_model/searchers.py
+++ b/bench/tier_model/searchers.py
@@ -40,6 +40,8 @@
         self.random = random.Random(f"{seed}/{shape.upstream_id}")
         self.snapshots = {"s1"}
         self.announced = {"s1"}
+        self.partitions = {shape.partition}
+        self.announced_partitions = {shape.partition}
         self.state = "serving"
         self.incarnation = 1
         self.alive = True
@@ -72,7 +74,10 @@
         (self.extra_arrivals if sub_request.extra else self.first_arrivals).append(
             self.loop.now
         )
-        if sub_request.snapshot not in self.snapshots:
+        if (
+            sub_request.snapshot not in self.snapshots
+            or sub_request.partition not in self.partitions
+        ):
             self.refused.add(sub_request.sub_request_id)
             reply(Reply(outcome=SubOutcome.REFUSED, reason="snapshot_gone"))
             return
--- a/bench/tier_model/targets.py
+++ b/bench/tier_model/targets.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from .deployment import DEPLOYMENTS
+from .scenarios import STEADY_PROFILE
 
 LATE_RATIO = 0.1
 EXTRA_LOAD = 0.05
@@ -26,6 +27,10 @@
     met: bool
 
 
+# A profile within its share loses no more than this to one that floods.
+STEADY_GOOD_SHARE = 0.9
+
+
 def judge(results):
     """Yields a Verdict for each target that applies to the results."""
     runs = defaultdict(dict)
@@ -85,6 +90,22 @@
         f"{own.cpu_us_per_sub_request:.1f}",
         own.cpu_us_per_sub_request <= CPU_US,
     )
+    if STEADY_PROFILE in own.good_share_by_profile:
+        share = own.good_share_by_profile[STEADY_PROFILE]
+        yield verdict(
+            "a profile within its share keeps 0.9 of its goodput",
+            f"{share:.3f} of its requests, "
+            f"{baseline.good_share_by_profile[STEADY_PROFILE]:.3f} with random",
+            share >= STEADY_GOOD_SHARE,
+        )
+    without_ramp = policies.get("without-ramp")
+    if without_ramp is not None:
+        yield verdict(
+            "late or refused with and without the ramp (no target)",
+            f"{own.bad_worst_minute:.4f} and {without_ramp.bad_worst_minute:.4f}, "
+            f"p99 {own.p99_ms:.1f} and {without_ramp.p99_ms:.1f} ms",
+            True,
+        )
     if own.scenario == "crashing-request":
         yield verdict(
             "at most one further upstream per partition, none to resends",
--- a/bench/tier_model/tier.py
+++ b/bench/tier_model/tier.py
@@ -18,6 +18,7 @@
 
 CONFIGURATION_DELAY_S = 0.4  # a host applies a version at its next lease renewal
 HEARTBEAT_LEASE_S = 3.0
+ENTRY_LEASE_S = 2.2  # with the margin, before an owner counts as fenced
 
 
 class Tier:
@@ -103,7 +104,7 @@
     def _apply(self, entry, configuration):
         if getattr(entry, "version", 0) < configuration.version:
             entry.version = configuration.version
-            entry.policy.apply(configuration)
+            entry.policy.apply(configuration, self.loop.now)
 
     def quarantine(self, source, fingerprint):
         """Sends a quarantine notice to all entry hosts."""
@@ -127,10 +128,12 @@
         partitions=(),
     ):
         """A caller sends one request to a random (or the given) entry host."""
+        entry = entry or self.host_list[int(self.random.random() * len(self.host_list))]
         record = RequestRecord(
             request_id=f"r{len(self.records)}",
             started_at=self.loop.now,
             profile=profile or self.profiles[0],
+            entry=entry,
             on_finish=on_finish,
         )
         self.records.append(record)
@@ -141,7 +144,6 @@
             idempotent=idempotent,
             partitions=partitions,
         )
-        entry = entry or self.host_list[int(self.random.random() * len(self.host_list))]
         entry.request(record, body, record.profile)
         return record
 
@@ -168,6 +170,51 @@
         self.searchers[upstream_id].state = "lost"
         self.publish()
 
+    def restart(self, upstream_id, down_s):
+        """Restarts a searcher, which announces itself and answers slowly at first."""
+        searcher = self.searchers[upstream_id]
+        searcher.die()
+        searcher.state = "draining"
+        self.publish()
+        self.loop.after(down_s, self._restarted, searcher)
+
+    def _restarted(self, searcher):
+        searcher.restart()
+        searcher.state = "serving"
+        self.publish()
+
+    def lose_zone(self, zone):
+        """Ends all searchers and entry hosts of a data centre at once.
+
+        The searchers that the lost hosts owned get new owners after the entry
+        lease and the longest deadline.
+        """
+        for searcher in self.searchers.values():
+            if searcher.shape.zone == zone:
+                self.kill(searcher.shape.upstream_id)
+        for entry in self.host_list:
+            entry.alive = entry.zone != zone
+        self.host_list = [entry for entry in self.host_list if entry.alive]
+        for record in self.records:
+            record.host_lost = record.finished_at is None and not record.entry.alive
+        deadline_s = max(item.deadline_ms for item in self.profiles) / 1000
+        self.loop.after(ENTRY_LEASE_S + deadline_s, self._replace_owners)
+
+    def _replace_owners(self):
+        weights = {item.name: item.weight for item in self.profiles}
+        for upstream_id, searcher in self.searchers.items():
+            if self.hosts[self.owners[upstream_id]].alive:
+                continue
+            entry = self.random.choice(self.host_list)
+            epoch = self.epochs[upstream_id] = self.epochs.get(upstream_id, 1) + 1
+            self.owners[upstream_id] = entry.entry_id
+            logic = entry.policy.queue(searcher.shape, weights)
+            logic.own(epoch=epoch)
+            entry.queues[upstream_id] = QueueModel(
+                entry=entry, searcher=searcher, logic=logic
+            )
+        self.publish()
+
     def capacity(self, mean_service_s):
         """Returns the requests a second that the scarcest partition can serve.
 
--- a/src/plantainstage/_limits/admission.py
+++ b/src/plantainstage/_limits/admission.py
@@ -12,6 +12,9 @@
 NEWS_DECAY_S = 0.2
 REFRESH_S = 0.02
 OFFERED_DECAY = 0.9  # for each refresh; a memory of about 200 ms
+# What a host usually admits is remembered for about 1 s, longer than the waits
+# take to swing between the two ends of the range.
+USUAL_GAIN = 0.02
 
 
 class PartitionWait:
@@ -51,7 +54,8 @@
 
     ``random`` returns numbers from 0 to 1. For example, when the wait is at the
     middle of the range, half of the offered requests are admitted; a profile
-    that offers less than its weighted share of them loses none.
+    that offers less than its weighted share of them loses none, also while a
+    burst of another one leaves no room at all.
     """
 
     def __init__(self, *, random):
@@ -59,6 +63,8 @@
         self.profiles = {}
         self.refreshed_at = float("-inf")
         self.overload = 0.0
+        self.admitted = 0  # since the last refresh
+        self.usual = 0.0  # admitted, smoothed; in the unit of the offered rates
 
     def admits(self, *, profile, partitions, needed, remaining_s, now):
         """Whether to run a request whose partitions need this many documents."""
@@ -72,7 +78,9 @@
             self.refreshed_at = now
             self._divide()
         share = offered.admitted_share
-        return share >= 1.0 or self.random() < share
+        admitted = share >= 1.0 or self.random() < share
+        self.admitted += admitted
+        return admitted
 
     def _divide(self):
         """Divides the admitted total between the profiles by weight."""
@@ -81,15 +89,25 @@
             offered.rate = OFFERED_DECAY * offered.rate + offered.arrivals
             offered.arrivals = 0
             total += offered.rate
+        admitted_rate = self.admitted / (1 - OFFERED_DECAY)
+        self.admitted = 0
+        self.usual += USUAL_GAIN * (admitted_rate - self.usual)
         left = (1 - self.overload) * total
+        usual = self.usual
         # The profile with the least demand for its weight is satisfied first.
         by_demand = sorted(
             self.profiles.values(), key=lambda item: item.rate / item.weight
         )
         weights = sum(item.weight for item in by_demand)
         for offered in by_demand:
-            granted = min(offered.rate, left * offered.weight / weights)
-            left -= granted
+            share = offered.weight / weights
+            granted = min(offered.rate, left * share)
+            # The profile with the most demand for its weight makes the queues
+            # long, so that refusing the others as well would not shorten them.
+            if offered is not by_demand[-1] and offered.rate <= usual * share:
+                granted = offered.rate
+            left = max(0.0, left - granted)
+            usual = max(0.0, usual - granted)
             weights -= offered.weight
             offered.admitted_share = granted / offered.rate if offered.rate else 1.0
 
