--- a/bench/tier_model/policies.py
+++ b/bench/tier_model/policies.py
@@ -7,7 +7,7 @@
 from plantainstage._limits.quarantine import QuarantineTable
 from plantainstage._routing.estimates import RoutingState
 from plantainstage._routing.gather import Gather
-from plantainstage._routing.view import ConfigurationView
+from plantainstage._routing.view import ConfigurationView, ramp_started
 
 from .baselines import BaselineGather, BaselineQueue
 
@@ -32,19 +32,19 @@
         self.budgets = ExtraLoadBudgets(window_s=window_s)
         self.lease = HostLease(until=float("inf"))
         self.view = None
-        self.incarnations = {}
+        self.configuration = None
 
     def apply(self, configuration, now):
         """Puts a configuration version in force on this host."""
-        before = self.incarnations
         self.view = ConfigurationView(configuration=configuration, routing=self.routing)
-        self.incarnations = {
-            item.upstream_id: item.incarnation for item in configuration.upstreams
-        }
-        if before and self.ramps:
-            for upstream_id, incarnation in self.incarnations.items():
-                if before.get(upstream_id) != incarnation:
-                    self.routing.start_ramp(upstream_id, now)
+        if self.ramps and self.configuration is not None:
+            ramp_started(
+                before=self.configuration,
+                after=configuration,
+                routing=self.routing,
+                now=now,
+            )
+        self.configuration = configuration
 
     def gather(self, record, body, profile, now):
         """Returns the logic of one request."""
--- a/features/behaviour/owner_queue.feature
+++ b/features/behaviour/owner_queue.feature
@@ -17,3 +17,11 @@
     Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
     When a sub-request for epoch 0 arrives
     Then it is returned as not sent because of "not_owner"
+
+  Scenario: A cancelled exchange keeps its slot until it has ended
+    # Guards against a searcher that runs more sub-requests than it has slots,
+    # since a cancellation takes one hop to reach it.
+    # Mutation: OwnerQueue.cancel forgets the running exchange.
+    Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
+    When a running sub-request is cancelled while another one waits
+    Then the other one starts only when the cancelled exchange has ended
--- a/features/steps/owner_queue_steps.py
+++ b/features/steps/owner_queue_steps.py
@@ -115,3 +115,25 @@
     assert isinstance(action, ReturnResult), action
     assert action.result.outcome is SubOutcome.NOT_SENT
     assert action.result.reason == reason
+
+
+@when("a running sub-request is cancelled while another one waits")
+def cancel_running(context):
+    submit(context, sub_request("a0", "a"))
+    submit(context, sub_request("a1", "a"))
+    context.actions += context.queue.cancel("a0", context.now)
+
+
+@then("the other one starts only when the cancelled exchange has ended")
+def check_slot_kept(context):
+    assert [item.sub_request_id for item in started(context)] == ["a0"]
+    result = SubResult(
+        sub_request_id="a0",
+        upstream_id="r1",
+        partition="p1",
+        outcome=SubOutcome.CANCELLED,
+    )
+    context.actions += context.queue.finished(
+        result, context.now, connection_usable=True
+    )
+    assert [item.sub_request_id for item in started(context)] == ["a0", "a1"]
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -28,7 +28,7 @@
 from plantainstage._reports.minute_log import log_all_minutes, log_due_minutes
 from plantainstage._reports.recorder import MinuteRecorder
 from plantainstage._routing.estimates import RoutingState
-from plantainstage._routing.view import ConfigurationView
+from plantainstage._routing.view import ConfigurationView, ramp_started
 from plantainstage._transport.forward import ForwardLinks
 from plantainstage._transport.rpc import ControlClient
 
@@ -154,10 +154,6 @@
     def apply(self, configuration):
         """Brings all tasks to a new configuration version."""
         now = asyncio.get_running_loop().time()
-        before = {
-            item.upstream_id: item.incarnation
-            for item in self.session.configuration.upstreams
-        }
         self.links.set_peers(configuration.entry_hosts)
         self.routing.quarantines.apply_recorded(
             configuration.quarantines, now=now, unix_ms=time.time() * 1000
@@ -166,10 +162,12 @@
         self.queries.view = ConfigurationView(
             configuration=configuration, routing=self.routing
         )
-        if before:
-            for upstream in configuration.upstreams:
-                if before.get(upstream.upstream_id) != upstream.incarnation:
-                    self.routing.start_ramp(upstream.upstream_id, now)
+        ramp_started(
+            before=self.session.configuration,
+            after=configuration,
+            routing=self.routing,
+            now=now,
+        )
         logger.info("configuration applied", version=configuration.version)
 
     def reason_not_ready(self):
--- a/src/plantainstage/_routing/view.py
+++ b/src/plantainstage/_routing/view.py
@@ -119,6 +119,18 @@
         return holders
 
 
+def ramp_started(*, before, after, routing, now):
+    """Spares the searchers that started between two configuration versions.
+
+    On the first version of an entry host nothing is known of any start.
+    """
+    known = {item.upstream_id: item.incarnation for item in before.upstreams}
+    if known:
+        for upstream in after.upstreams:
+            if known.get(upstream.upstream_id) != upstream.incarnation:
+                routing.start_ramp(upstream.upstream_id, now)
+
+
 def choose_snapshot(view, index, names, minimum_coverage):
     """Returns (snapshot view, its wanted partitions), or None.
 
