--- a/src/plantainstage/_limits/admission.py
+++ b/src/plantainstage/_limits/admission.py
@@ -64,6 +64,7 @@
         self.refreshed_at = float("-inf")
         self.overload = 0.0
         self.admitted = 0  # since the last refresh
+        self.refreshes = 0
         self.usual = 0.0  # admitted, smoothed; in the unit of the offered rates
 
     def admits(self, *, profile, partitions, needed, remaining_s, now):
@@ -91,7 +92,10 @@
             total += offered.rate
         admitted_rate = self.admitted / (1 - OFFERED_DECAY)
         self.admitted = 0
-        self.usual += USUAL_GAIN * (admitted_rate - self.usual)
+        # A plain mean at first, so that a new host does not start from zero.
+        self.refreshes += 1
+        gain = max(USUAL_GAIN, 1 / self.refreshes)
+        self.usual += gain * (admitted_rate - self.usual)
         left = (1 - self.overload) * total
         usual = self.usual
         # The profile with the least demand for its weight is satisfied first.
