--- a/bench/tier_model/policies.py
+++ b/bench/tier_model/policies.py
@@ -7,7 +7,7 @@
 from plantainstage._limits.quarantine import QuarantineTable
 from plantainstage._routing.estimates import RoutingState
 from plantainstage._routing.gather import Gather
-from plantainstage._routing.view import ConfigurationView
+from plantainstage._routing.view import ConfigurationView, ramp_started
 
 from .baselines import BaselineGather, BaselineQueue
 
@@ -18,6 +18,7 @@
     """Gather and OwnerQueue as they run in the entry process."""
 
     name = "plantainstage"
+    ramps = True  # as in the entry process
 
     def __init__(self, *, host, deployment, seed, window_s):
         self.routing = RoutingState(
@@ -31,10 +32,19 @@
         self.budgets = ExtraLoadBudgets(window_s=window_s)
         self.lease = HostLease(until=float("inf"))
         self.view = None
+        self.configuration = None
 
-    def apply(self, configuration):
+    def apply(self, configuration, now):
         """Puts a configuration version in force on this host."""
         self.view = ConfigurationView(configuration=configuration, routing=self.routing)
+        if self.ramps and self.configuration is not None:
+            ramp_started(
+                before=self.configuration,
+                after=configuration,
+                routing=self.routing,
+                now=now,
+            )
+        self.configuration = configuration
 
     def gather(self, record, body, profile, now):
         """Returns the logic of one request."""
@@ -68,6 +78,13 @@
         quarantines.quarantine(fingerprint, now + quarantines.duration_s)
 
 
+class WithoutRampPolicy(PlantainstagePolicy):
+    """The program's decisions, but a searcher that starts cold is not spared."""
+
+    name = "without-ramp"
+    ramps = False
+
+
 class BaselinePolicy:
     """A random replica for each partition; waits for all answers.
 
@@ -86,7 +103,7 @@
         self.replicas = {}
         self.snapshot = None
 
-    def apply(self, configuration):
+    def apply(self, configuration, now):
         """Puts a configuration version in force on this host."""
         self.configuration = configuration
         self.snapshot = max(configuration.manifests, key=lambda item: item.sequence)
@@ -124,5 +141,11 @@
 
 
 POLICIES = {
-    item.name: item for item in (BaselinePolicy, FixedHedgePolicy, PlantainstagePolicy)
+    item.name: item
+    for item in (
+        BaselinePolicy,
+        FixedHedgePolicy,
+        WithoutRampPolicy,
+        PlantainstagePolicy,
+    )
 }
--- a/features/behaviour/owner_queue.feature
+++ b/features/behaviour/owner_queue.feature
@@ -50,3 +50,11 @@
     When the answer to a sub-request of "a" that runs for 3 s is lost
     Then it is closed as silent after 3 s and before 6.5 s
     And at most 7 probes have been sent
+
+  Scenario: A cancelled exchange keeps its slot until it has ended
+    # Guards against a searcher that runs more sub-requests than it has slots,
+    # since a cancellation takes one hop to reach it.
+    # Mutation: OwnerQueue.cancel forgets the running exchange.
+    Given an owner queue with 1 slot and weights 1 for "a" and 1 for "b"
+    When a running sub-request is cancelled while another one waits
+    Then the other one starts only when the cancelled exchange has ended
