Batch claims and outcomes by entry host

Change: What waits on an entry host while a message is under way travels in the next, at most 256 members and 1 MiB of answers. The leader proposes a batch as one entry and replies to each member. A batch whose reply was lost is sent again as it was. A reply above 1 MiB of answers leaves members to be sent again. A lost leadership after the members are committed is OutcomeUnknown, not NotLeader.

--- a/bench/claim_cost.py
+++ b/bench/claim_cost.py
@@ -3,9 +3,10 @@
 Three control replicas run as processes with data folders on this machine. An
 operation is one exchange with a stand-in searcher that takes 3 ms; with a claim
 it waits for ``ClaimRequest`` before the exchange and sends ``CompleteClaim``
-after it. The latency of a caller ends with the exchange; the throughput
-includes the completion. Prints JSON lines: one for each mode and concurrency,
-then the ratio to the same without a claim. For example::
+after it. Claims travel each in a message of its own ("single") or as an entry
+host sends them ("batched"). The latency of a caller ends with the exchange; the
+throughput includes the completion. Prints JSON lines: one for each mode and
+concurrency, then the ratio to the same without a claim. For example::
 
     python bench/claim_cost.py --concurrency 1,16,64 --operations 600
 """
@@ -25,6 +26,7 @@
 import click
 import msgspec
 
+from plantainstage._entry.claim_batches import ClaimBatches
 from plantainstage._transport.rpc import ControlClient
 from plantainstage.messages import control
 
@@ -50,6 +52,7 @@
 class Added(msgspec.Struct, frozen=True, kw_only=True):
     """What the claim adds, against the same run without one."""
 
+    mode: str
     concurrency: int
     added_p50_ms: float
     added_p99_ms: float
@@ -128,18 +131,18 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Operation:
-    """One request, with or without a claim."""
+    """One request; it claims through ``client`` unless that is None."""
 
-    client: ControlClient
+    mode: str
+    client: ControlClient | ClaimBatches | None
     port: int
-    with_claim: bool
 
     async def worker(self, count, latencies):
         """Runs ``count`` operations one after another."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         for _ in range(count):
             started = time.perf_counter()
-            claim = await self._claim() if self.with_claim else None
+            claim = await self._claim() if self.client else None
             writer.write(b"book\n")
             await writer.drain()
             await reader.readline()
@@ -188,7 +191,7 @@
     elapsed = time.perf_counter() - started
     latencies.sort()
     return Figures(
-        mode="claim" if operation.with_claim else "no_claim",
+        mode=operation.mode,
         concurrency=concurrency,
         operations=len(latencies),
         p50_ms=round(latencies[len(latencies) // 2], 3),
@@ -198,22 +201,28 @@
 
 
 async def run(addresses, levels, operations):
-    """Measures both modes at each level of concurrency."""
+    """Measures each mode at each level of concurrency."""
     server = await asyncio.start_server(serve_searcher, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     client = ControlClient(addresses=addresses)
     try:
         await client.call(control.QueryNextNumber(), timeout_s=CALL_TIMEOUT_S)
         for concurrency in levels:
-            figures = {}
-            for with_claim in (False, True):
-                operation = Operation(client=client, port=port, with_claim=with_claim)
-                result = await measure(
-                    operation, concurrency=concurrency, operations=operations
+            without = None
+            for mode, way in (
+                ("no_claim", None),
+                ("single", client),
+                ("batched", ClaimBatches(client=client)),
+            ):
+                figures = await measure(
+                    Operation(mode=mode, client=way, port=port),
+                    concurrency=concurrency,
+                    operations=operations,
                 )
-                figures[with_claim] = result
-                print_line(result)
-            print_line(compare(figures[False], figures[True]))
+                print_line(figures)
+                without = without or figures
+                if way is not None:
+                    print_line(compare(without, figures))
     finally:
         client.close()
         server.close()
@@ -222,6 +231,7 @@
 def compare(without, with_claim):
     """Returns what the claim added."""
     return Added(
+        mode=with_claim.mode,
         concurrency=without.concurrency,
         added_p50_ms=round(with_claim.p50_ms - without.p50_ms, 3),
         added_p99_ms=round(with_claim.p99_ms - without.p99_ms, 3),
@@ -242,7 +252,7 @@
 
 
 def measure_levels(levels, *, operations):
-    """Starts a control group and measures both modes on it."""
+    """Starts a control group and measures each mode on it."""
     with control_processes() as group:
         asyncio.run(run(group.addresses, levels, operations))
 
--- a/src/plantainstage/_control/claim_requests.py
+++ b/src/plantainstage/_control/claim_requests.py
@@ -1,73 +1,157 @@
 """Claims of non-idempotent requests and their outcomes."""
 
+from plantainstage._errors import NotLeaderError, OutcomeUnknownError
 from plantainstage._membership import commands
 from plantainstage._messages import control
 from plantainstage._messages.control import ClaimOutcome, ClaimOutcomeKind
 
 
-async def claim_request(core, request):
-    """Grants an attempt, or tells what became of an earlier one."""
-    view = await core.leadership.view()
-    result = await core.propose(
-        commands.ClaimAttempt(
-            request_id=request.request_id,
-            nonce=request.nonce,
-            digest=request.digest,
-            entry_id=request.entry_id,
-            incarnation=request.incarnation,
-            deadline_ms=request.deadline_ms,
-            now_ms=core.wall_ms(),
+async def decide_batch(core, members):
+    """Returns the ClaimBatchReplies of a ClaimBatch."""
+    if len(members) > control.MAX_BATCH_MEMBERS:
+        return control.RequestRejected(
+            code="batch_too_large",
+            message=f"A batch of {len(members)} claims and outcomes was sent.",
+            remedy=f"Send at most {control.MAX_BATCH_MEMBERS} together.",
         )
+    replies = await decide(core, members)
+    return control.ClaimBatchReplies(replies=_within_bytes(replies))
+
+
+async def decide(core, members):
+    """Commits claims and outcomes as one log entry; returns a reply for each."""
+    view = await core.leadership.view()
+    proposed = tuple(member for member in members if not _is_invalid(member))
+    now_ms = core.wall_ms()
+    results = ()
+    if proposed:
+        items = tuple(_command(member, now_ms) for member in proposed)
+        results = await core.propose(commands.ClaimCommands(items=items))
+    _note_results(core, view, proposed, results)
+    await _end_claims_of_the_dead(core, view, proposed, results)
+    decided = iter(zip(proposed, results, strict=True))
+    return tuple(
+        _not_an_outcome() if _is_invalid(member) else _reply(core, view, *next(decided))
+        for member in members
     )
-    match result:
-        case control.ClaimGranted():
-            view.note_claim(
-                request_id=request.request_id,
-                deadline_ms=request.deadline_ms,
-                now=core.clock(),
+
+
+def _is_invalid(member):
+    return (
+        isinstance(member, control.CompleteClaim)
+        and member.outcome.kind is ClaimOutcomeKind.RUNNING
+    )
+
+
+def _not_an_outcome():
+    return control.RequestRejected(
+        code="not_an_outcome",
+        message="A claim cannot be completed as running.",
+        remedy="Complete it as answered, not_run or unknown.",
+    )
+
+
+def _command(member, now_ms):
+    match member:
+        case control.ClaimRequest():
+            return commands.ClaimAttempt(
+                request_id=member.request_id,
+                nonce=member.nonce,
+                digest=member.digest,
+                entry_id=member.entry_id,
+                incarnation=member.incarnation,
+                deadline_ms=member.deadline_ms,
+                now_ms=now_ms,
             )
-        case control.ClaimExists(outcome=outcome) if (
-            outcome.kind is ClaimOutcomeKind.RUNNING
+        case control.CompleteClaim():
+            return commands.CompleteAttempt(
+                request_id=member.request_id,
+                attempt=member.attempt,
+                outcome=member.outcome,
+            )
+
+
+def _note_results(core, view, members, results):
+    """Keeps the times of running claims; nothing may be awaited before it."""
+    for member, result in zip(members, results, strict=True):
+        match member:
+            case control.ClaimRequest() if isinstance(result, control.ClaimGranted):
+                view.note_claim(
+                    request_id=member.request_id,
+                    deadline_ms=member.deadline_ms,
+                    now=core.clock(),
+                )
+            case control.CompleteClaim():
+                view.forget_claim(member.request_id)
+
+
+async def _end_claims_of_the_dead(core, view, members, results):
+    """Ends running claims whose holders cannot answer any more as unknown."""
+    ended = {}
+    for member, result in zip(members, results, strict=True):
+        record = core.state.claims.get(member.request_id)
+        if (
+            _is_running(result)
+            and record is not None
+            and record.outcome.kind is ClaimOutcomeKind.RUNNING
+            and not _in_progress(core, view, member.request_id, record)
         ):
-            return await _running(core, view, request.request_id)
-    return result
+            ended[member.request_id] = commands.CompleteAttempt(
+                request_id=member.request_id,
+                attempt=record.attempt,
+                outcome=ClaimOutcome(kind=ClaimOutcomeKind.UNKNOWN),
+            )
+    if not ended:
+        return
+    try:
+        await core.propose(commands.ClaimCommands(items=tuple(ended.values())))
+    except NotLeaderError as error:
+        # The members themselves are committed: "no effect" would be wrong.
+        raise OutcomeUnknownError() from error
+    for request_id in ended:
+        view.forget_claim(request_id)
 
 
-async def _running(core, view, request_id):
-    """Replies for a claim without outcome; a dead holder's ends as unknown."""
-    record = core.state.claims.get(request_id)
-    if record is None:
-        return control.ClaimRefused(code="request_too_old")
-    if view.claim_in_progress(request_id=request_id, record=record, now=core.clock()):
-        return control.ClaimExists(outcome=record.outcome)
-    await core.propose(
-        commands.CompleteAttempt(
-            request_id=request_id,
-            attempt=record.attempt,
-            outcome=ClaimOutcome(kind=ClaimOutcomeKind.UNKNOWN),
-        )
+def _is_running(result):
+    return (
+        isinstance(result, control.ClaimExists)
+        and result.outcome.kind is ClaimOutcomeKind.RUNNING
     )
-    view.forget_claim(request_id)
-    # The holder's own outcome may have been committed first.
-    final = core.state.claims.get(request_id, record)
-    return control.ClaimExists(outcome=final.outcome)
 
 
-async def complete_claim(core, request):
-    """Commits the outcome of an attempt."""
-    view = await core.leadership.view()
-    if request.outcome.kind is ClaimOutcomeKind.RUNNING:
-        return control.RequestRejected(
-            code="not_an_outcome",
-            message="A claim cannot be completed as running.",
-            remedy="Complete it as answered, not_run or unknown.",
-        )
-    result = await core.propose(
-        commands.CompleteAttempt(
-            request_id=request.request_id,
-            attempt=request.attempt,
-            outcome=request.outcome,
-        )
+def _in_progress(core, view, request_id, record):
+    return view.claim_in_progress(
+        request_id=request_id, record=record, now=core.clock()
     )
-    view.forget_claim(request.request_id)
-    return result
+
+
+def _reply(core, view, member, result):
+    """Returns the reply to a decided member; a running claim is read again."""
+    if not _is_running(result):
+        return result
+    record = core.state.claims.get(member.request_id)
+    if record is None:
+        return control.ClaimRefused(code="request_too_old")
+    # The holder's own outcome may have been committed in between.
+    return control.ClaimExists(outcome=record.outcome)
+
+
+def _within_bytes(replies):
+    """Bounds the answers of one message; the other members are sent again."""
+    kept = []
+    total = 0
+    for reply in replies:
+        size = _answer_bytes(reply)
+        if size and total and total + size > control.MAX_BATCH_BYTES:
+            kept.append(control.OutcomeUnknown())
+        else:
+            kept.append(reply)
+            total += size
+    return tuple(kept)
+
+
+def _answer_bytes(reply):
+    match reply:
+        case control.ClaimExists(outcome=outcome):
+            return len(outcome.body)
+    return 0
--- a/src/plantainstage/_control/service.py
+++ b/src/plantainstage/_control/service.py
@@ -73,9 +73,11 @@
             case control.ReportQuarantine():
                 return await entry_requests.report_quarantine(core, request)
             case control.ClaimRequest():
-                return await claim_requests.claim_request(core, request)
+                return (await claim_requests.decide(core, (request,)))[0]
             case control.CompleteClaim():
-                return await claim_requests.complete_claim(core, request)
+                return (await claim_requests.decide(core, (request,)))[0]
+            case control.ClaimBatch(members=members):
+                return await claim_requests.decide_batch(core, members)
             case control.SubmitChange():
                 return await operator_requests.submit_change(core, request)
             case control.QueryNextNumber():
--- /dev/null
+++ b/src/plantainstage/_entry/claim_batches.py
@@ -0,0 +1,107 @@
+"""One message for all claims and outcomes that wait on an entry host.
+
+One batch is under way at a time. What arrives meanwhile travels in the next, so
+that the cost of an exchange with control and of a log entry is shared by as many
+requests as the load brings together.
+"""
+
+import asyncio
+from collections import deque
+
+from plantainstage._errors import ControlUnavailableError
+from plantainstage._messages import control
+
+# A batch without a reply for so long is sent again, as it was.
+BATCH_TIMEOUT_S = 2.0
+
+
+class _Member:
+    """A claim or an outcome; ``reply`` is cancelled when its caller gives up."""
+
+    __slots__ = ("request", "reply")
+
+    def __init__(self, *, request, reply):
+        self.request = request
+        self.reply = reply
+
+    @property
+    def size(self):
+        """The bytes that are not bounded by the number of members."""
+        match self.request:
+            case control.CompleteClaim(outcome=outcome):
+                return len(outcome.body)
+        return 0
+
+
+class ClaimBatches:
+    """Calls control for claims and outcomes, many in one message.
+
+    ``call`` has the meaning of ``ControlClient.call``. A batch whose reply was
+    lost is sent again with the same members in the same order; each of them may
+    be repeated without harm.
+    """
+
+    def __init__(self, *, client):
+        self.client = client
+        self.waiting = deque()
+        self.task = None
+
+    async def call(self, request, *, timeout_s):
+        """Returns the reply to one member or raises ControlUnavailableError."""
+        reply = asyncio.get_running_loop().create_future()
+        self.waiting.append(_Member(request=request, reply=reply))
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._send_all())
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await reply
+        except TimeoutError as error:
+            raise ControlUnavailableError(
+                addresses=self.client.addresses,
+                waited_ms=round(timeout_s * 1000),
+                last_error="no reply to the batch in time",
+            ) from error
+
+    async def _send_all(self):
+        while batch := self._take_batch():
+            reply = await self._send(batch)
+            if reply is not None:
+                self._distribute(batch, reply)
+
+    def _take_batch(self):
+        """Returns the members of the next message; those given up are dropped."""
+        batch = []
+        total = 0
+        while self.waiting and len(batch) < control.MAX_BATCH_MEMBERS:
+            member = self.waiting[0]
+            if batch and total + member.size > control.MAX_BATCH_BYTES:
+                break
+            self.waiting.popleft()
+            if not member.reply.done():
+                batch.append(member)
+                total += member.size
+        return batch
+
+    async def _send(self, batch):
+        """Returns the reply, or None once nobody waits for one any more."""
+        request = control.ClaimBatch(members=tuple(m.request for m in batch))
+        while not all(member.reply.done() for member in batch):
+            try:
+                return await self.client.call(request, timeout_s=BATCH_TIMEOUT_S)
+            except ControlUnavailableError:
+                continue
+        return None
+
+    def _distribute(self, batch, reply):
+        replies = [reply] * len(batch)
+        if isinstance(reply, control.ClaimBatchReplies):
+            replies = reply.replies
+        again = []
+        for member, own in zip(batch, replies, strict=True):
+            if member.reply.done():
+                continue
+            if isinstance(own, control.OutcomeUnknown):
+                again.append(member)
+            else:
+                member.reply.set_result(own)
+        self.waiting.extendleft(reversed(again))
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 
 from plantainstage._entry.announcements import Announcements
+from plantainstage._entry.claim_batches import ClaimBatches
 from plantainstage._entry.claims import Claims
 from plantainstage._entry.control_session import ControlSession
 from plantainstage._entry.gathers import Gathers
@@ -97,7 +98,9 @@
             releasing=lambda: self.owners.releasing(),
         )
         self.announcements = Announcements(client=self.clients[1])
-        self.claims = Claims(client=self.clients[1], entry=self.record)
+        self.claims = Claims(
+            client=ClaimBatches(client=self.clients[1]), entry=self.record
+        )
 
     def _make_data_tasks(self):
         self.links = ForwardLinks(
--- a/src/plantainstage/_membership/commands.py
+++ b/src/plantainstage/_membership/commands.py
@@ -112,6 +112,12 @@
     outcome: ClaimOutcome
 
 
+class ClaimCommands(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Claims and outcomes that are decided in order, as one log entry."""
+
+    items: tuple[ClaimAttempt | CompleteAttempt, ...]
+
+
 class AddQuarantine(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Refuses a fingerprint until ``expires_ms`` (Unix time)."""
 
@@ -136,6 +142,7 @@
     | ForgetDeadlines
     | ClaimAttempt
     | CompleteAttempt
+    | ClaimCommands
     | AddQuarantine
     | ExpireQuarantines
 )
--- a/src/plantainstage/_membership/machine.py
+++ b/src/plantainstage/_membership/machine.py
@@ -94,6 +94,8 @@
             return claims.apply_claim(state, command)
         case commands.CompleteAttempt():
             return claims.apply_complete(state, command)
+        case commands.ClaimCommands(items=items):
+            return tuple(apply_command(state, item) for item in items)
         case commands.AddQuarantine():
             return quarantines.apply_add_quarantine(state, command)
         case commands.ExpireQuarantines():
--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -175,6 +175,22 @@
     outcome: ClaimOutcome
 
 
+# Bounds of one ClaimBatch: its log entry and its reply are held in memory and
+# travel in one message. A member above the bytes travels by itself.
+MAX_BATCH_MEMBERS = 256
+MAX_BATCH_BYTES = 1024 * 1024
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Claims and outcomes that waited together on one entry host.
+
+    The members are decided in this order and committed as one log entry. Each
+    may be repeated without harm, and so may the batch.
+    """
+
+    members: tuple[ClaimRequest | CompleteClaim, ...]
+
+
 class ReportQuarantine(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks to refuse a fingerprint for ``duration_ms`` on every entry host."""
 
@@ -210,6 +226,7 @@
     | QueryStatus
     | ClaimRequest
     | CompleteClaim
+    | ClaimBatch
     | ReportQuarantine
     | ChangeMember
 )
@@ -354,6 +371,21 @@
     remedy: str
 
 
+ClaimReply = (
+    ClaimGranted | ClaimExists | ClaimRefused | Done | RequestRejected | OutcomeUnknown
+)
+
+
+class ClaimBatchReplies(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """One reply for each member of a ClaimBatch, in its order.
+
+    ``OutcomeUnknown`` for a member means the same as for a whole request: send
+    this member again.
+    """
+
+    replies: tuple[ClaimReply, ...]
+
+
 ControlReply = (
     NotLeader
     | OutcomeUnknown
@@ -368,6 +400,7 @@
     | ClaimGranted
     | ClaimExists
     | ClaimRefused
+    | ClaimBatchReplies
     | Done
     | RequestRejected
 )
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -1,4 +1,4 @@
-"""Shows that the checks find each named mutation of the agreement.
+"""Shows that the checks find each named mutation.
 
 Each mutation is applied to a copy of the sources. Then its feature runs or, for
 a mutation without one, the simulation with one seed after the other until a
@@ -17,10 +17,12 @@
 
 import click
 from agreement_mutations import MUTATIONS
+from membership_mutations import MEMBERSHIP_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
 PARTS = ("src", "features", "tools", "bench", "examples")
 RUN_TIMEOUT_S = 300
+ALL_MUTATIONS = (*MUTATIONS, *MEMBERSHIP_MUTATIONS)
 
 
 def apply(mutation, root):
@@ -109,7 +111,7 @@
 def main(seeds, steps, every, offset, only):
     """Check all mutations, or a part: those at OFFSET, OFFSET + EVERY, and on."""
     missed = 0
-    for mutation in MUTATIONS[offset::every]:
+    for mutation in ALL_MUTATIONS[offset::every]:
         if only in mutation.name:
             report = check(mutation, seeds=seeds, steps=steps)
             missed += not report["found"]
--- /dev/null
+++ b/tools/membership_mutations.py
@@ -0,0 +1,54 @@
+"""Mutations of claims and their batches that the checks must find."""
+
+from agreement_mutations import Mutation
+
+BATCH_SCENARIOS = "features/behaviour/claim_batches.feature"
+
+MEMBERSHIP_MUTATIONS = (
+    Mutation(
+        name="a claim that is delivered again reads as another's",
+        file="_membership/claims.py",
+        old="if running and record.nonces[-1] == command.nonce:",
+        new="if False:",
+        feature=BATCH_SCENARIOS,
+    ),
+    Mutation(
+        name="a batch takes in what arrived before it is sent again",
+        file="_entry/claim_batches.py",
+        old="            except ControlUnavailableError:\n                continue",
+        new="            except ControlUnavailableError:\n"
+        "                batch.extend(self._take_batch())\n"
+        "                request = control.ClaimBatch(\n"
+        "                    members=tuple(m.request for m in batch)\n"
+        "                )",
+        feature=BATCH_SCENARIOS,
+    ),
+    Mutation(
+        name="replies of a batch are given out in another order",
+        file="_entry/claim_batches.py",
+        old="            replies = reply.replies",
+        new="            replies = reply.replies[::-1]",
+        feature=BATCH_SCENARIOS,
+    ),
+    Mutation(
+        name="a batch is not bounded in members",
+        file="_entry/claim_batches.py",
+        old="while self.waiting and len(batch) < control.MAX_BATCH_MEMBERS:",
+        new="while self.waiting:",
+        feature=BATCH_SCENARIOS,
+    ),
+    Mutation(
+        name="a batch is not bounded in bytes",
+        file="_entry/claim_batches.py",
+        old="if batch and total + member.size > control.MAX_BATCH_BYTES:",
+        new="if False:",
+        feature=BATCH_SCENARIOS,
+    ),
+    Mutation(
+        name="the reply to a batch is not bounded",
+        file="_control/claim_requests.py",
+        old="if size and total and total + size > control.MAX_BATCH_BYTES:",
+        new="if False:",
+        feature=BATCH_SCENARIOS,
+    ),
+)
