Bound the answers that claims keep

Digest and kind stay, and a resend is refused with answer_not_kept, run "done". The simulation sends claims in batches, with another limit on each replica.

--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -13,6 +13,7 @@
     "restart_time",
     "commit_cost",
     "claim_cost",
+    "claim_memory",
     "in_force_time",
     "entry_cpu",
     "decisions",
--- a/features/behaviour/agreement_core.feature
+++ b/features/behaviour/agreement_core.feature
@@ -102,3 +102,9 @@
     Given the cores A, B and C of which A leads
     When C has started again but B heard of it only through A
     Then a copy of C from before that start is refused by B alone
+
+  Scenario: What is kept of the log after a snapshot is bounded in entries and bytes
+    # Guards against a thousand large answers that stay in memory.
+    Given a log of 10 entries of 100 bytes each
+    Then the tail of at most 1000 entries and 250 bytes follows entry 8
+    And the tail of at most 3 entries and 1000 bytes follows entry 7
--- a/features/behaviour/claims.feature
+++ b/features/behaviour/claims.feature
@@ -20,3 +20,35 @@
     Given a claimed booking of 12:00
     When a booking of two days later is claimed
     Then one claim is kept
+
+  Scenario: An answer goes with its claim
+    # Guards against a limit that is taken up by answers that nobody can read.
+    Given a claimed booking of 12:00 that was answered
+    When a booking of two days later is claimed
+    Then one claim is kept
+    And no answer counts
+
+  Scenario: Beyond the limit the oldest answers are dropped, but not what became of them
+    # Guards against answers that fill the memory of all replicas, and against a
+    # second run, or "unknown", of a request whose answer was dropped.
+    Given a control service that keeps 1 MiB of answers
+    When 4 bookings are answered one after another with 400 KiB each
+    And all of them are sent again
+    Then the first 2 are refused with "answer_not_kept" as "done"
+    And the last 2 get their own answers
+    And the state holds at most 1 MiB of answers
+
+  Scenario: A replica that starts from a snapshot drops the same answers
+    # Guards against replicas that answer a resend differently.
+    Given a control service that keeps 1 MiB of answers
+    When 2 bookings are answered one after another with 400 KiB each
+    And a replica starts from a snapshot of that state
+    And another booking is answered with 400 KiB and applied by both
+    Then both replicas hold equal states
+
+  Scenario: Answers in a snapshot of an earlier release count towards the limit
+    # Guards against answers that nothing drops after an upgrade.
+    Given a control service that keeps 1 MiB of answers
+    When 2 bookings are answered one after another with 400 KiB each
+    And a replica starts from that state as an earlier release wrote it
+    Then it counts 800 KiB of answers, the older one first
--- a/features/behaviour/settings.feature
+++ b/features/behaviour/settings.feature
@@ -43,6 +43,7 @@
       | control | --replica-id '' | --replica-id     |                | 1 to 63 of [A-Za-z0-9_.-]            |
       | control | --listen 127.0.0.1 | --listen         | 127.0.0.1      | IP:port with a port from 1 to 65535  |
       | control | --listen USED | --listen         | USED           | an address of this host with a free port |
+      | control | --kept-answers-mib 0 | --kept-answers-mib | 0 | a whole number from 1 to 1024 MiB |
       | control | --peer-listen USED --data-folder FOLDER --bootstrap | --peer-listen    | USED           | an address of this host with a free port |
       | control | --data-folder /dev/null/data --bootstrap | --data-folder    | /dev/null/data | a folder that this process may write |
       | control | --peers control-2 --data-folder FOLDER --bootstrap | --peers          | control-2      | ID=CLIENT,PEER with two addresses    |
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -2,6 +2,8 @@
 
 from behave import given, then, when
 
+from plantainstage._agreement.log import Log
+from plantainstage._messages.agreement import Entry, EntryKind
 from support.agreement_simulation import AgreementSimulation
 
 
@@ -21,3 +23,20 @@
     # The checks raise InvariantViolation inside the run.
     context.simulation.finish()
     assert context.simulation.report()["committed"] > 0
+
+
+@given("a log of {count:d} entries of {size:d} bytes each")
+def make_log(context, count, size):
+    entries = [
+        Entry(term=1, index=index, kind=EntryKind.COMMAND, data=bytes(size))
+        for index in range(1, count + 1)
+    ]
+    context.log = Log(snapshot=None, entries=entries)
+
+
+@then(
+    "the tail of at most {count:d} entries and {size:d} bytes follows entry {index:d}"
+)
+def check_tail(context, count, size, index):
+    found = context.log.index_before_tail(entries=count, data_bytes=size)
+    assert found == index, found
--- a/features/steps/claim_batch_steps.py
+++ b/features/steps/claim_batch_steps.py
@@ -4,50 +4,15 @@
 
 from behave import given, then, when
 
-from plantainstage._control.memory_log import MemoryLog
-from plantainstage._control.service import ControlService
 from plantainstage._entry.claim_batches import ClaimBatches
-from plantainstage._membership.machine import MembershipMachine
-from plantainstage.errors import ControlUnavailableError
 from plantainstage.messages import control
+from support.direct_client import NOW_MS, DirectClient
 
-NOW_MS = 1_800_000_000_000
 TIMEOUT_S = 30.0
 MEBIBYTE = 1024 * 1024
 ANSWERED = control.ClaimOutcomeKind.ANSWERED
 
 
-class DirectClient:
-    """Passes requests to a control service and keeps what was exchanged."""
-
-    def __init__(self, *, lost_replies=0):
-        self.addresses = ("direct",)
-        machine = MembershipMachine()
-        self.state = machine.state
-        self.service = ControlService(
-            log=MemoryLog(machine=machine, address="direct"),
-            machine=machine,
-            clock=lambda: 0.0,
-            wall_ms=lambda: NOW_MS,
-        )
-        self.lost_replies = lost_replies
-        self.requests = []
-        self.replies = []
-        self.under_way = asyncio.Event()
-        self.give_up = asyncio.Event()
-
-    async def call(self, request, *, timeout_s):
-        self.requests.append(request)
-        reply = await self.service.handle(request)
-        self.under_way.set()
-        if self.lost_replies:
-            self.lost_replies -= 1
-            await self.give_up.wait()
-            raise ControlUnavailableError(addresses=self.addresses, waited_ms=0)
-        self.replies.append(reply)
-        return reply
-
-
 def claim(name, *, nonce="", digest="digest"):
     return control.ClaimRequest(
         request_id=f"{NOW_MS}-booking-{name}",
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -2,8 +2,8 @@
 
 from behave import given, then, when
 
-from plantainstage._membership.claims import apply_claim
-from plantainstage._membership.commands import ClaimAttempt
+from plantainstage._membership.claims import apply_claim, apply_complete
+from plantainstage._membership.commands import ClaimAttempt, CompleteAttempt
 from plantainstage._membership.state import ReplicatedState
 from plantainstage.messages import control
 
@@ -36,6 +36,19 @@
     assert isinstance(reply, control.ClaimGranted), reply
 
 
+@given("a claimed booking of 12:00 that was answered")
+def answer_first(context):
+    claim_first(context)
+    outcome = control.ClaimOutcome(
+        kind=control.ClaimOutcomeKind.ANSWERED, body=b"answer"
+    )
+    apply_complete(
+        context.state,
+        CompleteAttempt(request_id=f"{NOON_MS}-booking0", attempt=1, outcome=outcome),
+    )
+    assert context.state.kept_answers.total == len(b"answer")
+
+
 @given("a claimed booking of two days later")
 @when("a booking of two days later is claimed")
 def claim_later(context):
@@ -72,3 +85,9 @@
 @then("one claim is kept")
 def check_kept(context):
     assert len(context.state.claims) == len(context.state.claims_by_time) == 1
+
+
+@then("no answer counts")
+def check_none_counts(context):
+    assert not context.state.kept_answers.sizes
+    assert context.state.kept_answers.total == 0
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -49,6 +49,7 @@
 @then("sub-requests and claims of every outcome took place")
 def check_claims(context):
     require(context, "sub-request", "claim answered", "claim not_run", "claim unknown")
+    require(context, "answer read", "answer not kept")
 
 
 @then("no outcome was unknown")
@@ -106,7 +107,8 @@
         )
     )
     now_ms = 1_700_000_000_000 + source.randrange(3) * 13 * 3600 * 1000
-    request_id = f"{now_ms - source.randrange(1000)}-booking-{source.randrange(5)}"
+    # Few ids, so that many claims are completed, resent and forgotten.
+    request_id = f"{now_ms - source.randrange(3)}-booking-{source.randrange(5)}"
     kind = source.choice(tuple(control.ClaimOutcomeKind))
     return source.choice(
         (
@@ -150,7 +152,10 @@
             commands.CompleteAttempt(
                 request_id=request_id,
                 attempt=source.randrange(1, 3),
-                outcome=control.ClaimOutcome(kind=kind),
+                outcome=control.ClaimOutcome(
+                    kind=kind, body=bytes(source.randrange(100))
+                ),
+                keep_bytes=source.choice((100, 200)),
             ),
             commands.AddQuarantine(
                 fingerprint=str(source.randrange(5)), expires_ms=source.randrange(99)
--- a/features/support/membership_actors.py
+++ b/features/support/membership_actors.py
@@ -333,6 +333,11 @@
             )
 
 
+def answer_of(request_id):
+    """Returns the answer that every run of a request has."""
+    return request_id.encode() * 10
+
+
 class Callers:
     """Callers of non-idempotent requests, through any entry host."""
 
@@ -352,27 +357,44 @@
         host = random.choice(self.hosts)
         if host.frozen:
             return
-        nonce = str(next(self.nonces))
         process = host.process
-        request = control.ClaimRequest(
+        # The newest request travels with it; often it is the same one.
+        claims = tuple(self._claim(host, name) for name in (request_id, self.ids[-1]))
+        handled = set()
+
+        def answered(reply):
+            if host.process != process:
+                return
+            if not isinstance(reply, control.ClaimBatchReplies):
+                return
+            for claim, own in zip(claims, reply.replies, strict=True):
+                self._answered(host, claim, own, handled)
+
+        batch = control.ClaimBatch(members=claims)
+        call(self.world, self.group, batch, answered, cut=host.cut)
+
+    def _claim(self, host, request_id):
+        return control.ClaimRequest(
             request_id=request_id,
-            nonce=nonce,
+            nonce=str(next(self.nonces)),
             digest=request_id,
             entry_id=host.name,
-            incarnation=process,
+            incarnation=host.process,
             deadline_ms=1000,
         )
-        handled = []
-
-        def answered(reply):
-            # One holder acts once, even when two deliveries are granted.
-            if handled or host.process != process:
-                return
-            if isinstance(reply, control.ClaimGranted):
-                handled.append(True)
-                self.granted(host, request_id, reply.attempt)
 
-        call(self.world, self.group, request, answered, cut=host.cut)
+    def _answered(self, host, claim, reply, handled):
+        # One holder acts once, even when two deliveries are granted.
+        match reply:
+            case control.ClaimGranted() if claim.nonce not in handled:
+                handled.add(claim.nonce)
+                self.granted(host, claim.request_id, reply.attempt)
+            case control.ClaimExists(outcome=outcome) if (
+                outcome.kind is control.ClaimOutcomeKind.ANSWERED
+            ):
+                kept = outcome.body == answer_of(claim.request_id)
+                assert kept or not outcome.body, (claim.request_id, outcome)
+                self.world.count("answer read" if kept else "answer not kept")
 
     def granted(self, host, request_id, attempt):
         kind = self.world.random.choice(
@@ -392,7 +414,12 @@
         request = control.CompleteClaim(
             request_id=request_id,
             attempt=attempt,
-            outcome=control.ClaimOutcome(kind=kind),
+            outcome=control.ClaimOutcome(
+                kind=kind,
+                body=answer_of(request_id)
+                if kind is control.ClaimOutcomeKind.ANSWERED
+                else b"",
+            ),
         )
         for _ in range(2):
             call(self.world, self.group, request, lambda reply: None, cut=host.cut)
--- a/features/support/membership_world.py
+++ b/features/support/membership_world.py
@@ -18,6 +18,7 @@
 from plantainstage._membership.machine import MembershipMachine
 from plantainstage._messages.control import NotLeader
 
+KEEP_BYTES = {"c1": 600, "c2": 900, "c3": 1200}
 LOOP_TURNS = 16  # enough for the longest chain of tasks between two events
 
 
@@ -124,6 +125,9 @@
             clock=lambda: self.world.now,
             wall_ms=self.world.wall_ms,
             count=self.world.count,
+            # Two to four answers; other limits on other replicas make no state
+            # differ.
+            keep_bytes=KEEP_BYTES[self.name],
         )
         self.reconciler = Reconciler(core=self.service.core)
 
--- a/src/plantainstage/_agreement/core.py
+++ b/src/plantainstage/_agreement/core.py
@@ -202,8 +202,11 @@
         if state.snapshot is not None and snapshot.index <= state.snapshot.index:
             return
         state.snapshot = snapshot
-        keep = state.timing.trailing_entries
-        state.log.compact(min(snapshot.index, state.log.last.index - keep))
+        kept_after = state.log.index_before_tail(
+            entries=state.timing.trailing_entries,
+            data_bytes=state.timing.trailing_bytes,
+        )
+        state.log.compact(min(snapshot.index, kept_after))
 
     def synced(self, *, now):
         """Everything in the storage actions returned so far is durable."""
--- a/src/plantainstage/_agreement/log.py
+++ b/src/plantainstage/_agreement/log.py
@@ -106,6 +106,15 @@
             if entry.kind is EntryKind.MEMBERSHIP:
                 self.memberships.append((entry.index, decode_membership(entry.data)))
 
+    def index_before_tail(self, *, entries, data_bytes):
+        """Returns the index before the longest tail within both limits."""
+        total = 0
+        for entry in self.entries[: -entries - 1 : -1]:
+            total += len(entry.data)
+            if total > data_bytes:
+                return entry.index
+        return self.last.index - entries
+
     def compact(self, index):
         """Drops the entries up to ``index``."""
         if index <= self.base.index:
--- a/src/plantainstage/_agreement/state.py
+++ b/src/plantainstage/_agreement/state.py
@@ -51,6 +51,8 @@
     max_in_flight_entries: int = 4096
     snapshot_chunk_bytes: int = 256 * 1024
     trailing_entries: int = 1000
+    # Entries carry up to 1 MiB of answers; 1000 of them would not fit the memory.
+    trailing_bytes: int = 4 * 1024 * 1024
 
 
 @dataclass(kw_only=True)
--- a/src/plantainstage/_control/claim_requests.py
+++ b/src/plantainstage/_control/claim_requests.py
@@ -25,7 +25,7 @@
     now_ms = core.wall_ms()
     results = ()
     if proposed:
-        items = tuple(_command(member, now_ms) for member in proposed)
+        items = tuple(_command(core, member, now_ms) for member in proposed)
         results = await core.propose(commands.ClaimCommands(items=items))
     _note_results(core, view, proposed, results)
     await _end_claims_of_the_dead(core, view, proposed, results)
@@ -51,7 +51,7 @@
     )
 
 
-def _command(member, now_ms):
+def _command(core, member, now_ms):
     match member:
         case control.ClaimRequest():
             return commands.ClaimAttempt(
@@ -68,6 +68,7 @@
                 request_id=member.request_id,
                 attempt=member.attempt,
                 outcome=member.outcome,
+                keep_bytes=core.keep_bytes,
             )
 
 
--- a/src/plantainstage/_control/core.py
+++ b/src/plantainstage/_control/core.py
@@ -15,6 +15,7 @@
     """The log, the state machine and the leader's view.
 
     ``clock`` returns monotonic seconds, ``wall_ms`` Unix time in milliseconds.
+    ``keep_bytes`` bounds the kept answers of claims while this replica leads.
     """
 
     log: ReplicatedLog
@@ -23,9 +24,10 @@
     leadership: Leadership
     clock: Callable[[], float]
     wall_ms: Callable[[], int]
+    keep_bytes: int
 
     @classmethod
-    def build(cls, *, log, machine, clock, wall_ms):
+    def build(cls, *, log, machine, clock, wall_ms, keep_bytes):
         """Returns the core for one replica."""
         confirmation = BatchedConfirmation(log=log)
         return cls(
@@ -37,6 +39,7 @@
             ),
             clock=clock,
             wall_ms=wall_ms,
+            keep_bytes=keep_bytes,
         )
 
     @property
--- a/src/plantainstage/_control/daemon.py
+++ b/src/plantainstage/_control/daemon.py
@@ -16,6 +16,7 @@
 from plantainstage._transport.rpc import RpcServer
 
 FINISH_TIMEOUT_S = 5.0
+MEBIBYTE = 1024 * 1024
 
 
 class ControlDaemon:
@@ -97,7 +98,12 @@
 
     async def _serve(self, log, ends):
         """Serves on the log until one of ``ends`` ends; then hands over."""
-        service = ControlService(log=log, machine=self.machine, count=self.count)
+        service = ControlService(
+            log=log,
+            machine=self.machine,
+            count=self.count,
+            keep_bytes=self.settings.kept_answers_mib * MEBIBYTE,
+        )
         server = RpcServer(address=self.settings.listen, handler=service.handle)
         waiting = [asyncio.ensure_future(end) for end in ends]
         try:
--- a/src/plantainstage/_control/service.py
+++ b/src/plantainstage/_control/service.py
@@ -15,6 +15,7 @@
     NotLeaderError,
     OutcomeUnknownError,
 )
+from plantainstage._membership.commands import DEFAULT_KEEP_BYTES
 from plantainstage._messages import control
 
 
@@ -37,10 +38,15 @@
         machine,
         clock=time.monotonic,
         wall_ms=wall_clock_ms,
+        keep_bytes=DEFAULT_KEEP_BYTES,
         count=lambda name: None,
     ):
         self.core = ControlCore.build(
-            log=log, machine=machine, clock=clock, wall_ms=wall_ms
+            log=log,
+            machine=machine,
+            clock=clock,
+            wall_ms=wall_ms,
+            keep_bytes=keep_bytes,
         )
         self.count = count
 
--- a/src/plantainstage/_entry/claims.py
+++ b/src/plantainstage/_entry/claims.py
@@ -25,7 +25,7 @@
 RECORD_LIMIT_S = 60.0
 CALL_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.2
-# Answers are kept in the replicated state for a day.
+# Answers are kept in the replicated state, for a day at most.
 MAX_RECORDED_BYTES = 1024 * 1024
 
 
@@ -145,9 +145,9 @@
         case ClaimOutcomeKind.ANSWERED:
             raise RefusalError(
                 code="answer_not_kept",
-                message="The request was answered; the answer was too large to keep.",
+                message="The request ran and was answered; its answer is not kept.",
                 remedy="Read the result by another request; do not order it anew.",
-                run=RunState.UNKNOWN,
+                run=RunState.DONE,
                 http_status=409,
             )
     raise RefusalError(
--- a/src/plantainstage/_membership/claims.py
+++ b/src/plantainstage/_membership/claims.py
@@ -82,9 +82,20 @@
         state.claims[command.request_id] = msgspec.structs.replace(
             record, outcome=command.outcome
         )
+        state.kept_answers.add(command.request_id, len(command.outcome.body))
+        _drop_answers(state, command.keep_bytes)
     return Done(version=state.version)
 
 
+def _drop_answers(state, keep_bytes):
+    """Drops the oldest answers beyond a limit; digest and kind are kept."""
+    for request_id in state.kept_answers.take_beyond(keep_bytes):
+        record = state.claims[request_id]
+        state.claims[request_id] = msgspec.structs.replace(
+            record, outcome=msgspec.structs.replace(record.outcome, body=b"")
+        )
+
+
 def _check_not_final(request_id, record):
     check_invariant(
         record.outcome.kind is ClaimOutcomeKind.RUNNING,
@@ -106,4 +117,6 @@
     start_ms = min(now_ms, keys[-1].id_ms) - RETENTION_MS
     state.claims_start_ms = max(state.claims_start_ms, start_ms)
     while keys and keys[0].id_ms < state.claims_start_ms:
-        del state.claims[keys.pop(0).request_id]
+        request_id = keys.pop(0).request_id
+        del state.claims[request_id]
+        state.kept_answers.discard(request_id)
--- a/src/plantainstage/_membership/commands.py
+++ b/src/plantainstage/_membership/commands.py
@@ -9,6 +9,11 @@
 from plantainstage._messages.configuration import EntryHost, Manifest, Upstream
 from plantainstage._messages.control import Change, ClaimOutcome
 
+# The peak of a process grows by some seven times this, since the state, the old
+# and the new snapshot and their encoded forms overlap, and by 30 MB for the log.
+# With 60 MB at the target size, 4 MiB stay within 128 MB (bench/claim_memory.py).
+DEFAULT_KEEP_BYTES = 4 * 1024 * 1024
+
 
 class ApplyChange(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Decides on an operator's change."""
@@ -105,11 +110,17 @@
 
 
 class CompleteAttempt(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Records the outcome of an attempt; older attempts are ignored."""
+    """Records the outcome of an attempt; older attempts are ignored.
+
+    Answers beyond ``keep_bytes`` in all are dropped, the oldest first. The limit
+    is the proposing leader's; as a part of the command it is the same on all
+    replicas, whatever their own settings say.
+    """
 
     request_id: str
     attempt: int
     outcome: ClaimOutcome
+    keep_bytes: int = DEFAULT_KEEP_BYTES
 
 
 class ClaimCommands(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/src/plantainstage/_membership/state.py
+++ b/src/plantainstage/_membership/state.py
@@ -8,6 +8,7 @@
 import msgspec
 from sortedcontainers import SortedSet
 
+from plantainstage._membership.kept_answers import KeptAnswers, kept_answers_of
 from plantainstage._messages.configuration import (
     EntryHost,
     Manifest,
@@ -112,6 +113,7 @@
     retired_deadlines: dict[int, int] = field(default_factory=dict)
     claims: dict[str, ClaimRecord] = field(default_factory=dict)
     claims_by_time: SortedSet = field(default_factory=SortedSet)
+    kept_answers: KeptAnswers = field(default_factory=KeptAnswers)
     quarantines: dict[str, int] = field(default_factory=dict)
 
     def raise_version(self):
@@ -153,6 +155,8 @@
     claims: dict[str, ClaimRecord]
     claims_by_time: tuple[ClaimKey, ...]
     quarantines: dict[str, int]
+    # Request ids in the order of their answers; earlier releases had none.
+    kept_answers: tuple[str, ...] | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -179,6 +183,7 @@
             claims=dict(sorted(state.claims.items())),
             claims_by_time=tuple(state.claims_by_time),
             quarantines=dict(sorted(state.quarantines.items())),
+            kept_answers=tuple(state.kept_answers.sizes),
         )
     )
 
@@ -205,9 +210,17 @@
         retired_deadlines=snapshot.retired_deadlines,
         claims=snapshot.claims,
         claims_by_time=SortedSet(snapshot.claims_by_time),
+        kept_answers=kept_answers_of(snapshot.claims, _answer_order(snapshot)),
         quarantines=snapshot.quarantines,
     )
 
 
+def _answer_order(snapshot):
+    """Returns the ids in the order of the answers, else of the ids' times."""
+    if snapshot.kept_answers is not None:
+        return snapshot.kept_answers
+    return tuple(key.request_id for key in snapshot.claims_by_time)
+
+
 def _values(mapping):
     return tuple(mapping[key] for key in sorted(mapping))
--- a/src/plantainstage/_messages/callers.py
+++ b/src/plantainstage/_messages/callers.py
@@ -46,6 +46,7 @@
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
     IN_PROGRESS = "in_progress"
+    DONE = "done"
 
 
 class RefusalBody(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -92,7 +92,10 @@
 
 
 class ClaimOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """The state of a claim; ``body`` is the encoded answer when answered."""
+    """The state of a claim; ``body`` is the encoded answer when answered.
+
+    An empty body means that the answer is not kept, or no longer.
+    """
 
     kind: ClaimOutcomeKind
     body: bytes = b""
--- a/src/plantainstage/_programs/control.py
+++ b/src/plantainstage/_programs/control.py
@@ -7,6 +7,7 @@
 
 from plantainstage._control.daemon import ControlDaemon
 from plantainstage._errors import PlantainstageError
+from plantainstage._membership.commands import DEFAULT_KEEP_BYTES
 from plantainstage._programs.logs import configure_logs
 from plantainstage._programs.running import catch_stop_signals
 from plantainstage._settings.base import build_settings
@@ -53,6 +54,13 @@
     help="Another replica of the new group as ID=CLIENT,PEER (two addresses of "
     "IP:port); repeat for each one. Only with --bootstrap.",
 )
+@click.option(
+    "--kept-answers-mib",
+    default=str(DEFAULT_KEEP_BYTES // (1024 * 1024)),
+    show_default=True,
+    help="Bound of the kept answers to non-idempotent requests while this replica "
+    "leads (1 to 1024 MiB); the process needs about seven times as much for them.",
+)
 @click.option(
     "--statsd-address",
     default="",
--- a/src/plantainstage/_settings/control.py
+++ b/src/plantainstage/_settings/control.py
@@ -5,6 +5,7 @@
 from plantainstage._settings.base import SettingsCheck, is_address, is_name
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+KEPT_ANSWERS_RANGE_MIB = (1, 1024)  # one answer is at most 1 MiB
 _PEER_EXPECTED = "ID=CLIENT,PEER with two addresses of IP:port"
 _PEER_REMEDY = (
     "Give the values of --replica-id, --listen and --peer-listen of that replica, "
@@ -28,7 +29,8 @@
     With ``bootstrap``, an empty folder founds a new group with ``peers``; the
     flag has no effect on a folder that belongs to a group. Without it an empty
     folder waits until an operator adds it to a group. ``data_folder`` is empty
-    for a single replica in memory, which keeps nothing.
+    for a single replica in memory, which keeps nothing. ``kept_answers_mib``
+    counts while this replica leads.
     """
 
     replica_id: str
@@ -37,6 +39,7 @@
     data_folder: str
     bootstrap: bool
     peers: tuple[Peer, ...]
+    kept_answers_mib: int
     statsd_address: str
     log_level: str
 
@@ -54,6 +57,7 @@
     data_folder,
     bootstrap,
     peers,
+    kept_answers_mib,
     statsd_address,
     log_level,
 ):
@@ -71,6 +75,13 @@
     if data_folder:
         check.writable_folder(flag="--data-folder", value=data_folder)
         _check_peer_listen(check, listen, peer_listen)
+    kept_mib = check.integer(
+        flag="--kept-answers-mib",
+        value=kept_answers_mib,
+        low=KEPT_ANSWERS_RANGE_MIB[0],
+        high=KEPT_ANSWERS_RANGE_MIB[1],
+        unit="MiB",
+    )
     _check_mode(check, data_folder, bootstrap, peers)
     _check_distinct(check, replica_id, parsed)
     check.finish()
@@ -81,6 +92,7 @@
         data_folder=data_folder,
         bootstrap=bool(bootstrap),
         peers=parsed,
+        kept_answers_mib=kept_mib,
         statsd_address=statsd_address,
         log_level=log_level,
     )
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -24,6 +24,7 @@
 READS = "_agreement/reads.py"
 MEMBERSHIP = "_agreement/membership.py"
 BOOT = "_agreement/boot.py"
+LOG = "_agreement/log.py"
 CORE_SCENARIOS = "features/behaviour/agreement_core.feature"
 STORAGE_SCENARIOS = "features/failures/replica_storage.feature"
 REPLICA_SCENARIOS = "features/failures/control_replicas.feature"
@@ -365,4 +366,11 @@
         new="    return None and FoundingRefused(\n",
         feature=REPLICA_SCENARIOS,
     ),
+    Mutation(
+        name="the log after a snapshot is not bounded in bytes",
+        file=LOG,
+        old="if total > data_bytes:",
+        new="if False:",
+        feature=CORE_SCENARIOS,
+    ),
 )
--- a/tools/membership_mutations.py
+++ b/tools/membership_mutations.py
@@ -3,6 +3,8 @@
 from agreement_mutations import Mutation
 
 BATCH_SCENARIOS = "features/behaviour/claim_batches.feature"
+CLAIM_SCENARIOS = "features/behaviour/claims.feature"
+CLAIMS = "_membership/claims.py"
 
 MEMBERSHIP_MUTATIONS = (
     Mutation(
@@ -51,4 +53,53 @@
         new="if False:",
         feature=BATCH_SCENARIOS,
     ),
+    Mutation(
+        name="answers are kept without a limit",
+        file=CLAIMS,
+        old="state.kept_answers.take_beyond(keep_bytes)",
+        new="()",
+        feature=CLAIM_SCENARIOS,
+    ),
+    Mutation(
+        name="the newest answers are dropped first",
+        file="_membership/kept_answers.py",
+        old="next(iter(self.sizes))",
+        new="next(reversed(self.sizes))",
+        feature=CLAIM_SCENARIOS,
+    ),
+    Mutation(
+        name="a request whose answer is dropped may run again",
+        file=CLAIMS,
+        old='outcome=msgspec.structs.replace(record.outcome, body=b"")',
+        new="outcome=ClaimOutcome(kind=ClaimOutcomeKind.NOT_RUN)",
+        feature=CLAIM_SCENARIOS,
+    ),
+    Mutation(
+        name="a dropped answer reads as unknown",
+        file="_entry/claims.py",
+        old="run=RunState.DONE",
+        new="run=RunState.UNKNOWN",
+        feature=CLAIM_SCENARIOS,
+    ),
+    Mutation(
+        name="answers of an earlier release are not counted",
+        file="_membership/state.py",
+        old="return tuple(key.request_id for key in snapshot.claims_by_time)",
+        new="return ()",
+        feature=CLAIM_SCENARIOS,
+    ),
+    Mutation(
+        name="a snapshot forgets the order of the answers",
+        file="_membership/state.py",
+        old="kept_answers=tuple(state.kept_answers.sizes),",
+        new="kept_answers=tuple(sorted(state.kept_answers.sizes)),",
+        feature=CLAIM_SCENARIOS,
+    ),
+    Mutation(
+        name="a forgotten claim's answer still counts",
+        file=CLAIMS,
+        old="        state.kept_answers.discard(request_id)\n",
+        new="",
+        feature=CLAIM_SCENARIOS,
+    ),
 )
