Stop work for a draining searcher before control has it

Cause: While control has no leader, a draining searcher gets new work until one is elected, has committed the announcement and the owner has renewed its lease. Change: The entry host that hears a draining announcement tells all others directly; owners return what waits as not sent and routing passes the searcher over. The five mutations of departures in tools/membership_mutations.py fail features/failures/leaving.

--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,14 +1,21 @@
 """Steps for an owner whose searcher leaves while work waits for it."""
 
+import asyncio
+import contextlib
 import math
+from types import SimpleNamespace
 
 import msgspec
 from behave import given, then, when
+from loguru import logger
 
+from plantainstage._entry.host import EntryHost
 from plantainstage._entry.owners import Owners
 from plantainstage._limits.owner_queue import HostLease
 from plantainstage._limits.quarantine import QuarantineTable
+from plantainstage._settings.entry import EntrySettings
 from plantainstage.messages import configuration, forward
+from support.processes import free_address
 from support.scripted_searcher import ScriptedSearcher
 
 UPSTREAM = configuration.Upstream(
@@ -49,11 +56,15 @@
         address=context.searcher.address,
         state=configuration.UpstreamState(state),
     )
+    apply_upstream(context, upstream)
+
+
+def apply_upstream(context, upstream):
     context.version += 1
     value = configuration.Configuration(
         version=context.version, upstreams=(upstream,), ownerships=(OWNERSHIP,)
     )
-    context.searcher.call(context.owners.apply, value)
+    context.searcher.call(context.apply, value)
 
 
 def submit(context, name):
@@ -79,12 +90,117 @@
         )
     )
     context.resources.callback(lambda: searcher.call(context.owners.abort))
+    context.apply = context.owners.apply
+    begin_work(context)
+
+
+def begin_work(context):
     apply_state(context, "serving")
     submit(context, "running")
-    searcher.wait_for(lambda: searcher.received)
+    context.searcher.wait_for(lambda: context.searcher.received)
     submit(context, "waiting")
 
 
+def make_host(context):
+    """Makes an entry host with a lease and without control, in the same loop."""
+    settings = EntrySettings(
+        entry_id="entry-1",
+        data_centre="upper-canal",
+        listen=free_address(),
+        forward_listen=free_address(),
+        control=(free_address(),),
+        drain_delay_s=0.0,
+        statsd_address="",
+        log_level="ERROR",
+    )
+    logger.disable("plantainstage")
+    context.resources.callback(logger.enable, "plantainstage")
+    host = context.searcher.call(lambda: EntryHost(settings=settings))
+    context.resources.callback(lambda: context.searcher.call(host.close))
+    host.lease.until = math.inf
+    return host
+
+
+@given(
+    "an entry host whose searcher has one slot, one sub-request running and one waiting"
+)
+def make_owning_host(context):
+    context.searcher = ScriptedSearcher(context.resources)
+    context.results = {}
+    context.version = 0
+    context.host = host = make_host(context)
+    context.owners = host.owners
+
+    def take(requester_id, result):
+        context.results[result.sub_request_id] = result.outcome.value
+
+    def apply(value):
+        host.apply(value)
+        host.session.configuration = value
+
+    host.owners.on_result = take
+    context.apply = apply
+    begin_work(context)
+    context.told = []
+    peer = SimpleNamespace(send_other=context.told.append)
+    host.links.peers["entry-2"] = peer
+    # It is not a real link: the host must not close it.
+    context.resources.callback(host.links.peers.clear)
+    host.links.set_peers = lambda hosts: None
+
+
+@when("the entry host hears that the searcher drains, and control does not reply")
+def announce_here(context):
+    announcement = {
+        "upstream_id": UPSTREAM.upstream_id,
+        "incarnation": UPSTREAM.incarnation,
+        "address": context.searcher.address,
+        "data_centre": UPSTREAM.data_centre,
+        "index": UPSTREAM.index,
+        "slots": UPSTREAM.slots,
+        "connections": UPSTREAM.connections,
+        "snapshots": [
+            {
+                "snapshot": "s1",
+                "sequence": 1,
+                "partitions": ["p1"],
+                "manifest": {"p1": 10},
+            }
+        ],
+        "state": "draining",
+        "in_flight": 1,
+    }
+    data = msgspec.json.encode(announcement)
+
+    async def announce():
+        task = asyncio.create_task(context.host.announcements.take(data))
+        await asyncio.sleep(0)  # it now waits for control
+        assert not task.done(), task
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    context.searcher.run(announce())
+
+
+@when("another entry host hears that the searcher drains, and control does not reply")
+def announce_elsewhere(context):
+    notice = forward.DrainNotice(
+        sender="entry-2",
+        upstream_id=UPSTREAM.upstream_id,
+        incarnation=UPSTREAM.incarnation,
+    )
+    context.searcher.call(context.host._on_peer_message, notice)
+
+
+@when("the searcher has started anew and serves")
+def start_anew(context):
+    upstream = msgspec.structs.replace(
+        UPSTREAM, incarnation="i2", address=context.searcher.address
+    )
+    apply_upstream(context, upstream)
+
+
 @when("the owner applies a configuration in which the searcher is {state}")
 def change_state(context, state):
     apply_state(context, state)
@@ -112,10 +228,21 @@
 
 @then("a new sub-request comes back as not sent")
 def check_new(context):
+    context.results.pop("new", None)
     submit(context, "new")
     assert context.results["new"] == "not_sent"
 
 
+@then("the other entry hosts {told} by this one")
+def check_told(context, told):
+    notice = forward.DrainNotice(
+        sender="entry-1",
+        upstream_id=UPSTREAM.upstream_id,
+        incarnation=UPSTREAM.incarnation,
+    )
+    assert context.told == ([notice] if told == "were told" else [])
+
+
 @then("the searcher has received {count:d} sub-request")
 @then("the searcher has received {count:d} sub-requests")
 def check_received(context, count):
--- a/src/plantainstage/_entry/announcements.py
+++ b/src/plantainstage/_entry/announcements.py
@@ -68,10 +68,14 @@
 
 
 class Announcements:
-    """Takes announcements and tells control what has changed."""
+    """Takes announcements and tells control what has changed.
 
-    def __init__(self, *, client):
+    ``on_draining`` gets the record of a searcher that drains, before control.
+    """
+
+    def __init__(self, *, client, on_draining=lambda upstream: None):
         self.client = client
+        self.on_draining = on_draining
         self.passed_on = {}
         self.checked = {}  # accepted announcements, by upstream id
         self.live = set()
@@ -90,6 +94,8 @@
             return
         check_announcement(announcement)
         upstream = upstream_of(announcement)
+        if upstream.state is UpstreamState.DRAINING:
+            self.on_draining(upstream)
         change = _Change(
             upstream=upstream,
             manifests=manifests_of(announcement),
--- /dev/null
+++ b/src/plantainstage/_entry/departures.py
@@ -0,0 +1,77 @@
+"""Searchers that announced that they drain, ahead of the replicated record.
+
+The entry host that hears it tells all others directly, so that the owner stops
+sending although control has no leader at the moment. A searcher that announced
+``draining`` stays so until it starts anew, with another incarnation.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from plantainstage._messages.configuration import UpstreamState
+from plantainstage._messages.forward import DrainNotice
+
+# A searcher repeats its announcement each second, and control forgets a silent one
+# after this time.
+FORGET_AFTER_S = 600.0
+
+
+class Departures:
+    """Known departures by (upstream id, incarnation); ``on_change`` applies them."""
+
+    def __init__(self, *, entry_id: str, links, on_change: Callable):
+        self.entry_id = entry_id
+        self.links = links
+        self.on_change = on_change
+        self.noted = {}
+
+    def announced(self, upstream, now):
+        """Takes a draining announcement and tells the other entry hosts.
+
+        It is repeated with each announcement until control has the record: a
+        link may have been down.
+        """
+        notice = DrainNotice(
+            sender=self.entry_id,
+            upstream_id=upstream.upstream_id,
+            incarnation=upstream.incarnation,
+        )
+        for link in self.links.peers.values():
+            link.send_other(notice)
+        self.take(notice, now)
+
+    def take(self, notice, now):
+        """Takes the notice of an entry host."""
+        key = (notice.upstream_id, notice.incarnation)
+        is_news = key not in self.noted
+        self.noted[key] = now
+        if is_news:
+            self.on_change()
+
+    def apply(self, configuration, now):
+        """Returns the configuration with the known departures in it."""
+        self._forget(configuration, now)
+        if not self.noted:
+            return configuration
+        upstreams = tuple(map(self._as_known, configuration.upstreams))
+        return msgspec.structs.replace(configuration, upstreams=upstreams)
+
+    def _as_known(self, upstream):
+        key = (upstream.upstream_id, upstream.incarnation)
+        if upstream.state is UpstreamState.SERVING and key in self.noted:
+            return msgspec.structs.replace(upstream, state=UpstreamState.DRAINING)
+        return upstream
+
+    def _forget(self, configuration, now):
+        """Drops what the configuration says itself, and what is long past."""
+        recorded = {
+            (item.upstream_id, item.incarnation)
+            for item in configuration.upstreams
+            if item.state is UpstreamState.DRAINING
+        }
+        self.noted = {
+            key: noted_at
+            for key, noted_at in self.noted.items()
+            if key not in recorded and now - noted_at < FORGET_AFTER_S
+        }
--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -11,6 +11,7 @@
 from plantainstage._entry.claim_batches import ClaimBatches
 from plantainstage._entry.claims import Claims
 from plantainstage._entry.control_session import ControlSession
+from plantainstage._entry.departures import Departures
 from plantainstage._entry.gathers import Gathers
 from plantainstage._entry.handlers import (
     BODY_TIMEOUT_S,
@@ -97,7 +98,12 @@
             apply=self.apply,
             releasing=lambda: self.owners.releasing(),
         )
-        self.announcements = Announcements(client=self.clients[1])
+        self.announcements = Announcements(
+            client=self.clients[1],
+            on_draining=lambda upstream: self.departures.announced(
+                upstream, asyncio.get_running_loop().time()
+            ),
+        )
         self.claims = Claims(
             client=ClaimBatches(client=self.clients[1]), entry=self.record
         )
@@ -111,6 +117,11 @@
             on_lost=lambda peer, queued: self.gathers.link_lost(peer, queued),
             expects_results=lambda peer: self.gathers.expects_results(peer),
         )
+        self.departures = Departures(
+            entry_id=self.record.entry_id,
+            links=self.links,
+            on_change=lambda: self._use(self.session.configuration),
+        )
         self.quarantining = Quarantining(
             entry_id=self.record.entry_id,
             client=self.clients[1],
@@ -165,16 +176,20 @@
         self.routing.quarantines.apply_recorded(
             configuration.quarantines, now=now, unix_ms=time.time() * 1000
         )
-        self.owners.apply(configuration)
-        self.queries.view = ConfigurationView(
-            configuration=configuration, routing=self.routing
-        )
+        self._use(configuration)
         if before:
             for upstream in configuration.upstreams:
                 if before.get(upstream.upstream_id) != upstream.incarnation:
                     self.routing.start_ramp(upstream.upstream_id, now)
         logger.info("configuration applied", version=configuration.version)
 
+    def _use(self, configuration):
+        """Acts on a configuration and on the departures ahead of it."""
+        now = asyncio.get_running_loop().time()
+        known = self.departures.apply(configuration, now)
+        self.owners.apply(known)
+        self.queries.view = ConfigurationView(configuration=known, routing=self.routing)
+
     def reason_not_ready(self):
         """Returns why the host should get no requests, or an empty string."""
         if self.draining:
@@ -229,6 +244,8 @@
             case forward.QuarantineNotice():
                 now = asyncio.get_running_loop().time()
                 self.routing.quarantines.apply_notice(message, now)
+            case forward.DrainNotice():
+                self.departures.take(message, asyncio.get_running_loop().time())
 
     async def _tick(self):
         while True:
--- a/src/plantainstage/_messages/forward.py
+++ b/src/plantainstage/_messages/forward.py
@@ -100,6 +100,14 @@
     duration_ms: int
 
 
+class DrainNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A searcher announced that it drains, ahead of the replicated record."""
+
+    sender: str
+    upstream_id: str
+    incarnation: str
+
+
 class LinkProbe(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks for a ``LinkEcho``, to tell a silent link from a slow owner."""
 
@@ -119,6 +127,7 @@
     | SubResults
     | CancelSubRequests
     | QuarantineNotice
+    | DrainNotice
     | LinkProbe
     | LinkEcho
 )
--- a/tools/membership_mutations.py
+++ b/tools/membership_mutations.py
@@ -1,9 +1,11 @@
-"""Mutations of claims and their batches that the checks must find."""
+"""Mutations of claims and departures that the checks must find."""
 
 from agreement_mutations import Mutation
 
 BATCH_SCENARIOS = "features/behaviour/claim_batches.feature"
 CLAIM_SCENARIOS = "features/behaviour/claims.feature"
+LEAVING_SCENARIOS = "features/failures/leaving.feature"
+DEPARTURES = "_entry/departures.py"
 CLAIMS = "_membership/claims.py"
 
 MEMBERSHIP_MUTATIONS = (
@@ -102,4 +104,41 @@
         new="",
         feature=CLAIM_SCENARIOS,
     ),
+    Mutation(
+        name="a draining announcement waits for control",
+        file="_entry/announcements.py",
+        old="            self.on_draining(upstream)",
+        new="            pass",
+        feature=LEAVING_SCENARIOS,
+    ),
+    Mutation(
+        name="the other hosts are not told of a draining announcement",
+        file=DEPARTURES,
+        old="            link.send_other(notice)",
+        new="            pass",
+        feature=LEAVING_SCENARIOS,
+    ),
+    Mutation(
+        name="a departure is not acted on before the next configuration",
+        file=DEPARTURES,
+        old="        if is_news:",
+        new="        if False:",
+        feature=LEAVING_SCENARIOS,
+    ),
+    Mutation(
+        name="a configuration that lacks a departure undoes it",
+        file="_entry/host.py",
+        old="known = self.departures.apply(configuration, now)",
+        new="known = (\n            self.departures.apply(configuration, now)\n"
+        "            if configuration is self.session.configuration\n"
+        "            else configuration\n        )",
+        feature=LEAVING_SCENARIOS,
+    ),
+    Mutation(
+        name="a departure counts for a later start of the searcher",
+        file=DEPARTURES,
+        old="and key in self.noted:",
+        new="and key[0] in {name for name, _ in self.noted}:",
+        feature=LEAVING_SCENARIOS,
+    ),
 )
