Ask another control replica at once when a connection is lost

Cause: A call on a connection that a dead leader has lost waits for a reply until its attempt is used up (0.4 s, 1 s for an operator's), and followers send the client back to the dead leader until they have elected another. Change: The loss of a connection ends its calls. For 0.8 s the replica is passed over, unless no other is left. Of several calls that fail together one changes the replica.

--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -22,6 +22,10 @@
 # with another replica, so that the library's own repetition is pushed out.
 RESEND_TIME_MS = 3_600_000
 RETRY_PAUSE_S = 0.05
+# Followers name a dead leader until they elect another, within about 1 s. A dial to
+# it would take up a whole attempt, so that it is passed over for this time. A leader
+# that lives and lost a connection is asked again well within a lease of 2 s.
+AVOID_LOST_S = 0.8
 
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(control.ControlRequest)
@@ -130,6 +134,7 @@
     def __init__(self, *, address: str):
         self.address = address
         self.socket = None
+        self.lost_at = float("-inf")
 
     def close(self):
         """Closes the socket; outstanding calls fail with pynng.Closed."""
@@ -139,14 +144,31 @@
 
     def _connected_socket(self):
         if self.socket is None:
-            self.socket = pynng.Req0(
+            self.socket = socket = pynng.Req0(
                 resend_time=RESEND_TIME_MS,
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=RECONNECT_MAX_MS,
             )
-            self.socket.dial(nng_url(self.address), block=False)
+            loop = asyncio.get_running_loop()
+
+            def removed(pipe):
+                # Called on a thread of nng.
+                if not loop.is_closed():
+                    loop.call_soon_threadsafe(self._connection_lost, socket)
+
+            socket.add_post_pipe_remove_cb(removed)
+            socket.dial(nng_url(self.address), block=False)
         return self.socket
 
+    def _connection_lost(self, socket):
+        """Ends the calls on a lost connection, so that another replica is asked.
+
+        They would wait for a reply until their time is used up.
+        """
+        if self.socket is socket:
+            self.close()
+            self.lost_at = asyncio.get_running_loop().time()
+
     async def call(self, request, *, timeout_s):
         """Returns the decoded reply; raises TimeoutError or NNGException."""
         socket = self._connected_socket()
@@ -195,28 +217,30 @@
         deadline = loop.time() + timeout_s
         last_error = ""
         while (remaining := deadline - loop.time()) > 0:
+            asked = self.current
             try:
-                reply = await self._client(self.current).call(
+                reply = await self._client(asked).call(
                     request, timeout_s=min(remaining, self.attempt_timeout_s)
                 )
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
-                last_error = f"{self.current}: {type(error).__name__}"
-                self._rotate()
+                last_error = f"{asked}: {type(error).__name__}"
+                self._rotate(asked)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             match reply:
                 case control.NotLeader(leader_address=""):
-                    last_error = f"{self.current}: no leader known"
-                    self._rotate()
+                    last_error = f"{asked}: no leader known"
+                    self._rotate(asked)
                     await asyncio.sleep(RETRY_PAUSE_S)
                 case control.NotLeader(leader_address=address):
-                    last_error = f"{self.current}: leader is {address}"
-                    if address == self.current:
+                    last_error = f"{asked}: leader is {address}"
+                    if address == asked or self._lost_lately(address):
                         await asyncio.sleep(RETRY_PAUSE_S)
-                    self.current = address
+                    else:
+                        self.current = address
                 case control.OutcomeUnknown():
-                    last_error = f"{self.current}: outcome unknown"
-                    self._rotate()
+                    last_error = f"{asked}: outcome unknown"
+                    self._rotate(asked)
                     await asyncio.sleep(RETRY_PAUSE_S)
                 case _:
                     return reply
@@ -231,9 +255,17 @@
             self.clients[address] = RpcClient(address=address)
         return self.clients[address]
 
-    def _rotate(self):
-        if self.current in self.addresses:
-            position = self.addresses.index(self.current) + 1
-            self.current = self.addresses[position % len(self.addresses)]
-        else:
-            self.current = self.addresses[0]
+    def _lost_lately(self, address):
+        now = asyncio.get_running_loop().time()
+        return now - self._client(address).lost_at < AVOID_LOST_S
+
+    def _rotate(self, asked):
+        """Chooses the next replica, unless another call has done so already."""
+        if self.current != asked:
+            return
+        first = 0
+        if asked in self.addresses:
+            first = self.addresses.index(asked) + 1
+        following = (*self.addresses[first:], *self.addresses[:first])
+        usable = (item for item in following if not self._lost_lately(item))
+        self.current = next(usable, following[0])
--- a/tools/membership_mutations.py
+++ b/tools/membership_mutations.py
@@ -1,9 +1,10 @@
-"""Mutations of claims and departures that the checks must find."""
+"""Mutations of claims, departures and calls that the checks must find."""
 
 from agreement_mutations import Mutation
 
 BATCH_SCENARIOS = "features/behaviour/claim_batches.feature"
 CLAIM_SCENARIOS = "features/behaviour/claims.feature"
+CALL_SCENARIOS = "features/behaviour/control_calls.feature"
 LEAVING_SCENARIOS = "features/failures/leaving.feature"
 DEPARTURES = "_entry/departures.py"
 CLAIMS = "_membership/claims.py"
@@ -141,4 +142,18 @@
         new="and key[0] in {name for name, _ in self.noted}:",
         feature=LEAVING_SCENARIOS,
     ),
+    Mutation(
+        name="a call waits for a reply on a lost connection",
+        file="_transport/rpc.py",
+        old="            socket.add_post_pipe_remove_cb(removed)\n",
+        new="",
+        feature=CALL_SCENARIOS,
+    ),
+    Mutation(
+        name="a call goes back to a replica that was just lost",
+        file="_transport/rpc.py",
+        old="if address == asked or self._lost_lately(address):",
+        new="if address == asked:",
+        feature=CALL_SCENARIOS,
+    ),
 )
