Give up a control replica that takes no connection within 0.3 s

Cause: A call to a replica that is down waits for a connection until its attempt is used up (1 s for an operator's), which is most of the time of a leave right after the leader was killed. Change: A call waits 0.3 s for the connection; the replica is then passed over as one whose connection was lost.

--- a/features/behaviour/control_calls.feature
+++ b/features/behaviour/control_calls.feature
@@ -11,3 +11,10 @@
       | other                         |
       | leads                         |
       | first names the dead as leader |
+
+  Scenario: A replica that takes no connection is passed over within the attempt
+    # Guards against calls that wait for a replica that is down until their time is
+    # used up.
+    Given a control replica that is down, and one that leads
+    When the first is asked with all the time of the call for one attempt
+    Then the reply is the second one's
--- a/features/steps/control_call_steps.py
+++ b/features/steps/control_call_steps.py
@@ -16,14 +16,23 @@
 def choose_addresses(context, other):
     context.addresses = (free_address(), free_address())
     context.names_dead = other != "leads"
+    context.down = False
+
+
+@given("a control replica that is down, and one that leads")
+def choose_down(context):
+    choose_addresses(context, "leads")
+    context.down = True
 
 
 @when("the first is asked with all the time of the call for one attempt")
 def ask(context):
-    context.reply = asyncio.run(ask_dying(context.addresses, context.names_dead))
+    context.reply = asyncio.run(
+        ask_dying(context.addresses, context.names_dead, context.down)
+    )
 
 
-async def ask_dying(addresses, names_dead):
+async def ask_dying(addresses, names_dead, down):
     """Returns the reply, or the error of the call."""
     reached = asyncio.Event()
 
@@ -39,8 +48,12 @@
         return control.Done(version=7)
 
     first = RpcServer(address=addresses[0], handler=die)
+    restarted = RpcServer(address=addresses[0], handler=die)
     second = RpcServer(address=addresses[1], handler=lead)
-    first.start()
+    if down:
+        reached.set()
+    else:
+        first.start()
     second.start()
     client = ControlClient(addresses=addresses, attempt_timeout_s=CALL_TIMEOUT_S)
     request = control.QueryNextNumber()
@@ -48,12 +61,17 @@
     try:
         await reached.wait()
         await first.stop()
+        if names_dead:
+            # A call that went back would wait for its reply.
+            restarted.start()
         return await call
     except ControlUnavailableError as error:
         return error
     finally:
         client.close()
         await second.stop()
+        if names_dead:
+            await restarted.stop()
 
 
 @then("the reply is the second one's")
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -22,6 +22,9 @@
 # with another replica, so that the library's own repetition is pushed out.
 RESEND_TIME_MS = 3_600_000
 RETRY_PAUSE_S = 0.05
+# A replica without a connection after this time is taken for down. A round trip
+# between regions fits.
+CONNECT_TIMEOUT_S = 0.3
 # Followers name a dead leader until they elect another, within about 1 s. A dial to
 # it would take up a whole attempt, so that it is passed over for this time. A leader
 # that lives and lost a connection is asked again well within a lease of 2 s.
@@ -134,6 +137,7 @@
     def __init__(self, *, address: str):
         self.address = address
         self.socket = None
+        self.connected = asyncio.Event()
         self.lost_at = float("-inf")
 
     def close(self):
@@ -150,16 +154,34 @@
                 reconnect_time_max=RECONNECT_MAX_MS,
             )
             loop = asyncio.get_running_loop()
+            self.connected = connected = asyncio.Event()
+
+            def added(pipe):
+                # Called on a thread of nng.
+                if not loop.is_closed():
+                    loop.call_soon_threadsafe(connected.set)
 
             def removed(pipe):
                 # Called on a thread of nng.
                 if not loop.is_closed():
                     loop.call_soon_threadsafe(self._connection_lost, socket)
 
+            socket.add_post_pipe_connect_cb(added)
             socket.add_post_pipe_remove_cb(removed)
             socket.dial(nng_url(self.address), block=False)
         return self.socket
 
+    async def _wait_connected(self, socket, timeout_s):
+        """Raises TimeoutError when the replica takes no connection in time."""
+        if self.connected.is_set():
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.connected.wait()
+        except TimeoutError:
+            self._connection_lost(socket)
+            raise
+
     def _connection_lost(self, socket):
         """Ends the calls on a lost connection, so that another replica is asked.
 
@@ -171,9 +193,10 @@
 
     async def call(self, request, *, timeout_s):
         """Returns the decoded reply; raises TimeoutError or NNGException."""
+        limit = asyncio.get_running_loop().time() + timeout_s
         socket = self._connected_socket()
+        await self._wait_connected(socket, min(timeout_s, CONNECT_TIMEOUT_S))
         context = socket.new_context()
-        limit = asyncio.get_running_loop().time() + timeout_s
         try:
             # One limit for each operation: pynng drops a cancellation that
             # arrives together with a result, and the next would have no limit.
--- a/tools/membership_mutations.py
+++ b/tools/membership_mutations.py
@@ -156,4 +156,11 @@
         new="if address == asked:",
         feature=CALL_SCENARIOS,
     ),
+    Mutation(
+        name="a call waits for a replica that takes no connection",
+        file="_transport/rpc.py",
+        old="        if self.connected.is_set():",
+        new="        if True:",
+        feature=CALL_SCENARIOS,
+    ),
 )
