--- a/src/plantainstage/_entry/host.py
+++ b/src/plantainstage/_entry/host.py
@@ -8,8 +8,10 @@
 from tornado.httpserver import HTTPServer
 
 from plantainstage._entry.announcements import Announcements
+from plantainstage._entry.claim_batches import ClaimBatches
 from plantainstage._entry.claims import Claims
 from plantainstage._entry.control_session import ControlSession
+from plantainstage._entry.departures import Departures
 from plantainstage._entry.gathers import Gathers
 from plantainstage._entry.handlers import (
     BODY_TIMEOUT_S,
@@ -97,8 +99,15 @@
             apply=self.apply,
             releasing=lambda: self.owners.releasing(),
         )
-        self.announcements = Announcements(client=self.clients[1])
-        self.claims = Claims(client=self.clients[1], entry=self.record)
+        self.announcements = Announcements(
+            client=self.clients[1],
+            on_draining=lambda upstream: self.departures.announced(
+                upstream, asyncio.get_running_loop().time()
+            ),
+        )
+        self.claims = Claims(
+            client=ClaimBatches(client=self.clients[1]), entry=self.record
+        )
 
     def _make_data_tasks(self):
         self.links = ForwardLinks(
@@ -109,6 +118,11 @@
             on_lost=lambda peer, queued: self.gathers.link_lost(peer, queued),
             expects_results=lambda peer: self.gathers.expects_results(peer),
         )
+        self.departures = Departures(
+            entry_id=self.record.entry_id,
+            links=self.links,
+            on_change=lambda: self._use(self.session.configuration),
+        )
         self.quarantining = Quarantining(
             entry_id=self.record.entry_id,
             client=self.clients[1],
@@ -165,10 +179,7 @@
         )
         self.routing.quarantines.apply_lifted(configuration.lifted, now=now)
         self.budgets.set_limits(configuration.profiles)
-        self.owners.apply(configuration)
-        self.queries.view = ConfigurationView(
-            configuration=configuration, routing=self.routing
-        )
+        self._use(configuration)
         ramp_started(
             before=self.session.configuration,
             after=configuration,
@@ -177,6 +188,13 @@
         )
         logger.info("configuration applied", version=configuration.version)
 
+    def _use(self, configuration):
+        """Acts on a configuration and on the departures ahead of it."""
+        now = asyncio.get_running_loop().time()
+        known = self.departures.apply(configuration, now)
+        self.owners.apply(known)
+        self.queries.view = ConfigurationView(configuration=known, routing=self.routing)
+
     def reason_not_ready(self):
         """Returns why the host should get no requests, or an empty string."""
         if self.draining:
@@ -238,6 +256,8 @@
                 self.routing.quarantines.apply_notice(message, now)
             case forward.RequestsFinished(sender=sender, incarnation=incarnation):
                 self.finished_peers[sender] = incarnation
+            case forward.DrainNotice():
+                self.departures.take(message, asyncio.get_running_loop().time())
 
     def tell_finished(self):
         """Tells the peers that this host sends no more sub-requests."""
--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -100,7 +100,10 @@
 
 
 class ClaimOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """The state of a claim; ``body`` is the encoded answer when answered."""
+    """The state of a claim; ``body`` is the encoded answer when answered.
+
+    An empty body means that the answer is not kept, or no longer.
+    """
 
     kind: ClaimOutcomeKind
     body: bytes = b""
@@ -183,6 +186,22 @@
     outcome: ClaimOutcome
 
 
+# Bounds of one ClaimBatch: its log entry and its reply are held in memory and
+# travel in one message. A member above the bytes travels by itself.
+MAX_BATCH_MEMBERS = 256
+MAX_BATCH_BYTES = 1024 * 1024
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Claims and outcomes that waited together on one entry host.
+
+    The members are decided in this order and committed as one log entry. Each
+    may be repeated without harm, and so may the batch.
+    """
+
+    members: tuple[ClaimRequest | CompleteClaim, ...]
+
+
 class ReportQuarantine(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks to refuse a fingerprint for ``duration_ms`` on every entry host.
 
@@ -223,6 +242,7 @@
     | QueryStatus
     | ClaimRequest
     | CompleteClaim
+    | ClaimBatch
     | ReportQuarantine
     | ChangeMember
 )
@@ -367,6 +387,21 @@
     remedy: str
 
 
+ClaimReply = (
+    ClaimGranted | ClaimExists | ClaimRefused | Done | RequestRejected | OutcomeUnknown
+)
+
+
+class ClaimBatchReplies(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """One reply for each member of a ClaimBatch, in its order.
+
+    ``OutcomeUnknown`` for a member means the same as for a whole request: send
+    this member again.
+    """
+
+    replies: tuple[ClaimReply, ...]
+
+
 ControlReply = (
     NotLeader
     | OutcomeUnknown
@@ -381,6 +416,7 @@
     | ClaimGranted
     | ClaimExists
     | ClaimRefused
+    | ClaimBatchReplies
     | Done
     | RequestRejected
 )
