Learn a partition's median exactly from its first answers

Change: HedgeDelay takes the exact median of the first 15 answers, then steps. Ruled out: the same for an owner's median, which refuses what does not fit it, so that a straggler as the first sample could keep all others out.

--- a/src/plantainstage/_routing/estimates.py
+++ b/src/plantainstage/_routing/estimates.py
@@ -6,6 +6,7 @@
 
 import math
 import random as random_module
+from bisect import insort
 
 from plantainstage._limits.admission import HostAdmission, PartitionWait
 from plantainstage._limits.quarantine import QuarantineTable
@@ -24,26 +25,46 @@
 HEDGE_QUANTILE = 0.95
 HEDGE_STEP = 0.1
 MEDIAN_STEP = 0.02
+EXACT_SAMPLES = 15
 MINIMUM_HEDGE_DELAY_S = 0.001
 INITIAL_HEDGE_DELAY_S = 0.02
 
 
 class HedgeDelay:
-    """The learnt 95th percentile (``value``) and median latency of a partition."""
+    """The learnt 95th percentile (``value``) and median latency of a partition.
 
-    __slots__ = ("value", "median")
+    The median is exact for the first samples and then follows by small steps.
+    Steps alone take 80 samples from 5 ms to 24 ms, which was 10 s in which hedges
+    left too late to be answered and used up the extra-load budget.
+    """
+
+    __slots__ = ("value", "median", "first")
 
     def __init__(self):
         self.value = INITIAL_HEDGE_DELAY_S
         self.median = INITIAL_SERVICE_S
+        self.first = []
 
     def observe(self, latency_s):
-        """Moves the estimate by a small step towards the quantile."""
+        """Moves the estimates towards their quantiles."""
         if latency_s > self.value:
             self.value *= 1 + HEDGE_STEP * HEDGE_QUANTILE
         elif self.value > MINIMUM_HEDGE_DELAY_S:
             self.value *= 1 - HEDGE_STEP * (1 - HEDGE_QUANTILE)
-        self.median *= 1 + MEDIAN_STEP if latency_s > self.median else 1 - MEDIAN_STEP
+        if self.first is not None:
+            self._observe_first(latency_s)
+        elif latency_s > self.median:
+            self.median *= 1 + MEDIAN_STEP
+        else:
+            self.median *= 1 - MEDIAN_STEP
+
+    def _observe_first(self, latency_s):
+        insort(self.first, latency_s)
+        # The lower of two middle samples: one straggler among the first two must
+        # not pass for the median.
+        self.median = self.first[(len(self.first) - 1) // 2]
+        if len(self.first) == EXACT_SAMPLES:
+            self.first = None
 
 
 class SearcherEstimate:
