Send no probe for a straggler of a searcher that replies

Change: a reply to a cancelled exchange teaches the threshold its running time, and a deadline that passes calls for a probe only if the searcher has not replied on any connection for 0.5 s, so that a lost searcher is found up to 0.5 s later. The two new scenarios of behaviour/owner_queue fail when cancelled exchanges teach nothing and when quiet() is always true.

--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -155,6 +155,44 @@
     context.found_after = context.now - began
 
 
+@when('{count:d} sub-requests of "a" in turn are cancelled after {duration_s:g} s')
+def cancel_stragglers(context, count, duration_s):
+    for number in range(count):
+        item = sub_request(f"a{number}", "a")
+        submit(context, item)
+        cancelled_at = context.now + duration_s
+        while context.queue.running:
+            context.now += STEP_S
+            context.actions += context.queue.on_timer(context.now)
+            for action in take_actions(context):
+                match action:
+                    case ProbeSearcher(profile=profile, sub_request_ids=ids):
+                        context.probes.append(profile)
+                        context.actions += context.queue.probe_finished(
+                            True, context.now, statuses=dict.fromkeys(ids, True)
+                        )
+            if context.now >= cancelled_at:
+                finish(context, item.sub_request_id, SubOutcome.CANCELLED)
+
+
+@when(
+    '{count:d} times a sub-request of "a" is answered and the next gets no byte for'
+    " {duration_s:g} s"
+)
+def alternate(context, count, duration_s):
+    for number in range(count):
+        for outcome in (SubOutcome.ANSWERED, SubOutcome.TIMED_OUT):
+            key = f"{outcome.value}-{number}"
+            submit(context, sub_request(key, "a", remaining_ms=duration_s * 1000))
+            context.now += duration_s if outcome is SubOutcome.TIMED_OUT else STEP_S
+            finish(context, key, outcome)
+            for action in take_actions(context):
+                if isinstance(action, ProbeSearcher):
+                    context.probes.append(action.profile)
+                    context.actions += context.queue.probe_finished(True, context.now)
+        context.now += DEADLINE_S  # the slot is free again
+
+
 @then("it is closed as silent after {low:g} s and before {high:g} s")
 def check_found(context, low, high):
     assert context.outcomes == [SubOutcome.SILENT], context.outcomes
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -398,13 +398,16 @@
                 step = MEDIAN_STEP if elapsed > self.median_s else -MEDIAN_STEP
                 self.median_s *= 1 + step
                 self.silence.observe(elapsed)
-                self.silence.answered()
+                self.silence.answered(now)
                 sub_request = running.queued.sub_request
                 self.quarantines.record_answer(
                     sub_request.fingerprint, sub_request.partition
                 )
-            case SubOutcome.REFUSED | SubOutcome.CANCELLED:
-                self.silence.answered()
+            case SubOutcome.REFUSED:
+                self.silence.answered(now)
+            case SubOutcome.CANCELLED:
+                self.silence.observe_at_least(elapsed)
+                self.silence.answered(now)
             case SubOutcome.SILENT:
                 # The probe was answered, so the searcher may just have become
                 # slower than the threshold, which has to grow with it then.
@@ -425,8 +428,10 @@
                         )
                     )
             case SubOutcome.TIMED_OUT if not running.got_byte:
-                self.probe_profile = running.queued.profile
-                self._probe(actions, now)
+                # A searcher that replies on other connections is only slow.
+                if self.silence.quiet(now):
+                    self.probe_profile = running.queued.profile
+                    self._probe(actions, now)
             case SubOutcome.NOT_SENT if reason == "connection_refused":
                 self.probe_profile = running.queued.profile
                 self.silence.refused()
--- a/src/plantainstage/_limits/silence.py
+++ b/src/plantainstage/_limits/silence.py
@@ -13,6 +13,9 @@
 # A reply to a probe takes one round trip and 6 ms to open the connection.
 PROBE_TIMEOUT_S = 0.05
 PROBE_INTERVAL_S = 0.2
+# Without a reply for so long, an exchange that times out calls for a probe. A lost
+# searcher is found this much later; probes for mere stragglers take hedges' room.
+QUIET_S = 0.5
 
 
 class Reachability(enum.Enum):
@@ -37,6 +40,7 @@
         self.p99_s = INITIAL_P99_S
         self.state = Reachability.REACHABLE
         self.next_probe = None
+        self.answered_at = float("-inf")
 
     @property
     def suspect_after_s(self):
@@ -50,6 +54,15 @@
         else:
             self.p99_s *= 1 - P99_STEP * (1 - P99)
 
+    def observe_at_least(self, elapsed_s):
+        """Learns from a reply to a sub-request that would have run longer.
+
+        Stragglers are mostly cancelled. If only answers counted, each would look
+        silent, and its probe would use up room for a hedge.
+        """
+        if elapsed_s > self.p99_s:
+            self.observe(elapsed_s)
+
     def probe_due(self, now):
         """Whether a probe should be sent now, if it is allowed."""
         if self.state is Reachability.PROBING:
@@ -83,6 +96,11 @@
         """No connection could be opened, so that nothing can be sent."""
         self.state = Reachability.UNREACHABLE
 
-    def answered(self):
-        """An answer arrived; the searcher is reachable."""
+    def answered(self, now):
+        """A reply arrived; the searcher is reachable."""
         self.state = Reachability.REACHABLE
+        self.answered_at = now
+
+    def quiet(self, now):
+        """Whether the searcher has not replied on any connection of late."""
+        return now - self.answered_at > QUIET_S
