Wait for a searcher's first announcement in the scenarios that move data

Change: wait_until_announced takes an unregistered searcher as not yet there. What the scenarios check is unchanged.

--- a/features/support/tier.py
+++ b/features/support/tier.py
@@ -167,11 +167,12 @@
 
         def version_of_it():
             value = self.control_call(control.QueryConfiguration()).configuration
+            known = {upstream.upstream_id: upstream for upstream in value.upstreams}
+            if upstream_id not in known:
+                return 0  # its first announcement is still under way
             holdings = {
                 holding.snapshot: holding.partitions
-                for upstream in value.upstreams
-                if upstream.upstream_id == upstream_id
-                for holding in upstream.holdings
+                for holding in known[upstream_id].holdings
             }
             return value.version if condition(holdings) else 0
 
