Give the demo ports that outgoing connections cannot take

Cause: a run of examples/run_demo.py failed because control-1's peer port, chosen from the kernel's range for outgoing connections, was in use when it started. Change: single ports come from 30,000 to 31,999, each given out once.

--- a/examples/run_demo.py
+++ b/examples/run_demo.py
@@ -24,6 +24,7 @@
 START_LIMIT_S = 20
 STOP_LIMIT_S = 10
 FIRST_PORT, LAST_PORT = 20_000, 30_000  # below the ephemeral ports
+_single_ports = iter(range(LAST_PORT, LAST_PORT + 2000))
 PARTITIONS = 6
 REPLICAS = 2
 QUIET_S = 1.0  # how long the removed searcher is watched
@@ -34,10 +35,19 @@
 
 
 def free_address():
-    """Returns an ``IP:port`` that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address whose port was free and not given out before.
+
+    A port that the kernel gives to outgoing connections could be taken before
+    its use.
+    """
+    for port in _single_ports:
+        with contextlib.closing(socket.socket()) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
+    raise DemoFailedError("no free port")
 
 
 def free_ports(count, taken):
