--- a/features/steps/probe_steps.py
+++ b/features/steps/probe_steps.py
@@ -76,6 +76,14 @@
         actions = take_actions(context)
 
 
+def answer_status(context, probe, *, running):
+    """Answers a probe with whether the sub-requests that it names still run."""
+    context.probes.append(probe.profile)
+    context.actions += context.queue.probe_finished(
+        True, context.now, statuses=dict.fromkeys(probe.sub_request_ids, running)
+    )
+
+
 @then('{count:d} probes have been sent for "{profile}"')
 def check_probes(context, count, profile):
     assert context.probes == [profile] * count, context.probes
@@ -143,12 +151,9 @@
         context.actions += context.queue.on_timer(context.now)
         for action in take_actions(context):
             match action:
-                case ProbeSearcher(profile=profile, sub_request_ids=ids):
-                    context.probes.append(profile)
-                    runs = context.now < began + duration_s
-                    context.actions += context.queue.probe_finished(
-                        True, context.now, statuses=dict.fromkeys(ids, runs)
-                    )
+                case ProbeSearcher():
+                    running = context.now < began + duration_s
+                    answer_status(context, action, running=running)
                 case CloseConnection(silent=True):
                     finish(context, "long", SubOutcome.SILENT)
         assert context.now < began + 60, "the loss was not found"
@@ -165,12 +170,8 @@
             context.now += STEP_S
             context.actions += context.queue.on_timer(context.now)
             for action in take_actions(context):
-                match action:
-                    case ProbeSearcher(profile=profile, sub_request_ids=ids):
-                        context.probes.append(profile)
-                        context.actions += context.queue.probe_finished(
-                            True, context.now, statuses=dict.fromkeys(ids, True)
-                        )
+                if isinstance(action, ProbeSearcher):
+                    answer_status(context, action, running=True)
             if context.now >= cancelled_at:
                 finish(context, item.sub_request_id, SubOutcome.CANCELLED)
 
