--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -48,6 +48,49 @@
         return SettingsError(self.message, excs)
 
 
+# ---- Serving configuration ------------------------------------------------------
+
+
+@dataclass(frozen=True, kw_only=True)
+class ConfigurationProblem:
+    """One thing that is wrong, and where: ``route NAME``, ``service NAME``."""
+
+    place: str
+    detail: str
+
+    def __str__(self):
+        return f"{self.place}: {self.detail}"
+
+
+@dataclass(kw_only=True, eq=False)
+class InvalidConfigurationError(PlantainstageError):
+    """A configuration that is refused as a whole; nothing of it is in force."""
+
+    problems: tuple[ConfigurationProblem, ...]
+
+    @classmethod
+    def unreadable(cls, detail):
+        """Returns the error for a document that cannot be read in full."""
+        return cls(problems=(ConfigurationProblem(place="document", detail=detail),))
+
+    def describe(self):
+        return (
+            "The configuration is refused; nothing of it is in force. "
+            + "; ".join(map(str, self.problems))
+            + ". Correct it and send it again under a higher version."
+        )
+
+
+@dataclass(kw_only=True, eq=False)
+class InvalidAnnouncementError(PlantainstageError):
+    """An announcement of a searcher that cannot be read; it changes nothing."""
+
+    detail: str
+
+    def describe(self):
+        return f"The announcement is refused: {self.detail}. Correct it and repeat it."
+
+
 # ---- Requests of callers --------------------------------------------------------
 
 
--- /dev/null
+++ b/src/plantainstage/_gateway/answers.py
@@ -0,0 +1,40 @@
+"""Answers to callers, and the refusals of the tier itself."""
+
+from dataclasses import dataclass, field
+
+from tornado import httputil
+
+# A host without a configuration or a service without searchers recovers within a
+# heartbeat; a later return would miss the caller's aim anyhow.
+RETRY_SOON_S = 0.1
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """A final answer; ``reason`` says in the logs why it is what it is."""
+
+    status: int
+    body: bytes = b""
+    headers: httputil.HTTPHeaders = field(default_factory=httputil.HTTPHeaders)
+    reason: str = ""
+
+
+def refusal(*, reason: str, retry_after_s: float = RETRY_SOON_S) -> Answer:
+    """Returns a 503: the request has not run and never will."""
+    headers = httputil.HTTPHeaders({"Retry-After": f"{retry_after_s:.3f}"})
+    return Answer(status=503, headers=headers, reason=reason)
+
+
+def no_route() -> Answer:
+    """Returns a 404 for a request that the configuration has no route for."""
+    return Answer(status=404, reason="no_route")
+
+
+def failed(*, reason: str) -> Answer:
+    """Returns a 502: the request may have run, and there is no answer."""
+    return Answer(status=502, reason=reason)
+
+
+def timed_out() -> Answer:
+    """Returns a 504: the request may have run; its time is used up."""
+    return Answer(status=504, reason="timed_out")
--- /dev/null
+++ b/src/plantainstage/_gateway/control_link.py
@@ -0,0 +1,123 @@
+"""Polls every control replica for the configuration and for searchers."""
+
+import asyncio
+
+import msgspec
+import pynng
+
+from plantainstage._errors import InvalidConfigurationError
+from plantainstage._messages import serving
+from plantainstage._serving.searchers import SearcherState
+from plantainstage._serving.vouching import VouchedSearchers
+from plantainstage._transport.rpc import RpcClient
+
+POLL_INTERVAL_S = 0.35
+POLL_TIMEOUT_S = 0.8
+SOURCE_LOST_S = 2.0
+EXPIRE_INTERVAL_S = 0.25
+
+
+class ControlLink:
+    """Keeps the router informed; ``addresses()`` names replicas to begin with.
+
+    Each replica is polled by a task of its own, so that one that is cut off or
+    hangs delays nothing that another one knows.
+    """
+
+    def __init__(self, *, host_id, router, addresses, decode, on_limits, events):
+        self.host_id = host_id
+        self.router = router
+        self.addresses = addresses
+        self.decode = decode
+        self.on_limits = on_limits
+        self.events = events
+        self.vouched = VouchedSearchers()
+        self.pollers = {}
+
+    async def run(self):
+        """Runs until it is cancelled."""
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                self._start_pollers(self.addresses())
+                for searcher_id in self.vouched.expire(loop.time()):
+                    self.events.note("searcher_lost", searcher=searcher_id)
+                    self.router.fleet.forget(searcher_id)
+                await asyncio.sleep(EXPIRE_INTERVAL_S)
+        finally:
+            for poller in self.pollers.values():
+                poller.cancel()
+
+    def _start_pollers(self, addresses):
+        for address in addresses:
+            if address not in self.pollers:
+                task = asyncio.create_task(self._poll(address))
+                self.pollers[address] = task
+
+    async def _poll(self, address):
+        loop = asyncio.get_running_loop()
+        client = RpcClient(address=address, replies=serving.REPLIES)
+        process, cursor = "", 0
+        heard_at = loop.time()
+        reachable = False
+        while True:
+            request = serving.SyncRequest(
+                host_id=self.host_id,
+                process=process,
+                cursor=cursor,
+                version=self.router.version,
+            )
+            try:
+                reply = await client.call(request, timeout_s=POLL_TIMEOUT_S)
+            except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
+                if reachable and loop.time() - heard_at > SOURCE_LOST_S:
+                    reachable = False
+                    self.vouched.source_lost(process, loop.time())
+                    reason = type(error).__name__
+                    self.events.note("control_lost", replica=address, reason=reason)
+            else:
+                if not reachable:
+                    self.events.note("control_reached", replica=address)
+                reachable, heard_at = True, loop.time()
+                if process and reply.process != process:
+                    self.vouched.source_lost(process, loop.time())
+                process, cursor = reply.process, reply.cursor
+                self._take(reply)
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _take(self, reply):
+        self.router.set_hosts(reply.hosts)
+        self._start_pollers(reply.replicas)
+        for searcher in reply.searchers:
+            news = self.vouched.hear(reply.process, searcher)
+            if news is not None:
+                self._learn(news)
+        now = asyncio.get_running_loop().time()
+        for searcher_id in reply.silent:
+            self.vouched.silent(reply.process, searcher_id, now)
+        if reply.document is not None and reply.version > self.router.version:
+            self._apply(reply)
+
+    def _learn(self, searcher):
+        self.router.fleet.learn(searcher)
+        event = "searcher_ready"
+        if searcher.state is not SearcherState.READY:
+            event = "searcher_leaves"
+        self.events.note(
+            event,
+            searcher=searcher.searcher_id,
+            service=searcher.service,
+            data_centre=searcher.data_centre,
+        )
+
+    def _apply(self, reply):
+        try:
+            configuration = self.decode(reply.document)
+        except InvalidConfigurationError as error:
+            # Control checks documents before it stores them, so that only another
+            # release of this program can have let this one pass.
+            self.events.note("configuration_unreadable", reason=str(error)[:500])
+            return
+        if self.router.apply(configuration):
+            self.on_limits(configuration.limits)
+            self.events.note("configuration_in_force", version=configuration.version)
--- /dev/null
+++ b/src/plantainstage/_gateway/daemon.py
@@ -0,0 +1,118 @@
+"""One entry host of routed requests, with its sockets and tasks."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado import web
+from tornado.httpserver import HTTPServer
+
+from plantainstage._gateway.control_link import ControlLink
+from plantainstage._gateway.dialect import HeaderNames
+from plantainstage._gateway.ingress import Ingress
+from plantainstage._gateway.router import Router
+from plantainstage._serving.configuration import (
+    ConfigurationDecoder,
+    decode_configuration,
+)
+from plantainstage._serving.retry_budget import BudgetTerms
+
+# A planned stop: the balancer notices within two missed probes, a second apart.
+DRAIN_S = 2.6
+STOP_POLL_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class GatewaySettings:
+    """Settings of one entry host of routed requests.
+
+    ``control_addresses()`` returns the sync addresses named by the settings of
+    the moment. ``stop_s`` is how long a planned stop may take.
+    """
+
+    host_id: str
+    data_centre: str
+    listen: str
+    ready_listen: str
+    control_addresses: Callable[[], tuple[str, ...]]
+    ready_path: str = "/readyz"
+    names: HeaderNames = field(default_factory=HeaderNames)
+    decode_configuration: ConfigurationDecoder = decode_configuration
+    budget: BudgetTerms = field(default_factory=BudgetTerms)
+    stop_s: float = 6.0
+
+
+class _Ready(web.RequestHandler):
+    def initialize(self, gateway):
+        self.gateway = gateway
+
+    def get(self):
+        self.set_status(200 if self.gateway.is_ready else 503)
+        self.finish()
+
+
+class GatewayDaemon:
+    """Serves callers until it is stopped."""
+
+    def __init__(self, *, settings: GatewaySettings, events):
+        self.settings = settings
+        self.events = events
+        self.stopping = False
+        self.router = Router(
+            names=settings.names,
+            data_centre=settings.data_centre,
+            terms=settings.budget,
+            events=events,
+        )
+        self.ingress = Ingress(router=self.router)
+
+    @property
+    def is_ready(self):
+        """Whether the balancer should send new connections here."""
+        return not self.stopping and self.router.table is not None
+
+    async def run(self, stop: asyncio.Event):
+        """Serves until ``stop`` is set and all requests are answered."""
+        probes = self._probe_server()
+        self.ingress.listen(self.settings.listen)
+        link = ControlLink(
+            host_id=self.settings.host_id,
+            router=self.router,
+            addresses=self.settings.control_addresses,
+            decode=self.settings.decode_configuration,
+            on_limits=self.ingress.set_limits,
+            events=self.events,
+        )
+        linking = asyncio.create_task(link.run())
+        self.events.note("started", address=self.settings.listen)
+        await stop.wait()
+        await self._drain()
+        linking.cancel()
+        probes.stop()
+        self.events.note("stopped")
+        self.events.flush()
+
+    def _probe_server(self):
+        path = self.settings.ready_path
+        application = web.Application(
+            [(path, _Ready, {"gateway": self})], log_function=lambda handler: None
+        )
+        server = HTTPServer(application)
+        host, _, port = self.settings.ready_listen.rpartition(":")
+        server.listen(int(port), address=host)
+        return server
+
+    async def _drain(self):
+        """Fails readiness, serves on until callers have gone, then closes."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self.stopping = self.ingress.stopping = True
+        self.events.note("stopping", running=len(self.ingress.running))
+        await asyncio.sleep(min(DRAIN_S, self.settings.stop_s / 2))
+        self.ingress.server.stop()
+        while self.ingress.running:
+            if loop.time() - began_at > self.settings.stop_s - 0.5:
+                self.events.note("stop_cut_short", running=len(self.ingress.running))
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        await self.ingress.stop()
--- /dev/null
+++ b/src/plantainstage/_gateway/events.py
@@ -0,0 +1,74 @@
+"""Event lines on standard output: one JSON object for each decision.
+
+Lines are collected and handed to the writer in batches, so that a request costs
+no wake-up of another thread. Each second has a budget of lines; requests that
+failed or were late are kept before those that went well, and what is dropped is
+counted in the next batch.
+"""
+
+import asyncio
+import time
+
+import msgspec
+
+FLUSH_INTERVAL_S = 0.25
+LINES_PER_SECOND = 200
+# Beyond this share of the budget only lines of importance are kept.
+ORDINARY_SHARE = 0.5
+
+_encoder = msgspec.json.Encoder()
+
+
+class EventLog:
+    """Writes events as JSON lines through ``put``, a function that never blocks."""
+
+    def __init__(self, *, program: str, host_id: str, put):
+        self.program = program
+        self.host_id = host_id
+        self.put = put
+        self.lines = []
+        self.second = 0
+        self.in_second = 0
+        self.dropped = 0
+        self.timer = None
+
+    def note(self, event: str, **fields):
+        """Logs a change of belief, a lifecycle event or a failed request."""
+        self._add(event, fields, LINES_PER_SECOND)
+
+    def note_ordinary(self, event: str, **fields):
+        """Logs a request that went well; the first to be dropped under load."""
+        self._add(event, fields, LINES_PER_SECOND * ORDINARY_SHARE)
+
+    def flush(self):
+        """Hands over what was collected."""
+        self.timer = None
+        if self.dropped:
+            self.lines.append(self._encode("lines_dropped", {"count": self.dropped}))
+            self.dropped = 0
+        if self.lines:
+            self.put("\n".join(self.lines))
+            self.lines = []
+
+    def _add(self, event, fields, limit):
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second, self.in_second = second, 0
+        if self.in_second >= limit:
+            self.dropped += 1
+            return
+        self.in_second += 1
+        self.lines.append(self._encode(event, fields))
+        if self.timer is None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(FLUSH_INTERVAL_S, self.flush)
+
+    def _encode(self, event, fields):
+        line = {
+            "time": round(time.time(), 3),
+            "event": event,
+            "program": self.program,
+            "host": self.host_id,
+            **fields,
+        }
+        return _encoder.encode(line).decode()
--- /dev/null
+++ b/src/plantainstage/_gateway/ingress.py
@@ -0,0 +1,130 @@
+"""The HTTP server for callers: whole requests in, whole answers out."""
+
+import asyncio
+
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+
+from plantainstage._gateway import answers
+from plantainstage._gateway.messages import CallerRequest
+from plantainstage._gateway.requests import start_request
+
+# Before a configuration is in force.
+DEFAULT_HEAD_BYTES = 64 * 1024
+DEFAULT_BODY_BYTES = 1024 * 1024
+DEFAULT_IDLE_S = 60.0
+# A caller may use a connection that was idle for a little less than the limit.
+IDLE_MARGIN_S = 1.0
+
+
+class Ingress(httputil.HTTPServerConnectionDelegate):
+    """Takes requests from callers and passes them to the router."""
+
+    def __init__(self, *, router):
+        self.router = router
+        self.server = HTTPServer(
+            self,
+            idle_connection_timeout=DEFAULT_IDLE_S,
+            max_header_size=DEFAULT_HEAD_BYTES,
+            max_body_size=DEFAULT_BODY_BYTES,
+        )
+        self.running = set()
+        self.stopping = False
+
+    def listen(self, address: str):
+        """Listens on ``IP:port``; raises OSError."""
+        host, _, port = address.rpartition(":")
+        self.server.listen(int(port), address=host)
+
+    def set_limits(self, limits):
+        """Applies the caller limits of a configuration to new connections."""
+        self.server.conn_params.max_header_size = limits.head_bytes
+        self.server.conn_params.max_body_size = limits.body_bytes
+        idle_s = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        self.server.conn_params.header_timeout = idle_s
+
+    def start_request(self, server_conn, request_conn):
+        """Takes the next request of a connection."""
+        return IngressRequest(ingress=self, connection=request_conn)
+
+    def on_close(self, server_conn):
+        """Does nothing: each request hears of the close by itself."""
+
+    async def stop(self):
+        """Closes the listening socket and idle connections."""
+        self.server.stop()
+        await self.server.close_all_connections()
+
+
+class IngressRequest(httputil.HTTPMessageDelegate):
+    """One request of a caller on its connection."""
+
+    def __init__(self, *, ingress, connection):
+        self.ingress = ingress
+        self.connection = connection
+        self.start_line = None
+        self.headers = None
+        self.chunks = []
+        self.received_at = 0.0
+        self.routed = None
+        self.replied = False
+
+    # ---- Events of tornado --------------------------------------------------------
+
+    def headers_received(self, start_line, headers):
+        self.start_line = start_line
+        self.headers = headers
+        self.received_at = asyncio.get_running_loop().time()
+
+    def data_received(self, chunk):
+        self.chunks.append(chunk)
+
+    def finish(self):
+        self.connection.set_close_callback(self._caller_left)
+        self.ingress.running.add(self)
+        router = self.ingress.router
+        if router.table is None:
+            self._reply(answers.refusal(reason="no_configuration"))
+            return
+        route = router.table.find(self.headers.get("Host", ""), self.start_line.path)
+        if route is None:
+            self._reply(answers.no_route())
+            return
+        request = CallerRequest.of(
+            start_line=self.start_line,
+            headers=self.headers,
+            body=b"".join(self.chunks),
+            names=router.names,
+            received_at=self.received_at,
+        )
+        self.routed = start_request(
+            router=router, route=route, request=request, reply=self._reply
+        )
+
+    def on_connection_close(self):
+        """The connection closed before the request was complete."""
+        self.ingress.running.discard(self)
+
+    # ---- Answer -------------------------------------------------------------------
+
+    def _caller_left(self):
+        self.ingress.running.discard(self)
+        if self.routed is not None and not self.replied:
+            self.routed.caller_left()
+
+    def _reply(self, answer):
+        self.replied = True
+        self.ingress.running.discard(self)
+        if self.connection.stream is None or self.connection.stream.closed():
+            return
+        headers = answer.headers
+        bodiless = answer.status in (204, 304)
+        if not bodiless:
+            headers["Content-Length"] = str(len(answer.body))
+        if self.ingress.stopping:
+            headers["Connection"] = "close"
+        reason = httputil.responses.get(answer.status, "Unknown")
+        line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
+        body = None if bodiless or self.start_line.method == "HEAD" else answer.body
+        self.connection.write_headers(line, headers, body)
+        self.connection.finish()
--- /dev/null
+++ b/src/plantainstage/_gateway/messages.py
@@ -0,0 +1,154 @@
+"""Requests of callers, replies of searchers and their outcomes, typed."""
+
+import enum
+from dataclasses import dataclass
+
+from tornado import httputil
+
+from plantainstage._gateway.dialect import HOP_BY_HOP, HeaderNames
+
+STATUS_MISDIRECTED = 421
+MAX_DEADLINE_MS = 3_600_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerRequest:
+    """One request as a caller sent it; times are the event loop's."""
+
+    method: str
+    target: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    request_id: str
+    deadline_ms: int | None
+    received_at: float
+
+    @classmethod
+    def of(cls, *, start_line, headers, body, names: HeaderNames, received_at):
+        """Reads what the tier needs to know from the headers."""
+        return cls(
+            method=start_line.method,
+            target=start_line.path,
+            headers=headers,
+            body=body,
+            request_id=headers.get(names.request_id, ""),
+            deadline_ms=_deadline_of(headers.get(names.deadline, "")),
+            received_at=received_at,
+        )
+
+
+def _deadline_of(text):
+    if not text.isascii() or not text.isdigit():
+        return None
+    return min(int(text), MAX_DEADLINE_MS)
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """What a searcher says of itself: running and waiting requests, and slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @classmethod
+    def parse(cls, text):
+        """Returns the report, or None if the text is not one."""
+        fields = text.split(",")
+        if len(fields) < 3 or not all(f.strip().isdigit() for f in fields[:3]):
+            return None
+        running, waiting, slots = (int(field) for field in fields[:3])
+        return cls(running=running, waiting=waiting, slots=slots)
+
+
+@dataclass(frozen=True, kw_only=True)
+class SearcherReply:
+    """A complete reply of a searcher."""
+
+    status: int
+    reason: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    signature: str
+    not_executed: bool
+    load: LoadReport | None
+
+    @property
+    def is_success(self):
+        """Whether a caller may take it for a success."""
+        return 200 <= self.status < 300 and bool(self.signature)
+
+    @property
+    def not_run(self):
+        """Whether the searcher promises that it did not run the request."""
+        return self.not_executed or self.status == STATUS_MISDIRECTED
+
+
+class FailureKind(enum.Enum):
+    """Why a request got no complete reply from a searcher."""
+
+    UNREACHABLE = "unreachable"  # nothing was sent
+    BROKEN = "broken"  # bytes were sent; it may have run
+    ABANDONED = "abandoned"  # closed by this host
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallFailure:
+    """A request that got no complete reply."""
+
+    kind: FailureKind
+    reason: str
+
+    @property
+    def not_run(self):
+        """Whether it is certain that no searcher ran the request."""
+        return self.kind is FailureKind.UNREACHABLE
+
+
+CallOutcome = SearcherReply | CallFailure
+
+
+def request_head(request: CallerRequest, names: HeaderNames) -> bytes:
+    """Returns the start line and the headers that are the same for all searchers.
+
+    The values were checked by tornado's parser when they came, so that none holds
+    a line end. The head is formatted once a request, not once a shard.
+    """
+    dropped = HOP_BY_HOP | _named_by_connection(request.headers)
+    dropped |= {"Content-Length", names.deadline, names.expected_searcher}
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in request.headers.get_all()
+        if name not in dropped
+    ]
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    return ("\r\n".join(lines) + "\r\n").encode("latin1")
+
+
+def _named_by_connection(headers):
+    listed = headers.get("Connection", "")
+    return {name.strip().title() for name in listed.split(",") if name.strip()}
+
+
+def addressed_request(
+    *, head: bytes, body: bytes, names: HeaderNames, searcher_id: str, left_ms: int
+) -> bytes:
+    """Completes a head for one searcher, with the time that is left."""
+    own = (
+        f"{names.deadline}: {left_ms}\r\n"
+        f"{names.expected_searcher}: {searcher_id}\r\n\r\n"
+    )
+    return head + own.encode("latin1") + body
+
+
+def reply_headers(reply: SearcherReply, names: HeaderNames) -> httputil.HTTPHeaders:
+    """Returns the headers of a searcher's reply that its caller gets."""
+    dropped = HOP_BY_HOP | _named_by_connection(reply.headers)
+    dropped |= {"Content-Length", names.load}
+    kept = httputil.HTTPHeaders()
+    for name, value in reply.headers.get_all():
+        if name not in dropped:
+            kept.add(name, value)
+    return kept
--- /dev/null
+++ b/src/plantainstage/_gateway/pool.py
@@ -0,0 +1,100 @@
+"""The connections of one entry host to one searcher."""
+
+import asyncio
+
+from plantainstage._errors import ExchangeError
+from plantainstage._gateway.connection import SearcherConnection, SearcherReplyReader
+from plantainstage._gateway.messages import CallFailure, FailureKind
+from plantainstage._serving.searchers import Searcher
+
+CONNECT_TIMEOUT_S = 0.3  # an opening takes 6 ms and a round trip between regions
+
+
+class SearcherPool:
+    """Idle and busy connections to one start of a searcher."""
+
+    def __init__(self, *, searcher: Searcher, names):
+        self.searcher = searcher
+        self.names = names
+        self.idle = []  # the one used last is at the end
+        self.count = 0  # open and opening
+        self.retired = False
+
+    # ---- Queries ------------------------------------------------------------------
+
+    def has_room(self, cap, now):
+        """Whether a request can be sent with at most ``cap`` connections."""
+        return self.count < cap or any(self._usable(c, now) for c in self.idle)
+
+    def _usable(self, connection, now):
+        return connection.reusable and now < connection.usable_until
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def take_idle(self, now):
+        """Returns an idle connection that may be used again, or None."""
+        while self.idle:
+            connection = self.idle.pop()
+            if self._usable(connection, now):
+                return connection
+            self.discard(connection)
+        return None
+
+    async def open(self):
+        """Returns a new connection, or None if the searcher takes none in time."""
+        self.count += 1
+        try:
+            return await SearcherConnection.open(
+                address=self.searcher.address,
+                timeout_s=CONNECT_TIMEOUT_S,
+                on_closed=self._closed,
+            )
+        except ExchangeError:
+            self.count -= 1
+            return None
+        except asyncio.CancelledError:
+            self.count -= 1
+            raise
+
+    def exchange(self, connection, *, request, request_id, on_done):
+        """Sends a request; ``on_done`` gets a SearcherReply or a CallFailure."""
+        reader = SearcherReplyReader(names=self.names, request_id=request_id)
+
+        def done(outcome):
+            if isinstance(outcome, ExchangeError):
+                sent = outcome.bytes_sent
+                kind = FailureKind.BROKEN if sent else FailureKind.UNREACHABLE
+                on_done(CallFailure(kind=kind, reason=outcome.reason))
+                return
+            self.put_back(connection, reader)
+            on_done(outcome)
+
+        connection.send_request(request=request, reader=reader, on_done=done)
+
+    def put_back(self, connection, reader):
+        """Keeps a connection after a complete reply, if it may be used again."""
+        if self.retired or (reader is not None and reader.foreign_replies):
+            self.discard(connection)
+            return
+        if connection.closed:
+            return
+        if reader is not None:
+            now = asyncio.get_running_loop().time()
+            connection.usable_until = now + reader.idle_limit_s()
+        self.idle.append(connection)
+
+    def discard(self, connection):
+        """Closes a connection."""
+        connection.close()
+
+    def retire(self):
+        """Closes idle connections now and the others after their reply."""
+        self.retired = True
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+
+    def _closed(self, connection):
+        self.count -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
--- /dev/null
+++ b/src/plantainstage/_gateway/requests.py
@@ -0,0 +1,292 @@
+"""The two kinds of requests: to one service, and to all shards."""
+
+import asyncio
+from collections.abc import Callable
+
+from tornado import httputil
+
+from plantainstage._gateway import answers
+from plantainstage._gateway.messages import (
+    CallerRequest,
+    SearcherReply,
+    reply_headers,
+    request_head,
+)
+from plantainstage._gateway.service_request import ServiceRequest
+from plantainstage._serving import gathering
+from plantainstage._serving.configuration import AllOf, OneOf, Route
+from plantainstage._serving.gathering import GatherTerms, Progress, Step
+from plantainstage._serving.records import greatest_records
+
+# Searchers still at work when the answer has left may end within this time, so
+# that their connections stay usable.
+LOSER_GRACE_S = 0.25
+LEFT_GRACE_S = 0.05  # after the caller has left
+
+
+class RoutedRequest:
+    """Base of both kinds; ``reply`` gets the Answer exactly once."""
+
+    def __init__(
+        self, *, router, route: Route, request: CallerRequest, reply: Callable
+    ):
+        self.router = router
+        self.route = route
+        self.request = request
+        self.reply = reply
+        self.loop = asyncio.get_running_loop()
+        timeout_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms)
+        self.end_at = request.received_at + timeout_ms / 1000
+        self.version = router.version
+        self.head = request_head(request, router.names)
+        self.parts = []
+        self.timer = None
+        self.over = False
+
+    def caller_left(self):
+        """Ends the work: nobody waits for the answer."""
+        if self.over:
+            return
+        self._close(LEFT_GRACE_S)
+        self._log("caller_left", status=0)
+
+    def _service_request(self, service):
+        return ServiceRequest(
+            router=self.router,
+            route=self.route,
+            service=service,
+            request=self.request,
+            head=self.head,
+            end_at=self.end_at,
+            on_done=self._part_done,
+        )
+
+    def _finish(self, answer):
+        if self.over:
+            return
+        self._close(LOSER_GRACE_S)
+        self.reply(answer)
+        self._log(answer.reason or "answered", status=answer.status)
+
+    def _close(self, grace_s):
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        running = [part for part in self.parts if part.calls]
+        for part in self.parts:
+            part.over = True
+        if running:
+            self.loop.call_later(grace_s, _abandon_all, running)
+
+    def _log(self, outcome, *, status):
+        elapsed_ms = (self.loop.time() - self.request.received_at) * 1000
+        fields = {
+            "request_id": self.request.request_id,
+            "route": self.route.name,
+            "version": self.version,
+            "outcome": outcome,
+            "status": status,
+            "elapsed_ms": round(elapsed_ms, 1),
+            "hedges": sum(part.hedged for part in self.parts),
+            "rejections": sum(part.rejections for part in self.parts),
+            **self._log_fields(),
+        }
+        if status == 200 and elapsed_ms <= self.route.aim_ms:
+            self.router.events.note_ordinary("request", **fields)
+        else:
+            self.router.events.note("request", **fields)
+
+    def _log_fields(self):
+        return {}
+
+    def _next_hedge(self, now):
+        """Sends the hedges that are due; returns when the next one is, or None."""
+        after_s = gathering.hedge_after_s(
+            aim_s=self.route.aim_ms / 1000,
+            high_work_s=self.router.work_time(self.route).high.value,
+        )
+        soonest = None
+        for part in self.parts:
+            if part.over or part.hedged or part.sent_at is None:
+                continue
+            due_at = part.sent_at + after_s
+            if due_at <= now:
+                if self._hedge_helps(now):
+                    part.hedge()
+            elif soonest is None or due_at < soonest:
+                soonest = due_at
+        return soonest
+
+    def _hedge_helps(self, now):
+        return True
+
+
+def _abandon_all(parts):
+    for part in parts:
+        part.abandon()
+
+
+class SingleRequest(RoutedRequest):
+    """A request that one searcher of one service answers."""
+
+    def start(self):
+        """Sends the request to the service whose turn it is."""
+        part = self._service_request(self.router.next_service(self.route))
+        self.parts = [part]
+        part.start()
+        self._arm()
+
+    def _arm(self):
+        if self.over:
+            return
+        now = self.loop.time()
+        if now >= self.end_at:
+            self._time_out()
+            return
+        wake_at = self.end_at
+        if self.parts[0].may_repeat:
+            wake_at = min(wake_at, self._next_hedge(now) or wake_at)
+        self.timer = self.loop.call_at(wake_at, self._arm)
+
+    def _time_out(self):
+        part = self.parts[0]
+        if part.runs or part.calls:
+            self._finish(answers.timed_out())
+        else:
+            self._finish(answers.refusal(reason="no_room_in_time"))
+
+    def _part_done(self, part, outcome):
+        if isinstance(outcome, SearcherReply):
+            self._finish(self._pass_on(outcome, ""))
+        elif outcome.reply is not None:
+            self._finish(self._pass_on(outcome.reply, outcome.reason))
+        elif outcome.not_run:
+            self._finish(answers.refusal(reason=outcome.reason))
+        else:
+            self._finish(answers.failed(reason=outcome.reason))
+
+    def _pass_on(self, reply, reason):
+        if 200 <= reply.status < 300 and not reply.signature:
+            return answers.failed(reason="unsigned_success")
+        return answers.Answer(
+            status=reply.status,
+            body=reply.body,
+            headers=reply_headers(reply, self.router.names),
+            reason=reason,
+        )
+
+    def _log_fields(self):
+        part = self.parts[0]
+        return {"service": part.service, "searchers": sorted(part.tried)}
+
+
+class GatherRequest(RoutedRequest):
+    """A request to all shards, answered by their greatest records."""
+
+    def start(self):
+        """Sends the request to every shard."""
+        target = self.route.target
+        self.answered = {}  # service -> SearcherReply
+        self.failures = []
+        used_s = self.router.used_by_earlier_attempts_s(
+            self.route, self.request.deadline_ms
+        )
+        self.terms = GatherTerms(
+            shards=len(target.shards),
+            needed=target.needed,
+            seal_at=gathering.seal_time(
+                received_at=self.request.received_at,
+                aim_s=self.route.aim_ms / 1000,
+                used_s=used_s,
+            ),
+            end_at=self.end_at,
+        )
+        known = sum(1 for s in target.shards if self.router.fleet.count(s))
+        if known < target.needed:
+            self._finish(answers.refusal(reason="too_few_shards_known"))
+            return
+        self.parts = [self._service_request(service) for service in target.shards]
+        for part in self.parts:
+            part.start()
+        self._step()
+
+    def _part_done(self, part, outcome):
+        if self.over:
+            return
+        if isinstance(outcome, SearcherReply):
+            self.answered[part.service] = outcome
+        else:
+            self.failures.append(outcome)
+        if self.timer is not None:
+            self._step()
+
+    def _step(self):
+        if self.over:
+            return
+        now = self.loop.time()
+        progress = Progress(
+            answered=len(self.answered),
+            open_shards=len(self.parts) - len(self.answered) - len(self.failures),
+        )
+        match gathering.next_step(self.terms, progress, now):
+            case Step.SEAL:
+                self._seal()
+            case Step.GIVE_UP:
+                self._give_up(now)
+            case Step.WAIT:
+                self._wait(now)
+
+    def _wait(self, now):
+        if self.timer is not None:
+            self.timer.cancel()
+        wake_at = self._next_hedge(now) or self.end_at
+        if now < self.terms.seal_at:
+            wake_at = min(wake_at, self.terms.seal_at)
+        self.timer = self.loop.call_at(min(wake_at, self.end_at), self._step)
+
+    def _hedge_helps(self, now):
+        """A second searcher has to answer before the answer is sealed."""
+        work_s = self.router.work_time(self.route).median.value
+        enough = len(self.answered) >= self.terms.needed
+        return now + work_s < self.terms.seal_at or not enough
+
+    def _seal(self):
+        replies = list(self.answered.values())
+        names = self.router.names
+        headers = httputil.HTTPHeaders(
+            {
+                names.part_signatures: ", ".join(r.signature for r in replies),
+                names.missing_parts: str(self.terms.shards - len(replies)),
+                "Content-Type": "application/octet-stream",
+            }
+        )
+        body = greatest_records(
+            (reply.body for reply in replies), self.route.target.top_records
+        )
+        self._finish(answers.Answer(status=200, body=body, headers=headers))
+
+    def _give_up(self, now):
+        if not any(part.runs or part.calls for part in self.parts):
+            self._finish(answers.refusal(reason="shards_unavailable"))
+        elif now >= self.end_at:
+            self._finish(answers.timed_out())
+        else:
+            self._finish(answers.failed(reason="too_few_shards"))
+
+    def _log_fields(self):
+        missing = [p.service for p in self.parts if p.service not in self.answered]
+        return {"parts": len(self.answered), "missing": missing}
+
+
+def start_request(*, router, route: Route, request: CallerRequest, reply: Callable):
+    """Starts a request on its route and returns it."""
+    match route.target:
+        case OneOf():
+            kind = SingleRequest
+        case AllOf():
+            kind = GatherRequest
+    routed = kind(router=router, route=route, request=request, reply=reply)
+    routed.start()
+    return routed
--- /dev/null
+++ b/src/plantainstage/_gateway/router.py
@@ -0,0 +1,83 @@
+"""What all requests of an entry host share: routes, budgets and work times."""
+
+import random
+
+from plantainstage._gateway.fleet import Fleet
+from plantainstage._serving.configuration import ServingConfiguration
+from plantainstage._serving.retry_budget import BudgetTerms, RetryBudget
+from plantainstage._serving.routes import RouteTable
+from plantainstage._serving.splitting import SplitTurns
+from plantainstage._serving.work_times import WorkTime
+
+
+class Router:
+    """The configuration in force on this host and what was learnt under it."""
+
+    def __init__(self, *, names, data_centre: str, terms: BudgetTerms, events):
+        self.names = names
+        self.terms = terms
+        self.events = events
+        self.fleet = Fleet(data_centre=data_centre, names=names)
+        self.table = None
+        self.budgets = {}
+        self.work_times = {}
+        self.turns = {}
+        self.longest_deadline_ms = {}
+        self.random = random.Random()
+
+    @property
+    def version(self):
+        """The version in force, or -1 before the first one."""
+        return -1 if self.table is None else self.table.configuration.version
+
+    def apply(self, configuration: ServingConfiguration) -> bool:
+        """Puts a configuration in force, unless a higher one is."""
+        if configuration.version <= self.version:
+            return False
+        self.table = RouteTable(configuration=configuration)
+        caps = {s.name: s.connections for s in configuration.services}
+        self.fleet.connection_caps = caps
+        self.turns = {}
+        return True
+
+    def set_hosts(self, hosts: int):
+        """Divides connections and budgets among so many entry hosts."""
+        self.fleet.hosts = max(1, hosts)
+        for budget in self.budgets.values():
+            budget.hosts = self.fleet.hosts
+
+    def budget(self, service: str) -> RetryBudget:
+        """Returns this host's part of the budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(terms=self.terms, hosts=self.fleet.hosts)
+            self.budgets[service] = budget
+        return budget
+
+    def work_time(self, route) -> WorkTime:
+        """Returns what is known of the work time of a route."""
+        known = self.work_times.get(route.name)
+        if known is None:
+            known = WorkTime(aim_s=route.aim_ms / 1000)
+            self.work_times[route.name] = known
+        return known
+
+    def next_service(self, route) -> str:
+        """Draws the service of the next request on a route with shares."""
+        turns = self.turns.get(route.name)
+        if turns is None:
+            turns = SplitTurns(shares=route.target.shares, first=self.random.random())
+            self.turns[route.name] = turns
+        return turns.next()
+
+    def used_by_earlier_attempts_s(self, route, deadline_ms: int | None) -> float:
+        """Returns how long the caller has waited already, as its deadline tells.
+
+        Callers of one route start with the same deadline, so that what is missing
+        from the longest one was spent on attempts before this one.
+        """
+        if deadline_ms is None:
+            return 0.0
+        longest = max(self.longest_deadline_ms.get(route.name, 0), deadline_ms)
+        self.longest_deadline_ms[route.name] = longest
+        return (longest - deadline_ms) / 1000
--- /dev/null
+++ b/src/plantainstage/_gateway/service_request.py
@@ -0,0 +1,212 @@
+"""One request at one service: choice of searchers, repeats and hedges."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from plantainstage._gateway.messages import (
+    CallerRequest,
+    CallFailure,
+    FailureKind,
+    SearcherReply,
+    addressed_request,
+)
+from plantainstage._serving.configuration import Route, RouteKind
+
+# Searchers that may reject one request before it is given up.
+MAX_REJECTIONS = 3
+# Below this no searcher could do anything with a request.
+MIN_LEFT_S = 0.002
+
+
+@dataclass(frozen=True, kw_only=True)
+class Failure:
+    """A service that gave no success.
+
+    ``reply`` is the searcher's own failure, if there is one to pass on.
+    ``not_run`` is a promise: no searcher has run the request or will.
+    """
+
+    reason: str
+    not_run: bool
+    reply: SearcherReply | None = None
+
+
+class ServiceRequest:
+    """Gets one answer for a request from the searchers of one service.
+
+    ``on_done(self, outcome)`` is called once, with a SearcherReply that is a
+    success or a Failure. ``router`` has what requests share.
+    """
+
+    def __init__(
+        self,
+        *,
+        router,
+        route: Route,
+        service: str,
+        request: CallerRequest,
+        head: bytes,
+        end_at: float,
+        on_done: Callable,
+    ):
+        self.router = router
+        self.route = route
+        self.service = service
+        self.request = request
+        self.head = head
+        self.end_at = end_at
+        self.on_done = on_done
+        self.calls = []  # under way
+        self.tried = set()
+        self.runs = 0  # searchers that may have run it
+        self.arrivals = 0
+        self.rejections = 0
+        self.hedged = False
+        self.waiting = False
+        self.over = False
+        self.sent_at = None  # of the first call
+        self.last_reply = None
+        self.last_reason = "no searcher is known"
+
+    # ---- Queries ------------------------------------------------------------------
+
+    @property
+    def may_repeat(self):
+        """Whether the route lets more than one searcher run the request."""
+        return self.route.kind is RouteKind.IDEMPOTENT
+
+    @property
+    def may_run_again(self):
+        """Whether one more searcher may run it."""
+        return self.runs + len(self.calls) < self.attempts
+
+    @property
+    def attempts(self):
+        """How many searchers may run it."""
+        return self.route.attempts if self.may_repeat else 1
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def start(self):
+        """Counts the request and sends it, or waits for room."""
+        self.router.budget(self.service).note_request()
+        self._send_first()
+
+    def hedge(self) -> bool:
+        """Asks a second searcher if that is allowed; returns whether it did."""
+        self.hedged = True
+        if not (self.may_repeat and self.may_run_again):
+            return False
+        budget = self.router.budget(self.service)
+        if not budget.take():
+            return False
+        if not self._send():
+            budget.give_back()
+            return False
+        return True
+
+    def abandon(self):
+        """Ends all calls at once; ``on_done`` isn't called any more."""
+        self.over = True
+        for call in list(self.calls):
+            call.abandon()
+
+    # ---- Sending ------------------------------------------------------------------
+
+    def _send_first(self):
+        if self.over:
+            return True
+        if self._left_s() < MIN_LEFT_S:
+            self._end(reason="deadline_passed")
+            return True
+        if self._send():
+            return True
+        if not self.router.fleet.count(self.service):
+            self._end(reason="no searcher is known")
+            return True
+        if not self.waiting:
+            self.waiting = True
+            self.router.fleet.wait_for_room(
+                self.service, self.route.priority, self._send_first
+            )
+        return False
+
+    def _send(self):
+        fleet = self.router.fleet
+        work_s = self.router.work_time(self.route).median.value
+        member = fleet.choose(self.service, tried=self.tried, work_s=work_s)
+        left_s = self._left_s()
+        if member is None or left_s < MIN_LEFT_S:
+            return False
+        searcher_id = member.searcher.searcher_id
+        self.tried.add(searcher_id)
+        if self.sent_at is None:
+            self.sent_at = asyncio.get_running_loop().time()
+        call = fleet.send(
+            member,
+            request=addressed_request(
+                head=self.head,
+                body=self.request.body,
+                names=self.router.names,
+                searcher_id=searcher_id,
+                left_ms=int(left_s * 1000),
+            ),
+            request_id=self.request.request_id,
+            left_s=left_s,
+            work_s=work_s,
+            on_done=self._call_done,
+        )
+        self.calls.append(call)
+        return True
+
+    def _left_s(self):
+        return self.end_at - asyncio.get_running_loop().time()
+
+    # ---- Outcomes -----------------------------------------------------------------
+
+    def _call_done(self, call, outcome):
+        self.calls.remove(call)
+        if not outcome.not_run:
+            self.runs += 1
+        if self.over:
+            return
+        match outcome:
+            case SearcherReply(is_success=True):
+                elapsed = asyncio.get_running_loop().time() - call.sent_at
+                self.router.work_time(self.route).observe(elapsed)
+                self.over = True
+                self.on_done(self, outcome)
+            case SearcherReply(not_run=True):
+                self.last_reason = "rejected"
+                self.rejections += 1
+                self._try_again(arrived=True)
+            case SearcherReply():
+                self.last_reason = f"status {outcome.status}"
+                self.last_reply = outcome
+                self._try_again(arrived=True)
+            case CallFailure(kind=kind, reason=reason):
+                self.last_reason = reason
+                self._try_again(arrived=kind is not FailureKind.UNREACHABLE)
+
+    def _try_again(self, *, arrived):
+        """Sends to another searcher; what arrived before makes it extra."""
+        if self._may_try_again():
+            budget = self.router.budget(self.service)
+            if not arrived or budget.take():
+                if self._send():
+                    return
+                if arrived:
+                    budget.give_back()
+        if not self.calls:
+            self._end(reason=self.last_reason)
+
+    def _may_try_again(self):
+        if self._left_s() < MIN_LEFT_S or self.rejections > MAX_REJECTIONS:
+            return False
+        return self.may_run_again
+
+    def _end(self, *, reason):
+        self.over = True
+        failure = Failure(reason=reason, not_run=self.runs == 0, reply=self.last_reply)
+        self.on_done(self, failure)
--- /dev/null
+++ b/src/plantainstage/_programs/event_logs.py
@@ -0,0 +1,46 @@
+"""Event lines of the daemons for routed requests, on standard output."""
+
+import asyncio
+import logging
+import signal
+import sys
+
+from loguru import logger
+
+from plantainstage._gateway.events import EventLog
+from plantainstage._programs.line_writer import LineWriter
+from plantainstage._programs.running import catch_stop_signals
+
+
+def start_event_log(*, program: str, host_id: str) -> EventLog:
+    """Returns the program's event log; other log messages become events of it."""
+    writer = LineWriter(descriptor=sys.stdout.fileno())
+    events = EventLog(program=program, host_id=host_id, put=writer.put)
+
+    def take(message):
+        record = message.record
+        fields = {name: str(value) for name, value in record["extra"].items()}
+        events.note(
+            "message", level=record["level"].name, text=record["message"], **fields
+        )
+
+    logger.remove()
+    logger.add(take, level="INFO")
+    logging.basicConfig(level=logging.WARNING, handlers=[_ToLoguru()])
+    return events
+
+
+class _ToLoguru(logging.Handler):
+    """Passes messages of the standard logging module to loguru."""
+
+    def emit(self, record):
+        logger.log(record.levelname, record.getMessage()[:500])
+
+
+async def run_until_stopped(daemon, *, events: EventLog):
+    """Runs a daemon until SIGTERM or SIGINT; SIGHUP is logged as a reload."""
+    stop = catch_stop_signals()
+    loop = asyncio.get_running_loop()
+    # Settings are read anew whenever they are needed, with or without a signal.
+    loop.add_signal_handler(signal.SIGHUP, events.note, "reload")
+    await daemon.run(stop)
--- /dev/null
+++ b/src/plantainstage/_registry/__init__.py
@@ -0,0 +1,1 @@
+"""Control of routed requests: the configuration, and who announces itself."""
--- /dev/null
+++ b/src/plantainstage/_registry/daemon.py
@@ -0,0 +1,278 @@
+"""One control replica of routed requests, with its sockets and tasks."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import pynng
+
+from plantainstage._control.replica import Replica
+from plantainstage._control.replica_settings import InitialMember, ReplicaSettings
+from plantainstage._errors import (
+    BootstrapRefusedError,
+    NotLeaderError,
+    PlantainstageError,
+)
+from plantainstage._messages import serving
+from plantainstage._registry.http_api import ControlFormat, make_server
+from plantainstage._registry.keeper import GroupKeeper
+from plantainstage._registry.machine import ConfigurationMachine
+from plantainstage._registry.register import SearcherRegister
+from plantainstage._serving.searchers import Searcher
+from plantainstage._transport.rpc import RpcClient, RpcServer
+
+EXPIRE_INTERVAL_S = 0.3
+# An entry host polls several times a second; one that stopped still holds
+# connections for a while.
+HOST_KEEP_S = 4.0
+NOTICE_TIMEOUT_S = 0.4
+# After a replica stopped for a full or failed disk.
+REPLICA_RETRY_S = 0.5
+
+
+@dataclass(frozen=True, kw_only=True)
+class Peer:
+    """The addresses of one control replica, each ``IP:port``."""
+
+    client_address: str
+    peer_address: str
+    sync_address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class RegistrySettings:
+    """Settings of one control replica of routed requests.
+
+    ``peers()`` returns the replicas named by the settings of the moment.
+    ``founders`` names those that found the group, at the very first start only.
+    ``sync_address_of`` derives a replica's sync address from its client address.
+    """
+
+    host_id: str
+    own: Peer
+    data_folder: str
+    peers: Callable[[], tuple[Peer, ...]]
+    sync_address_of: Callable[[str], str]
+    founders: tuple[Peer, ...] = ()
+    heartbeat_s: float = 1.0
+    format: ControlFormat = field(default_factory=ControlFormat)
+
+
+class RegistryDaemon:
+    """Serves operators, searchers and entry hosts until it is stopped."""
+
+    def __init__(self, *, settings: RegistrySettings, events):
+        self.settings = settings
+        self.events = events
+        self.format = settings.format
+        self.own_address = settings.own.client_address
+        self.process = secrets.token_hex(6)
+        self.machine = ConfigurationMachine()
+        self.register = SearcherRegister(heartbeat_s=settings.heartbeat_s)
+        self.replica = None
+        self.keeper = None
+        self.hosts = {}  # host id -> time of its last poll
+        self.peer_clients = {}
+
+    # ---- Running ------------------------------------------------------------------
+
+    async def run(self, stop: asyncio.Event):
+        """Serves until ``stop`` is set; raises OSError when a port is taken."""
+        server = make_server(self)
+        host, _, port = self.own_address.rpartition(":")
+        server.listen(int(port), address=host)
+        sync = RpcServer(
+            address=self.settings.own.sync_address,
+            handler=self._sync,
+            requests=serving.REQUESTS,
+        )
+        sync.start()
+        self.events.note("started", address=self.own_address)
+        tasks = [
+            asyncio.create_task(self._run_replica()),
+            asyncio.create_task(self._expire()),
+        ]
+        await stop.wait()
+        self.events.note("stopping")
+        server.stop()
+        if self.replica is not None:
+            await self.replica.stop()
+        for task in tasks:
+            task.cancel()
+        await sync.stop()
+        self.events.note("stopped")
+        self.events.flush()
+
+    async def _run_replica(self):
+        """Keeps a replica running; a failed disk may come back."""
+        while True:
+            try:
+                await self._run_replica_once()
+                return
+            except (PlantainstageError, pynng.NNGException) as error:
+                self.events.note("replica_stopped", reason=str(error)[:500])
+            self.replica = self.keeper = None
+            await asyncio.sleep(REPLICA_RETRY_S)
+
+    async def _run_replica_once(self):
+        try:
+            replica = await self._start_replica(self.settings.founders)
+        except BootstrapRefusedError:
+            replica = await self._start_replica(())
+        self.keeper = GroupKeeper(
+            replica=replica,
+            own_address=self.settings.own.sync_address,
+            addresses=self._sync_addresses,
+            events=self.events,
+        )
+        self.replica = replica
+        keeping = asyncio.create_task(self.keeper.run())
+        try:
+            await replica.wait_stopped()
+        finally:
+            keeping.cancel()
+
+    async def _start_replica(self, founders):
+        own = self.settings.own
+        replica = Replica(
+            settings=ReplicaSettings(
+                replica_id=own.client_address,
+                data_folder=self.settings.data_folder,
+                client_address=own.client_address,
+                peer_address=own.peer_address,
+                bootstrap=tuple(
+                    InitialMember(
+                        replica_id=peer.client_address,
+                        client_address=peer.client_address,
+                        peer_address=peer.peer_address,
+                    )
+                    for peer in founders
+                ),
+            ),
+            machine=self.machine,
+            on_leader_change=self._leader_changed,
+        )
+        await replica.start()
+        return replica
+
+    def _leader_changed(self, leader, term):
+        self.events.note("leader", leader=str(leader) if leader else "", term=term)
+
+    async def _expire(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            now = loop.time()
+            self.register.expire(now)
+            for host_id, polled_at in list(self.hosts.items()):
+                if now - polled_at > HOST_KEEP_S:
+                    del self.hosts[host_id]
+
+    # ---- Configuration ------------------------------------------------------------
+
+    def leader_address(self):
+        """Returns the client address of the known leader, or an empty string."""
+        return self.replica.leader_address if self.replica is not None else ""
+
+    async def put_configuration(self, version: int, document: bytes) -> int:
+        """Makes a checked document durable; returns the version then held.
+
+        A version that is not above the committed one is known to be overtaken, so
+        that any replica may say so. Raises NotLeaderError or OutcomeUnknownError.
+        """
+        if version <= self.machine.held.version:
+            return self.machine.held.version
+        if self.replica is None:
+            raise NotLeaderError
+        command = self.machine.command(version=version, document=document)
+        return await self.replica.propose(command)
+
+    async def newest_configuration(self) -> bytes:
+        """Returns the newest document, confirmed by a majority after the call."""
+        if self.replica is None:
+            raise NotLeaderError
+        await self.replica.confirm_leadership()
+        return self.machine.held.document
+
+    # ---- Searchers ----------------------------------------------------------------
+
+    async def announced(self, searcher: Searcher):
+        """Takes an announcement; a departure is told to the other replicas first.
+
+        The searcher takes the reply for a promise that no new request comes, and
+        this replica may be gone a moment later.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.register.hear(searcher, now):
+            self.events.note(
+                "searcher_leaves",
+                searcher=searcher.searcher_id,
+                state=searcher.state.name.lower(),
+            )
+            await self._tell_peers(searcher)
+
+    async def departed(self, searcher_id: str):
+        """Takes a farewell of a searcher."""
+        now = asyncio.get_running_loop().time()
+        left = self.register.depart(searcher_id, now)
+        if left is not None:
+            self.events.note("searcher_leaves", searcher=searcher_id, state="left")
+            await self._tell_peers(left)
+
+    async def _tell_peers(self, searcher):
+        others = set(self._sync_addresses()) - {self.settings.own.sync_address}
+        notice = serving.SearcherNotice(searcher=searcher)
+        await asyncio.gather(*(self._tell(address, notice) for address in others))
+
+    async def _tell(self, address, notice):
+        client = self.peer_clients.get(address)
+        if client is None:
+            client = RpcClient(address=address, replies=serving.REPLIES)
+            self.peer_clients[address] = client
+        try:
+            await client.call(notice, timeout_s=NOTICE_TIMEOUT_S)
+        except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
+            # Entry hosts poll this replica too; the notice only covers its loss.
+            reason = type(error).__name__
+            self.events.note("notice_not_taken", replica=address, reason=reason)
+
+    # ---- Entry hosts and replicas -------------------------------------------------
+
+    def _sync_addresses(self):
+        """Returns the sync addresses of all replicas known here."""
+        addresses = {peer.sync_address for peer in self.settings.peers()}
+        if self.replica is not None and self.replica.core is not None:
+            for member in self.replica.core.state.membership.members:
+                addresses.add(self.settings.sync_address_of(member.client_address))
+        return tuple(sorted(addresses))
+
+    async def _sync(self, request):
+        now = asyncio.get_running_loop().time()
+        match request:
+            case serving.SyncRequest():
+                return self._sync_reply(request, now)
+            case serving.SearcherNotice(searcher=searcher):
+                self.register.hear(searcher, now)
+                return serving.Noted()
+            case serving.JoinRequest(member=member):
+                if self.keeper is None:
+                    return serving.JoinReply()
+                return self.keeper.take_request(member)
+
+    def _sync_reply(self, request, now):
+        self.hosts[request.host_id] = now
+        known = request.cursor if request.process == self.process else 0
+        changed = self.register.changes_since(known)
+        held = self.machine.held
+        return serving.SyncReply(
+            process=self.process,
+            cursor=self.register.cursor,
+            version=held.version,
+            document=held.document if held.version > request.version else None,
+            searchers=tuple(e.searcher for e in changed if not e.silent),
+            silent=tuple(e.searcher.searcher_id for e in changed if e.silent),
+            replicas=self._sync_addresses(),
+            hosts=len(self.hosts),
+        )
--- /dev/null
+++ b/src/plantainstage/_registry/group.py
@@ -0,0 +1,97 @@
+"""A control group that forms, grows and repairs itself.
+
+The replicas that the settings name at the very first start found the group. Any
+other replica, and one whose folder was lost, asks to join; the leader adds it as
+a learner, makes it a voter once it has the whole log, and then removes what it
+replaces. One step at a time is committed, so that two majorities always overlap.
+"""
+
+from dataclasses import dataclass
+
+from plantainstage._messages.agreement import Member, MemberId
+from plantainstage._messages.control import MemberAction, ReplicaStatus
+
+# A voter that was not heard for so long is removed, once a replica that joined
+# later has taken its place in the majority. It asks to join again if it returns.
+LOST_AFTER_MS = 6_000
+MIN_VOTERS = 3
+
+
+@dataclass(frozen=True, kw_only=True)
+class MemberStep:
+    """One change of the membership that the leader should commit."""
+
+    action: MemberAction
+    member: Member
+
+
+def next_member_step(
+    statuses: tuple[ReplicaStatus, ...], waiting: dict[str, Member]
+) -> MemberStep | None:
+    """Returns the next step; ``waiting`` holds replicas that asked, by id.
+
+    ``statuses`` are the members as the leader sees them.
+    """
+    return (
+        _promotion(statuses)
+        or _replacement(statuses)
+        or _addition(statuses, waiting)
+        or _removal(statuses)
+    )
+
+
+def _promotion(statuses):
+    for status in statuses:
+        if not status.voter and status.last_heard_ms >= 0:
+            return MemberStep(action=MemberAction.PROMOTE, member=_member(status))
+    return None
+
+
+def _replacement(statuses):
+    """Removes a member whose folder was lost, once its new one has a vote."""
+    for new in statuses:
+        for old in statuses:
+            same = old.replica_id == new.replica_id
+            replaced = same and old.incarnation != new.incarnation and new.voter
+            if replaced and _is_fresher(new, old):
+                return MemberStep(action=MemberAction.REMOVE, member=_member(old))
+    return None
+
+
+def _is_fresher(new, old):
+    """Whether ``new`` is the one of two folders at an address that answers."""
+    if new.leader:
+        return True
+    if old.leader or new.last_heard_ms < 0:
+        return False
+    return old.last_heard_ms < 0 or new.last_heard_ms < old.last_heard_ms
+
+
+def _addition(statuses, waiting):
+    known = {(s.replica_id, s.incarnation) for s in statuses}
+    for member in waiting.values():
+        identity = (member.member_id.replica_id, member.member_id.incarnation)
+        if identity not in known:
+            return MemberStep(action=MemberAction.ADD_LEARNER, member=member)
+    return None
+
+
+def _removal(statuses):
+    voters = [status for status in statuses if status.voter]
+    lost = [s for s in voters if not s.leader and s.last_heard_ms > LOST_AFTER_MS]
+    live = len(voters) - len(lost)
+    # Only what a newcomer replaces goes: the group never shrinks below its size.
+    if lost and live >= MIN_VOTERS and len(voters) > MIN_VOTERS:
+        return MemberStep(action=MemberAction.REMOVE, member=_member(lost[0]))
+    return None
+
+
+def _member(status):
+    return Member(
+        member_id=MemberId(
+            replica_id=status.replica_id, incarnation=status.incarnation
+        ),
+        client_address=status.client_address,
+        peer_address=status.peer_address,
+        voter=status.voter,
+    )
--- /dev/null
+++ b/src/plantainstage/_registry/http_api.py
@@ -0,0 +1,157 @@
+"""The HTTP interface of a control replica for operators and searchers."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from tornado import web
+from tornado.httpserver import HTTPServer
+
+from plantainstage._errors import (
+    InvalidAnnouncementError,
+    InvalidConfigurationError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
+from plantainstage._serving.configuration import (
+    ConfigurationDecoder,
+    decode_configuration,
+)
+from plantainstage._serving.searchers import Searcher
+
+# A caller moves on after a second without a response.
+REPLY_TIMEOUT_S = 0.9
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+JSON = "application/json"
+
+_announcement_decoder = msgspec.json.Decoder(Searcher)
+
+
+def decode_announcement(searcher_id: str, body: bytes) -> Searcher:
+    """Decodes an announcement of the project's own format (JSON).
+
+    Raises InvalidAnnouncementError.
+    """
+    try:
+        searcher = _announcement_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise InvalidAnnouncementError(detail=str(error)) from error
+    if searcher.searcher_id != searcher_id:
+        raise InvalidAnnouncementError(detail="path and body name different searchers")
+    return searcher
+
+
+@dataclass(frozen=True, kw_only=True)
+class ControlFormat:
+    """Paths and body formats; the defaults are the project's own.
+
+    ``*_searcher`` paths are regular expressions whose group is the searcher's id.
+    """
+
+    put_configuration: str = "/v1/configuration"
+    get_configuration: str = "/v1/configuration/newest"
+    announce_searcher: str = "/v1/searchers/([^/]+)/announcement"
+    remove_searcher: str = "/v1/searchers/([^/]+)/departure"
+    decode_configuration: ConfigurationDecoder = decode_configuration
+    decode_announcement: Callable[[str, bytes], Searcher] = decode_announcement
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, control):
+        self.control = control
+
+    def _reply(self, status, body=b"{}"):
+        self.set_status(status)
+        self.set_header("Content-Type", JSON)
+        self.finish(body)
+
+    def _refuse(self, error):
+        self._reply(400, msgspec.json.encode({"error": str(error)}))
+
+    def _to_leader(self):
+        """Sends the caller to the leader, or asks it to come back."""
+        leader = self.control.leader_address()
+        if not leader or leader == self.control.own_address:
+            self._reply(503)
+            return
+        self.set_header("Location", f"http://{leader}{self.request.uri}")
+        self._reply(307)
+
+
+class _PutConfiguration(_Handler):
+    async def post(self):
+        document = self.request.body
+        decode = self.control.format.decode_configuration
+        try:
+            version = decode(document).version
+        except InvalidConfigurationError as error:
+            self.control.events.note("configuration_refused", reason=str(error)[:500])
+            self._refuse(error)
+            return
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                held = await self.control.put_configuration(version, document)
+        except NotLeaderError:
+            self._to_leader()
+        except (OutcomeUnknownError, TimeoutError) as error:
+            reason = type(error).__name__
+            self.control.events.note(
+                "configuration_unsettled", version=version, reason=reason
+            )
+            self._reply(503)
+        else:
+            self.control.events.note(
+                "configuration_acknowledged", version=version, held=held
+            )
+            self._reply(200)
+
+
+class _GetConfiguration(_Handler):
+    async def get(self):
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                document = await self.control.newest_configuration()
+        except NotLeaderError:
+            self._to_leader()
+        except (OutcomeUnknownError, TimeoutError) as error:
+            reason = type(error).__name__
+            self.control.events.note("configuration_unconfirmed", reason=reason)
+            self._reply(503)
+        else:
+            self._reply(200, document) if document else self._reply(503)
+
+
+class _AnnounceSearcher(_Handler):
+    async def post(self, searcher_id):
+        decode = self.control.format.decode_announcement
+        try:
+            searcher = decode(searcher_id, self.request.body)
+        except InvalidAnnouncementError as error:
+            self.control.events.note(
+                "announcement_refused", searcher=searcher_id, reason=str(error)[:200]
+            )
+            self._refuse(error)
+            return
+        await self.control.announced(searcher)
+        self._reply(200)
+
+
+class _RemoveSearcher(_Handler):
+    async def post(self, searcher_id):
+        await self.control.departed(searcher_id)
+        self._reply(200)
+
+
+def make_server(control) -> HTTPServer:
+    """Returns the server, which has yet to listen."""
+    paths = control.format
+    arguments = {"control": control}
+    routes = [
+        (paths.put_configuration, _PutConfiguration, arguments),
+        (paths.get_configuration, _GetConfiguration, arguments),
+        (paths.announce_searcher, _AnnounceSearcher, arguments),
+        (paths.remove_searcher, _RemoveSearcher, arguments),
+    ]
+    application = web.Application(routes, log_function=lambda handler: None)
+    return HTTPServer(application, max_body_size=MAX_DOCUMENT_BYTES)
--- /dev/null
+++ b/src/plantainstage/_registry/keeper.py
@@ -0,0 +1,113 @@
+"""The task that brings this replica into the group and keeps the group whole."""
+
+import asyncio
+
+import msgspec
+import pynng
+
+from plantainstage._control.replica import Replica
+from plantainstage._errors import PlantainstageError
+from plantainstage._messages import serving
+from plantainstage._messages.agreement import Member
+from plantainstage._registry.group import next_member_step
+from plantainstage._transport.rpc import RpcClient
+
+STEP_INTERVAL_S = 0.2
+ASK_INTERVAL_S = 0.3
+ASK_TIMEOUT_S = 0.5
+# A replica that hears of no leader for so long may have been removed meanwhile.
+LEADERLESS_S = 3.0
+
+
+class GroupKeeper:
+    """Asks to join while that is needed, and takes the leader's steps.
+
+    ``addresses()`` returns the replicas to ask, which may change at any time.
+    """
+
+    def __init__(self, *, replica: Replica, own_address: str, addresses, events):
+        self.replica = replica
+        self.own_address = own_address
+        self.addresses = addresses
+        self.events = events
+        self.waiting = {}  # replica id -> Member that asked to join
+        self.leader_seen_at = asyncio.get_running_loop().time()
+
+    # ---- Queries ------------------------------------------------------------------
+
+    @property
+    def needs_to_join(self):
+        """Whether the group may not count this replica as a member."""
+        core = self.replica.core
+        if core is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        if core.state.leader is not None:
+            self.leader_seen_at = now
+        members = {m.member_id for m in core.state.membership.members}
+        if self.replica.member_id not in members:
+            return True
+        return now - self.leader_seen_at > LEADERLESS_S
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def take_request(self, member: Member) -> serving.JoinReply:
+        """Notes a replica that asks to join, if this one leads."""
+        if self.replica.is_leader:
+            self.waiting[member.member_id.replica_id] = member
+        return serving.JoinReply(leader=self.replica.leader_address)
+
+    async def run(self):
+        """Runs until it is cancelled."""
+        await asyncio.gather(self._join(), self._lead())
+
+    async def _lead(self):
+        while True:
+            await asyncio.sleep(STEP_INTERVAL_S)
+            if not self.replica.is_leader:
+                self.waiting.clear()
+                continue
+            step = next_member_step(self.replica.members(), self.waiting)
+            if step is None:
+                continue
+            try:
+                await self.replica.change_member(step.action, step.member)
+            except PlantainstageError as error:
+                # An earlier step may be under way; the next round looks again.
+                reason = type(error).__name__
+                self.events.note("member_step_put_off", reason=reason)
+                continue
+            self.waiting.pop(step.member.member_id.replica_id, None)
+            self.events.note(
+                "group_changed",
+                action=step.action.value,
+                replica=str(step.member.member_id),
+            )
+
+    async def _join(self):
+        while True:
+            await asyncio.sleep(ASK_INTERVAL_S)
+            if not self.needs_to_join:
+                continue
+            for address in self.addresses():
+                if address != self.own_address and self.needs_to_join:
+                    await self._ask(address)
+
+    async def _ask(self, address):
+        settings = self.replica.settings
+        request = serving.JoinRequest(
+            member=Member(
+                member_id=self.replica.member_id,
+                client_address=settings.client_address,
+                peer_address=settings.peer_address,
+                voter=False,
+            )
+        )
+        client = RpcClient(address=address, replies=serving.REPLIES)
+        try:
+            await client.call(request, timeout_s=ASK_TIMEOUT_S)
+        except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
+            reason = type(error).__name__
+            self.events.note("join_not_asked", asked=address, reason=reason)
+        finally:
+            client.close()
--- /dev/null
+++ b/src/plantainstage/_registry/register.py
@@ -0,0 +1,94 @@
+"""The searchers that announced themselves to one control replica."""
+
+from dataclasses import dataclass
+
+from plantainstage._serving.searchers import Searcher, SearcherState, differs, newer
+
+# Announcements that may be missed before a searcher counts as silent.
+MISSED_ANNOUNCEMENTS = 3.5
+# A departure is remembered for longer than an announcement may be late.
+DEPARTED_KEEP_S = 120.0
+
+
+@dataclass(kw_only=True)
+class Entry:
+    """One searcher; ``change`` numbers the last change that hosts have to hear."""
+
+    searcher: Searcher
+    heard_at: float
+    change: int
+    silent: bool = False
+
+
+class SearcherRegister:
+    """Announcements by searcher id, with a cursor for those who poll.
+
+    Each change of what hosts need to know gets the next number; an announcement
+    that repeats what is known costs them nothing.
+    """
+
+    def __init__(self, *, heartbeat_s: float):
+        self.silent_after_s = heartbeat_s * MISSED_ANNOUNCEMENTS
+        self.entries = {}
+        self.cursor = 0
+
+    # ---- Queries ------------------------------------------------------------------
+
+    def changes_since(self, cursor: int):
+        """Returns the entries that changed after ``cursor``."""
+        return [entry for entry in self.entries.values() if entry.change > cursor]
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def hear(self, searcher: Searcher, now: float) -> bool:
+        """Takes an announcement; returns whether it is a departure that is news."""
+        entry = self.entries.get(searcher.searcher_id)
+        if entry is None:
+            self.entries[searcher.searcher_id] = Entry(
+                searcher=searcher, heard_at=now, change=self._next_change()
+            )
+            return searcher.state is not SearcherState.READY
+        before = entry.searcher
+        entry.searcher = newer(before, searcher)
+        current = entry.searcher.started_at_ms == searcher.started_at_ms
+        if not current:
+            return False
+        changed = differs(before, entry.searcher)
+        entry.heard_at = now
+        if changed or entry.silent:
+            entry.silent = False
+            entry.change = self._next_change()
+        return changed and searcher.state is not SearcherState.READY
+
+    def depart(self, searcher_id: str, now: float) -> Searcher | None:
+        """Notes that a searcher says goodbye; returns it if that is news."""
+        entry = self.entries.get(searcher_id)
+        if entry is None:
+            return None
+        known = entry.searcher
+        left = Searcher(
+            searcher_id=known.searcher_id,
+            service=known.service,
+            address=known.address,
+            data_centre=known.data_centre,
+            slots=known.slots,
+            state=SearcherState.LEFT,
+            sequence=known.sequence,
+            started_at_ms=known.started_at_ms,
+        )
+        return left if self.hear(left, now) else None
+
+    def expire(self, now: float):
+        """Marks searchers that fell silent and forgets old departures."""
+        for searcher_id, entry in list(self.entries.items()):
+            age_s = now - entry.heard_at
+            if entry.searcher.state is SearcherState.READY:
+                if not entry.silent and age_s > self.silent_after_s:
+                    entry.silent = True
+                    entry.change = self._next_change()
+            elif age_s > DEPARTED_KEEP_S:
+                del self.entries[searcher_id]
+
+    def _next_change(self):
+        self.cursor += 1
+        return self.cursor
--- /dev/null
+++ b/src/plantainstage/_serving/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about routed requests: no sockets, no clock, no files."""
--- /dev/null
+++ b/src/plantainstage/_serving/routes.py
@@ -0,0 +1,42 @@
+"""Finds the route of a request: host, then the longest path prefix."""
+
+from plantainstage._serving.configuration import Route, ServingConfiguration
+
+
+class RouteTable:
+    """The routes of one configuration.
+
+    Each prefix ends with a slash, so that the candidates of a path are its parts
+    up to each slash; looking those up costs the same however many routes there
+    are. For example, ``find("a.example", "/x/y/z")`` tries ``/x/y/``, ``/x/``
+    and ``/``.
+    """
+
+    def __init__(self, *, configuration: ServingConfiguration):
+        self.configuration = configuration
+        self.hosts = {}
+        for route in configuration.routes:
+            prefixes = self.hosts.setdefault(route.host.lower(), {})
+            prefixes[route.path_prefix] = route
+        self.services = {service.name: service for service in configuration.services}
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Returns the route, or None; ``target`` may carry a query."""
+        prefixes = self.hosts.get(_name_of(host))
+        if prefixes is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def _name_of(host):
+    name, _, port = host.rpartition(":")
+    if name and port.isdigit():
+        host = name
+    return host.lower()
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -26,6 +26,7 @@
 )
 # Heads differ by searcher, path and length of the body; one takes 200 bytes.
 MAX_HEADS = 4096
+MAX_FOREIGN_REPLIES = 4  # dropped in one exchange before the connection is closed
 
 
 class HttpReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,7 +36,7 @@
     body: bytes
 
 
-class _ReplyReader(httputil.HTTPMessageDelegate):
+class ReplyReader(httputil.HTTPMessageDelegate):
     """Collects one reply; ``on_first_byte`` is called with its head."""
 
     def __init__(self, on_first_byte):
@@ -43,8 +44,10 @@
         self.status = 0
         self.keep_alive = True
         self.chunks = []
+        self.foreign_replies = 0
 
     def headers_received(self, start_line, headers):
+        self.chunks = []
         self.status = start_line.code
         requested = ""
         if "Connection" in headers:
@@ -59,6 +62,14 @@
     def data_received(self, chunk):
         self.chunks.append(chunk)
 
+    def note_foreign(self):
+        """Counts a reply that answered another request and was dropped."""
+        self.foreign_replies += 1
+
+    def is_foreign(self):
+        """Whether the message answers another request than the one under way."""
+        return False
+
     def reply(self):
         """Returns the HttpReply, once the message is complete."""
         return HttpReply(status=self.status, body=b"".join(self.chunks))
@@ -118,7 +129,7 @@
         self.ended = False
         self.close_reason = "reset"
         self.on_done = None
-        self.on_first_byte = None
+        self.next_reader = None  # collects the reply to the request under way
         self.reading = None  # the coroutine that reads a reply, once it has begun
         self.reader = None
         stream.on_bytes = self._step
@@ -174,10 +185,20 @@
         on_done: Callable,
         on_first_byte: Callable | None = None,
     ):
-        """Sends one request; ``on_done`` gets the outcome, never before return.
+        """Posts one request; ``on_done`` gets the outcome, never before return.
 
         ``on_first_byte`` is called when the head of the reply arrives.
         """
+        head = _request_head(self.address, path, len(body))
+        reader = ReplyReader(on_first_byte)
+        self.send_request(request=head + body, reader=reader, on_done=on_done)
+
+    def send_request(self, *, request: bytes, reader, on_done: Callable):
+        """Sends a formatted request, whose reply ``reader`` collects.
+
+        ``on_done`` gets what the reader makes of the reply, or an ExchangeError. A
+        reply that the reader calls foreign is dropped and the next one is read.
+        """
         check_invariant(
             self.on_done is None,
             invariant="one exchange at a time on a connection",
@@ -189,10 +210,9 @@
             loop.call_soon(on_done, error)
             return
         self.on_done = on_done
-        self.on_first_byte = on_first_byte
-        head = _request_head(self.address, path, len(body))
+        self.next_reader = reader
         # One write, so that a small request leaves as one packet.
-        self.stream.write(head + body)
+        self.stream.write(request)
         if self.stream.buffer:
             # Bytes that nobody asked for; they are taken for the reply.
             self.stream.go_on()
@@ -218,7 +238,7 @@
             if self.on_done is None:
                 self.stream.hold()
                 return
-            self.reader = _ReplyReader(self.on_first_byte)
+            self.reader = self.next_reader
             self.reading = self.exchange.read_response(self.reader)
         try:
             if self.reading.send(None) is not WAITING:
@@ -246,10 +266,21 @@
         if not reader.keep_alive:
             self.ended = True
             self.stream.close()
+        if reader.is_foreign():
+            self._read_next(reader)
+            return
         self._finish_exchange(reader.reply())
         if self.ended:
             self._tell_closed()
 
+    def _read_next(self, reader):
+        """Reads on behind a reply that belongs to no request under way."""
+        if self.ended or reader.foreign_replies >= MAX_FOREIGN_REPLIES:
+            self._fail("invalid_reply")
+            return
+        reader.note_foreign()
+        self._step()
+
     def _fail(self, reason):
         self.ended = True
         self.stream.close()
--- a/src/plantainstage/_transport/reply_stream.py
+++ b/src/plantainstage/_transport/reply_stream.py
@@ -14,6 +14,7 @@
 from tornado.iostream import StreamClosedError
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
+MAX_UNFRAMED_BYTES = 16 * 1024 * 1024  # of a body that ends with its connection
 # What a read yields while it waits; ``asyncio.sleep(0)`` yields None.
 WAITING = object()
 # Filled and copied from within one read event, so that all streams share it.
@@ -29,6 +30,7 @@
     """
 
     max_buffer_size = RECEIVE_BUFFER_BYTES
+    max_unframed_bytes = MAX_UNFRAMED_BYTES
 
     def __init__(self):
         self.on_bytes: Callable | None = None
@@ -36,6 +38,7 @@
         self.transport = None
         self.buffer = b""
         self.ended = False
+        self.ended_by_peer = False  # by an end of file, not by a reset
 
     # ---- Events of the transport ---------------------------------------------
 
@@ -56,6 +59,7 @@
     def eof_received(self):
         """Counts an end of file as the end of the stream in both directions."""
         self.ended = True
+        self.ended_by_peer = True
 
     def connection_lost(self, exc):
         """Tells that the stream has closed, whoever closed it."""
@@ -113,6 +117,13 @@
             yield from self._wait(None)
         return self._take(num_bytes)
 
+    @types.coroutine
+    def read_until_close(self):
+        """Waits for an end of file; a reset is none, and raises StreamClosedError."""
+        while not self.ended_by_peer:
+            yield from self._wait(self.max_unframed_bytes)
+        return self._take(len(self.buffer))
+
     # ---- Reading -------------------------------------------------------------
 
     def _wait(self, max_bytes):
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -31,8 +31,8 @@
 AVOID_LOST_S = 0.8
 
 _encoder = msgspec.msgpack.Encoder()
-_request_decoder = msgspec.msgpack.Decoder(control.ControlRequest)
-_reply_decoder = msgspec.msgpack.Decoder(control.ControlReply)
+CONTROL_REQUESTS = msgspec.msgpack.Decoder(control.ControlRequest)
+CONTROL_REPLIES = msgspec.msgpack.Decoder(control.ControlReply)
 
 
 def nng_url(address):
@@ -43,7 +43,8 @@
 class RpcServer:
     """Listens on ``address`` and passes each request to ``handler``.
 
-    ``handler`` takes a decoded ``ControlRequest`` and returns a reply. An
+    ``handler`` takes a decoded request, of the types that ``requests`` decodes, and
+    returns a reply. An
     undecodable request gets ``RequestRejected`` and costs nobody else anything.
     """
 
@@ -52,9 +53,11 @@
         *,
         address: str,
         handler: Callable[[control.ControlRequest], Awaitable[control.ControlReply]],
+        requests: msgspec.msgpack.Decoder = CONTROL_REQUESTS,
     ):
         self.address = address
         self.handler = handler
+        self.requests = requests
         self.socket = None
         self.tasks = []
         self.stopping = False
@@ -121,7 +124,7 @@
 
     async def _handle(self, data):
         try:
-            request = _request_decoder.decode(data)
+            request = self.requests.decode(data)
         except msgspec.MsgspecError as error:
             return control.RequestRejected(
                 code="malformed",
@@ -134,8 +137,11 @@
 class RpcClient:
     """One server address; several calls may be outstanding at once."""
 
-    def __init__(self, *, address: str):
+    def __init__(
+        self, *, address: str, replies: msgspec.msgpack.Decoder = CONTROL_REPLIES
+    ):
         self.address = address
+        self.replies = replies
         self.socket = None
         self.connected = asyncio.Event()
         self.lost_at = float("-inf")
@@ -212,7 +218,7 @@
             raise
         finally:
             context.close()
-        return _reply_decoder.decode(data)
+        return self.replies.decode(data)
 
 
 class ControlClient:
