Refuse reset unframed replies; run no request that crosses a planned close

Cause 2: a planned stop closed connections on which a request was being read, which was then passed on (LOST).

--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -17,17 +17,26 @@
 IDLE_MARGIN_S = 1.0
 
 
+class _CallerServer(HTTPServer):
+    """tornado's server, which also tells the delegate of closed connections."""
+
+    def on_close(self, server_conn):
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 class Ingress(httputil.HTTPServerConnectionDelegate):
     """Takes requests from callers and passes them to the router."""
 
     def __init__(self, *, router):
         self.router = router
-        self.server = HTTPServer(
+        self.server = _CallerServer(
             self,
             idle_connection_timeout=DEFAULT_IDLE_S,
             max_header_size=DEFAULT_HEAD_BYTES,
             max_body_size=DEFAULT_BODY_BYTES,
         )
+        self.waiting = {}  # connection -> the request that it has not sent yet
         self.running = set()
         self.stopping = False
 
@@ -44,23 +53,30 @@
         self.server.conn_params.header_timeout = idle_s
 
     def start_request(self, server_conn, request_conn):
-        """Takes the next request of a connection."""
-        return IngressRequest(ingress=self, connection=request_conn)
+        """Waits for the next request of a connection."""
+        request = IngressRequest(
+            ingress=self, connection=request_conn, server_connection=server_conn
+        )
+        self.waiting[server_conn] = request
+        return request
 
     def on_close(self, server_conn):
-        """Does nothing: each request hears of the close by itself."""
+        """Forgets a connection; a request under way hears of the close itself."""
+        self.waiting.pop(server_conn, None)
 
-    async def stop(self):
-        """Closes the listening socket and idle connections."""
-        self.server.stop()
-        await self.server.close_all_connections()
+    def close_idle(self):
+        """Closes the connections on which no request has begun to arrive."""
+        for waiting in list(self.waiting.values()):
+            waiting.connection.close()
+        self.waiting.clear()
 
 
 class IngressRequest(httputil.HTTPMessageDelegate):
     """One request of a caller on its connection."""
 
-    def __init__(self, *, ingress, connection):
+    def __init__(self, *, ingress, connection, server_connection):
         self.ingress = ingress
+        self.server_connection = server_connection
         self.connection = connection
         self.start_line = None
         self.headers = None
@@ -72,6 +88,8 @@
     # ---- Events of tornado --------------------------------------------------------
 
     def headers_received(self, start_line, headers):
+        self.ingress.waiting.pop(self.server_connection, None)
+        self.ingress.running.add(self)
         self.start_line = start_line
         self.headers = headers
         self.received_at = asyncio.get_running_loop().time()
@@ -80,8 +98,12 @@
         self.chunks.append(chunk)
 
     def finish(self):
+        if self._is_closed():
+            # The request crossed the close of an idle connection: it gets no
+            # answer any more, so that it must not run.
+            self.ingress.running.discard(self)
+            return
         self.connection.set_close_callback(self._caller_left)
-        self.ingress.running.add(self)
         router = self.ingress.router
         if router.table is None:
             self._reply(answers.refusal(reason="no_configuration"))
@@ -105,6 +127,9 @@
         """The connection closed before the request was complete."""
         self.ingress.running.discard(self)
 
+    def _is_closed(self):
+        return self.connection.stream is None or self.connection.stream.closed()
+
     # ---- Answer -------------------------------------------------------------------
 
     def _caller_left(self):
@@ -115,7 +140,7 @@
     def _reply(self, answer):
         self.replied = True
         self.ingress.running.discard(self)
-        if self.connection.stream is None or self.connection.stream.closed():
+        if self._is_closed():
             return
         headers = answer.headers
         bodiless = answer.status in (204, 304)
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -44,6 +44,7 @@
         self.status = 0
         self.keep_alive = True
         self.chunks = []
+        self.unframed = False  # the body ends with the connection
         self.foreign_replies = 0
 
     def headers_received(self, start_line, headers):
@@ -56,6 +57,8 @@
             self.keep_alive = requested != "close"
         else:
             self.keep_alive = requested == "keep-alive"
+        chunked = "Transfer-Encoding" in headers
+        self.unframed = not chunked and "Content-Length" not in headers
         if self.on_first_byte is not None:
             self.on_first_byte()
 
@@ -251,6 +254,10 @@
         self.reading = None
         if complete is None:
             self._fail(self.close_reason)
+        elif self.reader.unframed and not self.stream.ended_by_peer:
+            # tornado takes any end of the connection for the end of the body, but
+            # one that is reset on the way isn't whole.
+            self._fail("truncated_reply")
         elif not complete:
             # tornado logs what is wrong with the bytes and closes the stream.
             self._fail("invalid_reply")
