Answer from what was known before a restart, and elect sooner after one

Cause: after a loss of power of all machines callers were refused for 2 s: the leader's election took 0.65 s, a poll up to 0.35 s, and searchers announce themselves every 1.2 s. A control replica now keeps the last committed configuration and the searchers in a file beside its log, the first election comes early, hosts without a configuration poll at 60 ms, and Retry-After says what is missing.

--- a/src/plantainstage/_agreement/boot.py
+++ b/src/plantainstage/_agreement/boot.py
@@ -190,7 +190,7 @@
         return
     state.joined = True
     _abstain(state)
-    state.reset_election_deadline()
+    state.set_first_election_deadline()
     if state.voters() == {state.member_id}:
         # Nobody else can lead, so there is nothing to wait for.
         state.election_deadline = state.now
--- a/src/plantainstage/_agreement/state.py
+++ b/src/plantainstage/_agreement/state.py
@@ -43,6 +43,8 @@
 
     heartbeat_s: float = 0.08
     election_timeout_s: float = 0.45
+    # The minimum for the first election after a start, if it may come sooner.
+    start_election_s: float | None = None
     boot_retry_s: float = 0.1
     # How long a starting replica waits for the last peers' answers. Slower ones
     # count as gone in the limitation of section 7.4.
@@ -188,6 +190,18 @@
         minimum = self.timing.election_timeout_s
         self.election_deadline = self.now + self.random.uniform(minimum, 2 * minimum)
 
+    def set_first_election_deadline(self):
+        """Draws the time of the first election after this replica has started.
+
+        A replica that was started while the others have a leader hears of it first,
+        and its pre-vote would change nothing.
+        """
+        minimum = self.timing.start_election_s
+        if minimum is None:
+            self.reset_election_deadline()
+            return
+        self.election_deadline = self.now + self.random.uniform(minimum, 4 * minimum)
+
     def set_leader(self, leader):
         """Notes the leader of this term and tells the driver of a change."""
         if leader == self.leader:
--- a/src/plantainstage/_gateway/answers.py
+++ b/src/plantainstage/_gateway/answers.py
@@ -4,9 +4,13 @@
 
 from tornado import httputil
 
-# A host without a configuration or a service without searchers recovers within a
-# heartbeat; a later return would miss the caller's aim anyhow.
-RETRY_SOON_S = 0.1
+# After a rejection by busy searchers: several works of the usual length.
+RETRY_SOON_S = 0.15
+# A host that has just started waits for a control replica to start or to be
+# reached; a caller that comes back sooner is refused again.
+START_UP_S = 0.9
+# A service without searchers hears of one within a heartbeat.
+RETRY_UNKNOWN_S = 0.8
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -25,6 +29,12 @@
     return Answer(status=503, headers=headers, reason=reason)
 
 
+def no_configuration(*, up_s: float) -> Answer:
+    """Returns a 503 of a host that has been up for ``up_s`` without a configuration."""
+    left_s = max(RETRY_SOON_S, START_UP_S - up_s)
+    return refusal(reason="no_configuration", retry_after_s=left_s)
+
+
 def no_route() -> Answer:
     """Returns a 404 for a request that the configuration has no route for."""
     return Answer(status=404, reason="no_route")
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -12,6 +12,7 @@
 from plantainstage._transport.rpc import RpcClient
 
 POLL_INTERVAL_S = 0.35
+FIRST_POLL_S = 0.06
 POLL_TIMEOUT_S = 0.8
 SOURCE_LOST_S = 2.0
 EXPIRE_INTERVAL_S = 0.25
@@ -83,7 +84,11 @@
                     self.vouched.source_lost(process, loop.time())
                 process, cursor = reply.process, reply.cursor
                 self._take(reply)
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self):
+        """A host without a configuration serves nobody, so that it asks often."""
+        return POLL_INTERVAL_S if self.router.table is not None else FIRST_POLL_S
 
     def _take(self, reply):
         self.router.set_hosts(reply.hosts)
--- a/src/plantainstage/_gateway/events.py
+++ b/src/plantainstage/_gateway/events.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from functools import partial
 
 import msgspec
 
@@ -31,6 +32,7 @@
         self.in_second = 0
         self.dropped = 0
         self.timer = None
+        self.loop = asyncio.get_running_loop()
 
     def note(self, event: str, **fields):
         """Logs a change of belief, a lifecycle event or a failed request."""
@@ -40,6 +42,10 @@
         """Logs a request that went well; the first to be dropped under load."""
         self._add(event, fields, LINES_PER_SECOND * ORDINARY_SHARE)
 
+    def note_later(self, event: str, **fields):
+        """Logs an event from another thread than the event loop's."""
+        self.loop.call_soon_threadsafe(partial(self.note, event, **fields))
+
     def flush(self):
         """Hands over what was collected."""
         self.timer = None
@@ -60,8 +66,7 @@
         self.in_second += 1
         self.lines.append(self._encode(event, fields))
         if self.timer is None:
-            loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(FLUSH_INTERVAL_S, self.flush)
+            self.timer = self.loop.call_later(FLUSH_INTERVAL_S, self.flush)
 
     def _encode(self, event, fields):
         line = {
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -30,6 +30,7 @@
 
     def __init__(self, *, router):
         self.router = router
+        self.started_at = asyncio.get_running_loop().time()
         self.server = _CallerServer(
             self,
             idle_connection_timeout=DEFAULT_IDLE_S,
@@ -106,7 +107,8 @@
         self.connection.set_close_callback(self._caller_left)
         router = self.ingress.router
         if router.table is None:
-            self._reply(answers.refusal(reason="no_configuration"))
+            up_s = self.received_at - self.ingress.started_at
+            self._reply(answers.no_configuration(up_s=up_s))
             return
         route = router.table.find(self.headers.get("Host", ""), self.start_line.path)
         if route is None:
--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -163,7 +163,10 @@
         elif outcome.reply is not None:
             self._finish(self._pass_on(outcome.reply, outcome.reason))
         elif outcome.not_run:
-            self._finish(answers.refusal(reason=outcome.reason))
+            known = self.router.fleet.count(part.service)
+            retry_s = answers.RETRY_SOON_S if known else answers.RETRY_UNKNOWN_S
+            refusal = answers.refusal(reason=outcome.reason, retry_after_s=retry_s)
+            self._finish(refusal)
         else:
             self._finish(answers.failed(reason=outcome.reason))
 
@@ -205,7 +208,12 @@
         )
         known = sum(1 for s in target.shards if self.router.fleet.count(s))
         if known < target.needed:
-            self._finish(answers.refusal(reason="too_few_shards_known"))
+            self._finish(
+                answers.refusal(
+                    reason="too_few_shards_known",
+                    retry_after_s=answers.RETRY_UNKNOWN_S,
+                )
+            )
             return
         self.parts = [self._service_request(service) for service in target.shards]
         for part in self.parts:
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -74,10 +74,13 @@
         """Returns how long the caller has waited already, as its deadline tells.
 
         Callers of one route start with the same deadline, so that what is missing
-        from the longest one was spent on attempts before this one.
+        from the longest one was spent on attempts before this one. A caller that
+        lost most of its aim was told when to come back, or is late anyhow: its aim
+        begins anew.
         """
         if deadline_ms is None:
             return 0.0
         longest = max(self.longest_deadline_ms.get(route.name, 0), deadline_ms)
         self.longest_deadline_ms[route.name] = longest
-        return (longest - deadline_ms) / 1000
+        used_ms = longest - deadline_ms
+        return used_ms / 1000 if used_ms < route.aim_ms / 2 else 0.0
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -1,6 +1,8 @@
 """One control replica of routed requests, with its sockets and tasks."""
 
 import asyncio
+import contextlib
+import os
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -8,6 +10,7 @@
 import msgspec
 import pynng
 
+from plantainstage._agreement.state import Timing
 from plantainstage._control.replica import Replica
 from plantainstage._control.replica_settings import InitialMember, ReplicaSettings
 from plantainstage._errors import (
@@ -19,6 +22,8 @@
 from plantainstage._registry.http_api import ControlFormat, make_server
 from plantainstage._registry.keeper import GroupKeeper
 from plantainstage._registry.machine import ConfigurationMachine
+from plantainstage._registry.peers import Peer
+from plantainstage._registry.recent import RecentFile, RecentState
 from plantainstage._registry.register import SearcherRegister
 from plantainstage._serving.searchers import Searcher
 from plantainstage._transport.rpc import RpcClient, RpcServer
@@ -28,19 +33,16 @@
 # connections for a while.
 HOST_KEEP_S = 4.0
 NOTICE_TIMEOUT_S = 0.4
+# What is recalled after a restart lags by this much, departures excepted.
+SAVE_INTERVAL_S = 0.5
+SAVE_TIMEOUT_S = 0.3
+LOG_FOLDER = "log"
+# All replicas of a group may start together, with callers waiting.
+START_ELECTION_S = 0.08
 # After a replica stopped for a full or failed disk.
 REPLICA_RETRY_S = 0.5
 
 
-@dataclass(frozen=True, kw_only=True)
-class Peer:
-    """The addresses of one control replica, each ``IP:port``."""
-
-    client_address: str
-    peer_address: str
-    sync_address: str
-
-
 @dataclass(frozen=True, kw_only=True)
 class RegistrySettings:
     """Settings of one control replica of routed requests.
@@ -73,6 +75,9 @@
         self.register = SearcherRegister(heartbeat_s=settings.heartbeat_s)
         self.replica = None
         self.keeper = None
+        self.recent = RecentFile(folder=settings.data_folder, events=events)
+        self.recent_due = asyncio.Event()
+        self.saved_cursor = 0
         self.hosts = {}  # host id -> time of its last poll
         self.peer_clients = {}
 
@@ -80,6 +85,7 @@
 
     async def run(self, stop: asyncio.Event):
         """Serves until ``stop`` is set; raises OSError when a port is taken."""
+        self._recall()
         server = make_server(self)
         host, _, port = self.own_address.rpartition(":")
         server.listen(int(port), address=host)
@@ -93,6 +99,7 @@
         tasks = [
             asyncio.create_task(self._run_replica()),
             asyncio.create_task(self._expire()),
+            asyncio.create_task(self._save_recent()),
         ]
         await stop.wait()
         self.events.note("stopping")
@@ -139,7 +146,7 @@
         replica = Replica(
             settings=ReplicaSettings(
                 replica_id=own.client_address,
-                data_folder=self.settings.data_folder,
+                data_folder=os.path.join(self.settings.data_folder, LOG_FOLDER),
                 client_address=own.client_address,
                 peer_address=own.peer_address,
                 bootstrap=tuple(
@@ -150,6 +157,7 @@
                     )
                     for peer in founders
                 ),
+                timing=Timing(start_election_s=START_ELECTION_S),
             ),
             machine=self.machine,
             on_leader_change=self._leader_changed,
@@ -170,6 +178,39 @@
                 if now - polled_at > HOST_KEEP_S:
                     del self.hosts[host_id]
 
+    # ---- What was known before a restart ------------------------------------------
+
+    def _recall(self):
+        """Takes over what the replica knew before it was started."""
+        now = asyncio.get_running_loop().time()
+        state = self.recent.read()
+        if state.version >= 0:
+            self.machine.adopt(version=state.version, document=state.document)
+        for searcher in state.searchers:
+            self.register.hear(searcher, now)
+        self.saved_cursor = self.register.cursor
+        self.machine.on_change = self.recent_due.set
+
+    async def _save_recent(self):
+        """Saves what changed, some time after each change."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SAVE_INTERVAL_S):
+                    await self.recent_due.wait()
+            if self.recent_due.is_set() or self.register.cursor > self.saved_cursor:
+                self.recent_due.clear()
+                await self._write_recent()
+
+    async def _write_recent(self):
+        cursor = self.register.cursor
+        state = RecentState(
+            version=self.machine.held.version,
+            document=self.machine.held.document,
+            searchers=self.register.searchers(),
+        )
+        if await self.recent.write(state, timeout_s=SAVE_TIMEOUT_S):
+            self.saved_cursor = cursor
+
     # ---- Configuration ------------------------------------------------------------
 
     def leader_address(self):
@@ -211,7 +252,7 @@
                 searcher=searcher.searcher_id,
                 state=searcher.state.name.lower(),
             )
-            await self._tell_peers(searcher)
+            await asyncio.gather(self._tell_peers(searcher), self._write_recent())
 
     async def departed(self, searcher_id: str):
         """Takes a farewell of a searcher."""
@@ -219,7 +260,7 @@
         left = self.register.depart(searcher_id, now)
         if left is not None:
             self.events.note("searcher_leaves", searcher=searcher_id, state="left")
-            await self._tell_peers(left)
+            await asyncio.gather(self._tell_peers(left), self._write_recent())
 
     async def _tell_peers(self, searcher):
         others = set(self._sync_addresses()) - {self.settings.own.sync_address}
--- a/src/plantainstage/_registry/machine.py
+++ b/src/plantainstage/_registry/machine.py
@@ -23,6 +23,15 @@
 
     def __init__(self):
         self.held = PutConfiguration(version=-1, document=b"")
+        self.on_change = None  # called after another document is held
+
+    def adopt(self, *, version: int, document: bytes):
+        """Holds a document that is known to be committed already.
+
+        The log still has it or a higher one, so that replaying it changes nothing.
+        """
+        if version > self.held.version:
+            self._hold(PutConfiguration(version=version, document=document))
 
     @staticmethod
     def command(*, version: int, document: bytes) -> bytes:
@@ -33,7 +42,7 @@
         """Applies a command; returns the version held afterwards."""
         put = _decoder.decode(command)
         if put.version > self.held.version:
-            self.held = put
+            self._hold(put)
         return self.held.version
 
     def take_snapshot(self) -> bytes:
@@ -41,5 +50,12 @@
         return _encoder.encode(self.held)
 
     def restore(self, *, snapshot: bytes) -> None:
-        """Replaces the state."""
-        self.held = _decoder.decode(snapshot)
+        """Takes the state of a snapshot, unless a later one is held."""
+        put = _decoder.decode(snapshot)
+        if put.version > self.held.version:
+            self._hold(put)
+
+    def _hold(self, put):
+        self.held = put
+        if self.on_change is not None:
+            self.on_change()
--- /dev/null
+++ b/src/plantainstage/_registry/recent.py
@@ -0,0 +1,80 @@
+"""What a control replica knew lately, for the first moments after a restart.
+
+After a loss of power of all machines the group first has to elect a leader, and
+searchers announce themselves again only after a while. Until then this file
+answers entry hosts: the last committed configuration, and the searchers with what
+is known of their departure. It is a hint; what is durable is in the replica's log.
+"""
+
+import asyncio
+import os
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+
+from plantainstage._errors import StorageError
+from plantainstage._serving.searchers import Searcher
+from plantainstage._storage.files import SystemFiles
+from plantainstage._storage.folder import read_single_frame, write_atomically
+from plantainstage._storage.frames import encode_frame
+
+FILE_NAME = "recent"
+
+
+class RecentState(msgspec.Struct, frozen=True, kw_only=True):
+    """The content of the file."""
+
+    version: int = -1
+    document: bytes = b""
+    searchers: tuple[Searcher, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(RecentState)
+
+
+class RecentFile:
+    """Reads and writes the file in ``folder``, one write at a time.
+
+    A write that fails or hangs only costs the hint; the caller is told by events.
+    """
+
+    def __init__(self, *, folder: str, events):
+        self.folder = folder
+        self.events = events
+        self.files = SystemFiles()
+        self.disk_thread = ThreadPoolExecutor(max_workers=1)
+        self.writing = None
+
+    def read(self) -> RecentState:
+        """Returns the content, empty if there is none that can be read."""
+        path = os.path.join(self.folder, FILE_NAME)
+        try:
+            if not self.files.exists(self.folder):
+                self.files.make_folder(self.folder)
+            if not self.files.exists(path):
+                return RecentState()
+            return _decoder.decode(read_single_frame(self.files, path))
+        except (StorageError, OSError, msgspec.MsgspecError) as error:
+            self.events.note("recent_state_unreadable", reason=str(error)[:300])
+            return RecentState()
+
+    async def write(self, state: RecentState, *, timeout_s: float) -> bool:
+        """Writes the content; returns whether it is durable within the time."""
+        loop = asyncio.get_running_loop()
+        if self.writing is not None and not self.writing.done():
+            await asyncio.wait([self.writing], timeout=timeout_s)
+            if not self.writing.done():
+                return False
+        self.writing = loop.run_in_executor(self.disk_thread, self._write, state)
+        await asyncio.wait([self.writing], timeout=timeout_s)
+        return self.writing.done() and self.writing.result()
+
+    def _write(self, state):
+        data = encode_frame(_encoder.encode(state))
+        try:
+            write_atomically(self.files, self.folder, FILE_NAME, data)
+        except StorageError as error:
+            self.events.note_later("recent_state_unwritten", reason=str(error)[:300])
+            return False
+        return True
--- a/src/plantainstage/_registry/register.py
+++ b/src/plantainstage/_registry/register.py
@@ -38,6 +38,10 @@
         """Returns the entries that changed after ``cursor``."""
         return [entry for entry in self.entries.values() if entry.change > cursor]
 
+    def searchers(self):
+        """Returns the newest announcement of each searcher."""
+        return tuple(entry.searcher for entry in self.entries.values())
+
     # ---- Commands -----------------------------------------------------------------
 
     def hear(self, searcher: Searcher, now: float) -> bool:
