Leave out shards that cannot answer before the seal

Such shards are now left out while the others suffice, hedges go only to searchers that still help, and late calls at crowded searchers are ended.

--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -85,24 +85,20 @@
 
     # ---- Choice -------------------------------------------------------------------
 
-    def choose(self, service: str, *, tried, work_s: float) -> Member | None:
-        """Returns the best member with a free connection that was not tried."""
+    def choose(self, service: str, *, tried, work_s: float) -> placement.Choice | None:
+        """Returns the best searcher with a free connection that was not tried."""
         now = asyncio.get_running_loop().time()
         cap = self._connection_share(service)
-        members = {
-            id(member.load): member
+        loads = [
+            member.load
             for searcher_id, member in self.by_service.get(service, {}).items()
             if searcher_id not in tried
             and member.load.in_flight < self._request_share(member)
             and member.pool.has_room(cap, now)
-        }
-        load = placement.choose(
-            [member.load for member in members.values()],
-            now=now,
-            work_s=work_s,
-            data_centre=self.data_centre,
+        ]
+        return placement.choose(
+            loads, now=now, work_s=work_s, data_centre=self.data_centre
         )
-        return members[id(load)] if load is not None else None
 
     def _connection_share(self, service):
         cap = self.connection_caps.get(service, 16)
@@ -133,14 +129,14 @@
 
     # ---- Calls --------------------------------------------------------------------
 
-    def send(self, member: Member, *, request, request_id, left_s, work_s, on_done):
-        """Sends a formatted request to a member; returns a handle to abandon it.
+    def send(self, searcher_id, *, request, request_id, left_s, work_s, on_done):
+        """Sends a formatted request to a searcher; returns a handle to abandon it.
 
         ``on_done`` gets the CallOutcome exactly once, never before return.
         """
         call = Call(
             fleet=self,
-            member=member,
+            member=self.members[searcher_id],
             request=request,
             request_id=request_id,
             work_s=work_s,
--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -77,6 +77,7 @@
         running = [part for part in self.parts if part.calls]
         for part in self.parts:
             part.over = True
+            part.abandon_hopeless()
         if running:
             self.loop.call_later(grace_s, _abandon_all, running)
 
@@ -113,14 +114,14 @@
                 continue
             due_at = part.sent_at + after_s
             if due_at <= now:
-                if self._hedge_helps(now):
-                    part.hedge()
+                part.hedge(useful_until=self._hedges_useful_until())
             elif soonest is None or due_at < soonest:
                 soonest = due_at
         return soonest
 
-    def _hedge_helps(self, now):
-        return True
+    def _hedges_useful_until(self):
+        """Returns when the answer of a second searcher has to be in."""
+        return self.end_at
 
 
 def _abandon_all(parts):
@@ -216,10 +217,32 @@
             )
             return
         self.parts = [self._service_request(service) for service in target.shards]
+        for part in self._hopeless_parts():
+            part.leave_out()
         for part in self.parts:
-            part.start()
+            if not part.over:
+                part.start()
         self._step()
 
+    def _hopeless_parts(self):
+        """Returns the shards to leave out: they can't answer before the seal.
+
+        A shard whose searchers are all crowded or slow would delay every request
+        until it is sealed, and its queue would never become shorter. The others
+        suffice; those that are the furthest behind are left out.
+        """
+        work_s = self.router.work_time(self.route).median.value
+        left_s = self.terms.seal_at - self.loop.time()
+        allowed = self.terms.shards - self.terms.needed
+        late = []
+        for part in self.parts:
+            choice = part.best_choice()
+            expected_s = choice.expected_s if choice is not None else work_s + left_s
+            if expected_s > left_s:
+                late.append((expected_s, part))
+        late.sort(key=lambda item: -item[0])
+        return [part for _, part in late[:allowed]]
+
     def _part_done(self, part, outcome):
         if self.over:
             return
@@ -254,11 +277,11 @@
             wake_at = min(wake_at, self.terms.seal_at)
         self.timer = self.loop.call_at(min(wake_at, self.end_at), self._step)
 
-    def _hedge_helps(self, now):
-        """A second searcher has to answer before the answer is sealed."""
-        work_s = self.router.work_time(self.route).median.value
-        enough = len(self.answered) >= self.terms.needed
-        return now + work_s < self.terms.seal_at or not enough
+    def _hedges_useful_until(self):
+        """A part has to come before the answer is sealed, once enough are in."""
+        if len(self.answered) >= self.terms.needed:
+            return self.terms.seal_at
+        return self.end_at
 
     def _seal(self):
         replies = list(self.answered.values())
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -15,6 +15,9 @@
 
 # Searchers that may reject one request before it is given up.
 MAX_REJECTIONS = 3
+# A searcher with more requests than this many times its slots has a queue in which
+# a late request costs the others time.
+CROWDED_FACTOR = 1.5
 # Below this no searcher could do anything with a request.
 MIN_LEFT_S = 0.002
 
@@ -93,11 +96,27 @@
         self.router.budget(self.service).note_request()
         self._send_first()
 
-    def hedge(self) -> bool:
-        """Asks a second searcher if that is allowed; returns whether it did."""
+    def best_choice(self):
+        """Returns the Choice for the next call, or None."""
+        work_s = self.router.work_time(self.route).median.value
+        return self.router.fleet.choose(self.service, tried=self.tried, work_s=work_s)
+
+    def leave_out(self):
+        """Ends the request before anything was sent."""
+        self._end(reason="left_out")
+
+    def hedge(self, *, useful_until: float) -> bool:
+        """Asks a second searcher if that is allowed; returns whether it did.
+
+        A searcher whose answer would come too late is spared, as is the budget.
+        """
         self.hedged = True
         if not (self.may_repeat and self.may_run_again):
             return False
+        choice = self.best_choice()
+        now = asyncio.get_running_loop().time()
+        if choice is None or choice.shunned or now + choice.expected_s > useful_until:
+            return False
         budget = self.router.budget(self.service)
         if not budget.take():
             return False
@@ -106,6 +125,14 @@
             return False
         return True
 
+    def abandon_hopeless(self):
+        """Ends the calls at searchers where others wait: they free a place."""
+        now = asyncio.get_running_loop().time()
+        for call in list(self.calls):
+            load = call.member.load
+            if load.busy(now) > CROWDED_FACTOR * load.searcher.slots:
+                call.abandon()
+
     def abandon(self):
         """Ends all calls at once; ``on_done`` isn't called any more."""
         self.over = True
@@ -133,18 +160,16 @@
         return False
 
     def _send(self):
-        fleet = self.router.fleet
-        work_s = self.router.work_time(self.route).median.value
-        member = fleet.choose(self.service, tried=self.tried, work_s=work_s)
+        choice = self.best_choice()
         left_s = self._left_s()
-        if member is None or left_s < MIN_LEFT_S:
+        if choice is None or left_s < MIN_LEFT_S:
             return False
-        searcher_id = member.searcher.searcher_id
+        searcher_id = choice.load.searcher.searcher_id
         self.tried.add(searcher_id)
         if self.sent_at is None:
             self.sent_at = asyncio.get_running_loop().time()
-        call = fleet.send(
-            member,
+        call = self.router.fleet.send(
+            searcher_id,
             request=addressed_request(
                 head=self.head,
                 body=self.request.body,
@@ -154,7 +179,7 @@
             ),
             request_id=self.request.request_id,
             left_s=left_s,
-            work_s=work_s,
+            work_s=self.router.work_time(self.route).median.value,
             on_done=self._call_done,
         )
         self.calls.append(call)
--- a/src/plantainstage/_serving/placement.py
+++ b/src/plantainstage/_serving/placement.py
@@ -126,13 +126,26 @@
         self.trouble_at = now
 
 
+@dataclass(frozen=True, kw_only=True)
+class Choice:
+    """The chosen searcher and when its answer is expected.
+
+    ``shunned`` tells that it seems to pause or is to be avoided, and that there is
+    no other.
+    """
+
+    load: SearcherLoad
+    expected_s: float
+    shunned: bool
+
+
 def choose(
     loads: Iterable[SearcherLoad],
     *,
     now: float,
     work_s: float,
     data_centre: str,
-) -> SearcherLoad | None:
+) -> Choice | None:
     """Returns the searcher with the least expected time, or None without any.
 
     Searchers that seem to pause or are to be avoided come after all others.
@@ -143,4 +156,6 @@
         rank = (shunned, load.expected_s(now, work_s, data_centre))
         if best_rank is None or rank < best_rank:
             best, best_rank = load, rank
-    return best
+    if best is None:
+        return None
+    return Choice(load=best, shunned=best_rank[0], expected_s=best_rank[1])
