--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+import xxhash
 from tornado import httputil
 
 from plantainstage._gateway import answers
@@ -41,6 +42,7 @@
         self.end_at = request.received_at + timeout_ms / 1000
         self.version = router.version
         self.head = request_head(request, router.names)
+        self.rank = self._budget_rank()
         self.parts = []
         self.timer = None
         self.over = False
@@ -52,6 +54,9 @@
         self._close(LEFT_GRACE_S)
         self._log("caller_left", status=0)
 
+    def _budget_rank(self):
+        return 0.0
+
     def _service_request(self, service):
         return ServiceRequest(
             router=self.router,
@@ -60,6 +65,7 @@
             request=self.request,
             head=self.head,
             end_at=self.end_at,
+            rank=self.rank,
             on_done=self._part_done,
         )
 
@@ -243,6 +249,10 @@
         late.sort(key=lambda item: -item[0])
         return [part for _, part in late[:allowed]]
 
+    def _budget_rank(self):
+        """One rank for all shards, drawn from the request's id."""
+        return xxhash.xxh32_intdigest(self.request.request_id.encode()) / 2**32
+
     def _part_done(self, part, outcome):
         if self.over:
             return
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -51,6 +51,7 @@
         request: CallerRequest,
         head: bytes,
         end_at: float,
+        rank: float,
         on_done: Callable,
     ):
         self.router = router
@@ -59,6 +60,7 @@
         self.request = request
         self.head = head
         self.end_at = end_at
+        self.rank = rank  # for the retry budget
         self.on_done = on_done
         self.calls = []  # under way
         self.tried = set()
@@ -218,7 +220,7 @@
         """Sends to another searcher; what arrived before makes it extra."""
         if self._may_try_again():
             budget = self.router.budget(self.service)
-            if not arrived or budget.take():
+            if not arrived or budget.take(rank=self.rank):
                 if self._send():
                     return
                 if arrived:
--- a/src/plantainstage/_programs/event_logs.py
+++ b/src/plantainstage/_programs/event_logs.py
@@ -5,10 +5,12 @@
 import signal
 import sys
 
+import msgspec
 from loguru import logger
 
 from plantainstage._gateway.events import EventLog
 from plantainstage._programs.line_writer import LineWriter
+from plantainstage._programs.logs import exception_fields
 from plantainstage._programs.running import catch_stop_signals
 
 
@@ -34,7 +36,12 @@
     """Passes messages of the standard logging module to loguru."""
 
     def emit(self, record):
-        logger.log(record.levelname, record.getMessage()[:500])
+        fields = {}
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["exception"] = msgspec.json.encode(
+                exception_fields(record.exc_info[1])
+            ).decode()
+        logger.bind(**fields).log(record.levelname, record.getMessage()[:500])
 
 
 async def run_until_stopped(daemon, *, events: EventLog):
--- a/src/plantainstage/_serving/retry_budget.py
+++ b/src/plantainstage/_serving/retry_budget.py
@@ -47,13 +47,15 @@
         """Counts one request for the service."""
         self.tokens = min(self.most, self.tokens + self.terms.ratio * RATIO_MARGIN)
 
-    def has(self, count: float) -> bool:
-        """Whether ``count`` extra arrivals are left."""
-        return self.tokens >= count
-
-    def take(self) -> bool:
-        """Takes one extra arrival; false when none is left."""
-        if self.tokens < 1.0:
+    def take(self, *, rank: float = 0.0) -> bool:
+        """Takes one extra arrival; false when none is left for this ``rank``.
+
+        Ranks run from 0 to 1. When extra arrivals are scarce the tokens are low and
+        only requests of low rank get any. A request to many shards has one rank at
+        all of them, so that those few are completed, instead of each request
+        getting a part of what it needs.
+        """
+        if self.tokens < 1.0 + rank * (self.most - 1.0):
             return False
         self.tokens -= 1.0
         return True
