--- /dev/null
+++ b/features/support/routed_tier.py
@@ -0,0 +1,417 @@
+"""Control replicas, entry hosts, searchers and callers on one event loop.
+
+All of them are the real tasks on loopback sockets; only the searchers are
+stand-ins, whose behaviour a scenario chooses.
+"""
+
+import asyncio
+import itertools
+import json
+import socket
+import struct
+import tempfile
+import time
+from dataclasses import dataclass, field
+
+from plantainstage._gateway.daemon import GatewayDaemon, GatewaySettings
+from plantainstage._gateway.dialect import HeaderNames
+from plantainstage._gateway.events import EventLog
+from plantainstage._registry.daemon import RegistryDaemon, RegistrySettings
+from plantainstage._registry.peers import Peer
+from plantainstage._serving.retry_budget import BudgetTerms
+from support.processes import free_address
+
+HANG_LIMIT_S = 30
+NAMES = HeaderNames()
+
+
+@dataclass(kw_only=True)
+class ReceivedRequest:
+    """A request as a stand-in searcher got it."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+    @property
+    def request_id(self):
+        return self.headers.get(NAMES.request_id.lower(), "")
+
+
+@dataclass(kw_only=True)
+class CallerReply:
+    """What a caller got."""
+
+    status: int
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+
+
+async def until(condition):
+    """Waits for a condition; the scenario's own limit ends a wait for ever."""
+    for _ in itertools.count():
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+
+
+async def read_message(reader):
+    """Returns start line, headers and body of one HTTP message."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
+    lines = head.split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, separator, value = line.partition(":")
+        if separator:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return lines[0], headers, body
+
+
+class StandInSearcher:
+    """A searcher whose replies ``behave(searcher, request, writer)`` writes."""
+
+    def __init__(self, *, searcher_id, service, data_centre="dc-1", started_at_ms=1):
+        self.searcher_id = searcher_id
+        self.service = service
+        self.data_centre = data_centre
+        self.started_at_ms = started_at_ms
+        self.sequence = 0
+        self.received = []
+        self.connections = 0
+        self.closed_early = 0
+        self.record = searcher_id.encode().ljust(16, b".")
+        self.behave = answer_whole
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                line, headers, body = await read_message(reader)
+                method, target, _ = line.split(" ")
+                request = ReceivedRequest(
+                    method=method, target=target, headers=headers, body=body
+                )
+                self.received.append(request)
+                working = asyncio.ensure_future(self.behave(self, request, writer))
+                watching = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    [working, watching], return_when=asyncio.FIRST_COMPLETED
+                )
+                if not working.done():
+                    self.closed_early += 1
+                    working.cancel()
+                    return
+                watching.cancel()
+                await asyncio.gather(watching, return_exceptions=True)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            return  # the caller has gone, or the scenario is over
+        finally:
+            writer.close()
+
+    def announcement(self, state=0, **changes):
+        self.sequence += 1
+        fields = {
+            "searcher_id": self.searcher_id,
+            "service": self.service,
+            "address": self.address,
+            "data_centre": self.data_centre,
+            "slots": 2,
+            "state": state,
+            "sequence": self.sequence,
+            "started_at_ms": self.started_at_ms,
+        }
+        return json.dumps({**fields, **changes}).encode()
+
+
+def reply_head(searcher, request, *, status="200 OK", extra=(), request_id=None):
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"{NAMES.request_id}: {request_id or request.request_id}",
+        f"{NAMES.signature}: signed-by-{searcher.searcher_id}",
+        *extra,
+    ]
+    return ("\r\n".join(lines) + "\r\n").encode()
+
+
+def sized(body):
+    return b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+async def answer_whole(searcher, request, writer):
+    writer.write(reply_head(searcher, request) + sized(searcher.record))
+
+
+async def answer_without_end(searcher, request, writer):
+    """Sends nothing for as long as the connection stands."""
+    await asyncio.Event().wait()
+
+
+async def answer_cut_short(searcher, request, writer):
+    body = sized(searcher.record)[:-4]
+    writer.write(reply_head(searcher, request) + body)
+    await writer.drain()
+    writer.close()
+
+
+async def answer_unframed(searcher, request, writer):
+    writer.write(reply_head(searcher, request, extra=["Connection: close"]) + b"\r\n")
+    writer.write(searcher.record)
+    await writer.drain()
+    writer.close()
+
+
+async def answer_unframed_reset(searcher, request, writer):
+    writer.write(reply_head(searcher, request, extra=["Connection: close"]) + b"\r\n")
+    writer.write(searcher.record[:8])
+    await writer.drain()
+    linger = struct.pack("ii", 1, 0)  # closing resets at once
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def answer_with_extra(searcher, request, writer):
+    """Sends the reply twice; the second one is nobody's."""
+    whole = reply_head(searcher, request) + sized(searcher.record)
+    writer.write(whole)
+    await writer.drain()
+    asyncio.get_running_loop().call_later(0.02, writer.write, whole)
+
+
+async def reject(searcher, request, writer):
+    extra = [f"{NAMES.not_executed}: 1"]
+    head = reply_head(searcher, request, status="503 Full", extra=extra)
+    writer.write(head + sized(b""))
+
+
+async def reset(searcher, request, writer):
+    writer.transport.abort()
+
+
+async def fail(searcher, request, writer):
+    head = reply_head(searcher, request, status="500 Internal Server Error")
+    writer.write(head + sized(b"broken"))
+
+
+async def answer_garbage(searcher, request, writer):
+    writer.write(b"this is no answer\r\n\r\n")
+    await writer.drain()
+    writer.close()
+
+
+BEHAVIOURS = {
+    "answers": answer_whole,
+    "never answers": answer_without_end,
+    "cuts its answers short": answer_cut_short,
+    "answers without a length": answer_unframed,
+    "resets answers without a length": answer_unframed_reset,
+    "answers twice": answer_with_extra,
+    "rejects": reject,
+    "resets": reset,
+    "fails": fail,
+    "answers with garbage": answer_garbage,
+}
+
+
+class RoutedTier:
+    """One deployment; ``run`` drives its loop until a coroutine is done."""
+
+    def __init__(self, resources):
+        self.loop = asyncio.new_event_loop()
+        self.events = []
+        self.registries = {}  # client address -> (daemon, stop event, task, folder)
+        self.gateways = []
+        self.searchers = {}
+        self.announcing = None
+        resources.callback(self.close)
+
+    def run(self, work):
+        return self.loop.run_until_complete(asyncio.wait_for(work, HANG_LIMIT_S))
+
+    def wait_for(self, condition, what="the condition"):
+        limit = time.monotonic() + HANG_LIMIT_S
+        while not condition():
+            assert time.monotonic() < limit, f"{what} did not come true"
+            self.run(asyncio.sleep(0.005))
+
+    # ---- Control ------------------------------------------------------------------
+
+    def new_peer(self):
+        addresses = [free_address() for _ in range(3)]
+        return Peer(
+            client_address=addresses[0],
+            peer_address=addresses[1],
+            sync_address=addresses[2],
+        )
+
+    def start_registry(self, peer, *, seeds, founds, folder=None):
+        folder = folder or tempfile.mkdtemp()
+        known = {p.client_address: p.sync_address for p in (*seeds, peer)}
+
+        def sync_address_of(client_address):
+            others = {
+                d.settings.own.client_address: d.settings.own.sync_address
+                for d, *_ in self.registries.values()
+            }
+            return {**known, **others}.get(client_address, peer.sync_address)
+
+        async def start():
+            events = EventLog(
+                program="registry", host_id=peer.client_address, put=self._take_lines
+            )
+            settings = RegistrySettings(
+                host_id=peer.client_address,
+                own=peer,
+                data_folder=folder,
+                peers=lambda: tuple(seeds),
+                sync_address_of=sync_address_of,
+                founders=tuple(seeds) if founds else (),
+                heartbeat_s=0.2,
+            )
+            daemon = RegistryDaemon(settings=settings, events=events)
+            stop = asyncio.Event()
+            task = asyncio.create_task(daemon.run(stop))
+            self.registries[peer.client_address] = (daemon, stop, task, folder)
+
+        self.run(start())
+
+    def stop_registry(self, address):
+        daemon, stop, task, folder = self.registries.pop(address)
+        stop.set()
+        self.run(asyncio.gather(task, return_exceptions=True))
+        return daemon.settings.own, folder
+
+    def start_group(self, count):
+        peers = [self.new_peer() for _ in range(count)]
+        for peer in peers:
+            self.start_registry(peer, seeds=peers, founds=True)
+        self.wait_for(self.leader, "a leader")
+        return peers
+
+    def leader(self):
+        for daemon, *_ in self.registries.values():
+            if daemon.replica is not None and daemon.replica.is_leader:
+                return daemon
+        return None
+
+    async def call_control(self, address, method, path, body=b""):
+        """Calls a replica and follows at most two redirections."""
+        for _ in range(3):
+            reply = await self.call(
+                address, method=method, target=path, body=body, host="control"
+            )
+            if reply.status != 307:
+                return reply
+            address = reply.headers["location"].split("/")[2]
+        return reply
+
+    def put_until_clear(self, document, address=None):
+        """Sends a configuration, again while the outcome is unclear."""
+        body = (
+            document if isinstance(document, bytes) else json.dumps(document).encode()
+        )
+        limit = time.monotonic() + HANG_LIMIT_S
+        while time.monotonic() < limit:
+            target = address or next(iter(self.registries))
+            reply = self.run(
+                self.call_control(target, "POST", "/v1/configuration", body)
+            )
+            if reply.status != 503:
+                return reply
+            self.run(asyncio.sleep(0.05))
+        raise AssertionError("no clear outcome")
+
+    # ---- Entry hosts, searchers, callers ------------------------------------------
+
+    def start_gateway(self, seeds, budget=None):
+        async def start():
+            events = EventLog(program="gateway", host_id="g", put=self._take_lines)
+            settings = GatewaySettings(
+                host_id=f"gateway-{len(self.gateways)}",
+                data_centre="dc-1",
+                listen=free_address(),
+                ready_listen=free_address(),
+                control_addresses=lambda: tuple(p.sync_address for p in seeds),
+                budget=budget or BudgetTerms(ratio=0.2, slack=1000),
+                stop_s=3.0,
+            )
+            daemon = GatewayDaemon(settings=settings, events=events)
+            stop = asyncio.Event()
+            task = asyncio.create_task(daemon.run(stop))
+            self.gateways.append((daemon, stop, task))
+            return daemon
+
+        return self.run(start())
+
+    def add_searcher(self, searcher):
+        self.run(searcher.start())
+        self.searchers[searcher.searcher_id] = searcher
+        if self.announcing is None:
+            self.announcing = self.loop.create_task(self._announce())
+
+    async def announce(self, searcher, body=None, address=None):
+        address = address or next(iter(self.registries))
+        path = f"/v1/searchers/{searcher.searcher_id}/announcement"
+        return await self.call_control(
+            address, "POST", path, body or searcher.announcement()
+        )
+
+    async def _announce(self):
+        while True:
+            for searcher in list(self.searchers.values()):
+                try:
+                    await self.announce(searcher)
+                except (OSError, asyncio.IncompleteReadError):
+                    continue  # the replica is stopped; the next round asks again
+            await asyncio.sleep(0.1)
+
+    async def call(
+        self, address, *, method="GET", target="/", host="a.example", body=b"", **names
+    ):
+        """Sends one request on a connection of its own and returns the reply."""
+        ip, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+        lines += [f"{name}: {value}" for name, value in names.items()]
+        lines.append(f"Content-Length: {len(body)}")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        try:
+            line, headers, body = await read_message(reader)
+        finally:
+            writer.close()
+        status = int(line.split(" ")[1])
+        return CallerReply(status=status, headers=headers, body=body)
+
+    def request(self, *, method="GET", target, request_id="r-1", body=b"", ms=2000):
+        daemon = self.gateways[0][0]
+        names = {NAMES.request_id: request_id, NAMES.deadline: str(ms)}
+        return self.call(
+            daemon.settings.listen, method=method, target=target, body=body, **names
+        )
+
+    def _take_lines(self, text):
+        self.events.extend(json.loads(line) for line in text.split("\n"))
+
+    def close(self):
+        if self.announcing is not None:
+            self.announcing.cancel()
+        for _, stop, _ in self.gateways:
+            stop.set()
+        for _, stop, _, _ in self.registries.values():
+            stop.set()
+        tasks = [task for _, _, task in self.gateways]
+        tasks += [task for _, _, task, _ in self.registries.values()]
+        self.run(asyncio.gather(*tasks, return_exceptions=True))
+        for searcher in self.searchers.values():
+            searcher.server.close()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep(0.01))
+        self.loop.close()
