--- /dev/null
+++ b/features/steps/platform_folder_steps.py
@@ -0,0 +1,143 @@
+"""Steps for the folder ``platform``."""
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import then
+
+ROOT = Path(__file__).resolve().parents[2]
+FOLDER = ROOT / "platform"
+PLATFORM_NAMES = (
+    "Request-Id",
+    "Deadline-Ms",
+    "Expect-Instance",
+    "Server-Stamp",
+    "Part-Stamps",
+    "Missing-Parts",
+    "Server-Load",
+    "Not-Executed",
+    "warmupLeftMs",
+    "warmup_left",
+    "heartbeatAddr",
+    "pathPrefix",
+    "trafficSplit",
+    "minCoverage",
+    "maxAttempts",
+    "/api/config",
+    "/api/instances",
+    "PLANTAINSTAGE_BOOT",
+    "internalPorts",
+)
+HEARTBEAT = {
+    "service": "cards",
+    "address": "127.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 0,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def run_python(code, folder=ROOT):
+    """Runs a piece of Python in a folder and returns what it prints."""
+    result = subprocess.run(
+        [sys.executable, "-c", code], cwd=folder, capture_output=True, check=True
+    )
+    return result.stdout.decode().strip()
+
+
+def in_folder(code):
+    paths = f"import sys; sys.path[:0] = [{str(FOLDER)!r}, {str(ROOT / 'src')!r}]\n"
+    return run_python(paths + code)
+
+
+@then("no source file outside the folder holds a name of the platform")
+def step_names(context):
+    found = [
+        f"{path.relative_to(ROOT)}: {name}"
+        for path in (ROOT / "src").rglob("*.py")
+        for name in PLATFORM_NAMES
+        # The product's own header names begin with X- and contain some of these.
+        if re.search(rf"(?<!X-){re.escape(name)}", path.read_text(encoding="utf-8"))
+    ]
+    assert found == [], found
+
+
+@then("the standard module is found from the root and from the folder")
+def step_standard_module(context):
+    for folder in (ROOT, FOLDER):
+        assert run_python("import platform; print(platform.system())", folder)
+
+
+@then("neither program of the folder loads a plotting library")
+def step_no_plotting(context):
+    for program in ("front", "core"):
+        code = f"import {program}; print('matplotlib' in sys.modules)"
+        assert in_folder(code) == "False", program
+
+
+@then("a heartbeat with {fault} is refused")
+def step_heartbeat(context, fault):
+    fields = dict(HEARTBEAT)
+    body = None
+    match fault:
+        case "no start":
+            del fields["born"]
+        case "a start that is a text":
+            fields["born"] = "1700000000000"
+        case "a start that is true":
+            fields["born"] = True
+        case "an unknown state":
+            fields["state"] = "resting"
+        case "an address without a port":
+            fields["address"] = "127.0.0.1"
+        case "no slots":
+            fields["slots"] = 0
+        case "bytes that are no JSON":
+            body = b"\xff{"
+    body = body or json.dumps(fields).encode()
+    code = f"""
+from control_formats import decode_heartbeat
+from plantainstage._errors import InvalidAnnouncementError
+decode_heartbeat("s-1", {json.dumps(HEARTBEAT).encode()!r})
+try:
+    decode_heartbeat("s-1", {body!r})
+except InvalidAnnouncementError:
+    print("refused")
+"""
+    assert in_folder(code) == "refused"
+
+
+@then("the routes of a platform's configuration have the product's types")
+def step_configuration(context):
+    routes = [
+        {"name": "a", "host": "h", "pathPrefix": "/a/", "kind": "safe"}
+        | {"timeoutMs": 1500, "targetLatencyMs": 118, "priority": 1, "topK": 20}
+        | {"gather": ["s", "t"], "maxAttempts": 2, "minCoverage": 0.89},
+        {"name": "b", "host": "h", "pathPrefix": "/b/", "kind": "unsafe"}
+        | {"timeoutMs": 9, "trafficSplit": [{"service": "s", "weight": 3}]},
+        {"name": "c", "host": "h", "pathPrefix": "/c/", "kind": "safe"}
+        | {"timeoutMs": 9, "service": "t"},
+    ]
+    services = [{"name": "s", "maxConns": 26}, {"name": "t"}]
+    document = json.dumps({"version": 7, "routes": routes, "services": services})
+    code = f"""
+from wire_formats import decode_configuration
+from plantainstage._serving.configuration import AllOf, OneOf, RouteKind, Share
+c = decode_configuration({document.encode()!r})
+a, b, d = c.routes
+assert c.version == 7 and c.services[0].connections == 26
+assert a.target == AllOf(shards=("s", "t"), top_records=20, minimum_coverage=0.89)
+assert (a.timeout_ms, a.aim_ms, a.attempts, a.priority) == (1500, 118, 2, 1)
+assert a.kind is RouteKind.IDEMPOTENT and b.kind is RouteKind.AT_MOST_ONCE
+assert b.target == OneOf(shares=(Share(service="s", weight=3.0),))
+assert d.target == OneOf(shares=(Share(service="t"),)) and d.aim_ms == 9
+print("same")
+"""
+    assert in_folder(code) == "same"
--- /dev/null
+++ b/features/steps/routed_control_steps.py
@@ -0,0 +1,255 @@
+"""Steps for the control group of routed requests."""
+
+import json
+
+from behave import given, then, when
+
+from plantainstage._messages.serving import SyncRequest
+from support.routed_tier import RoutedTier, StandInSearcher
+
+PATH = "/v1/configuration"
+NEWEST_PATH = "/v1/configuration/newest"
+
+
+def document(version, name="r"):
+    route = {
+        "name": name,
+        "host": "a.example",
+        "path_prefix": "/x/",
+        "kind": "idempotent",
+        "timeout_ms": 1000,
+        "aim_ms": 100,
+        "target": {"type": "OneOf", "shares": [{"service": "cards"}]},
+    }
+    return {"version": version, "routes": [route], "services": [{"name": "cards"}]}
+
+
+def faulty_document(fault):
+    content = document(8)
+    route = content["routes"][0]
+    match fault:
+        case "bytes that cannot be read":
+            return json.dumps(content).encode()[:-9]
+        case "an unknown service":
+            content["services"] = []
+        case "two routes at one place":
+            content["routes"].append({**route, "name": "other"})
+        case "weights that add up to 0":
+            route["target"]["shares"][0]["weight"] = 0
+        case "a timeout of 0":
+            route["timeout_ms"] = 0
+        case "a prefix without a slash":
+            route["path_prefix"] = "/x"
+    return json.dumps(content).encode()
+
+
+def addresses(context):
+    return list(context.tier.registries)
+
+
+def read_back(context, address):
+    """Reads the configuration, again while the replica is not sure."""
+    replies = []
+
+    def is_read():
+        work = context.tier.call_control(address, "GET", NEWEST_PATH)
+        replies.append(context.tier.run(work))
+        return replies[-1].status != 503
+
+    context.tier.wait_for(is_read, "a confirmed read")
+    assert replies[-1].status == 200, replies[-1]
+    return json.loads(replies[-1].body)
+
+
+def voters(context):
+    leader = context.tier.leader()
+    if leader is None:
+        return set()
+    return {m.replica_id for m in leader.replica.members() if m.voter}
+
+
+@given("a control group of {count:d} replicas for routed requests")
+def step_group(context, count):
+    context.tier = RoutedTier(context.resources)
+    context.peers = context.tier.start_group(count)
+
+
+@given("configuration {version:d} was acknowledged")
+def step_acknowledged(context, version):
+    reply = context.tier.put_until_clear(document(version))
+    assert reply.status == 200, reply
+
+
+@when("a fourth replica starts that knows only the first three")
+def step_fourth(context):
+    peer = context.tier.new_peer()
+    context.tier.start_registry(peer, seeds=context.peers, founds=False)
+
+
+@then("all {count:d} replicas become voters")
+def step_voters(context, count):
+    context.tier.wait_for(lambda: len(voters(context)) == count, "the membership")
+
+
+@then("a configuration sent to each replica is acknowledged and read back from each")
+def step_put_each(context):
+    for version, address in enumerate(addresses(context), start=1):
+        reply = context.tier.put_until_clear(document(version), address)
+        assert reply.status == 200, reply
+        for other in addresses(context):
+            assert read_back(context, other)["version"] == version
+
+
+@when(
+    "configuration {older:d}, and another document under version {held:d}, are sent to "
+    "each replica"
+)
+def step_send_not_higher(context, older, held):
+    context.replies = [
+        context.tier.put_until_clear(content, address)
+        for address in addresses(context)
+        for content in (document(older), document(held, name="other"))
+    ]
+
+
+@then("each is acknowledged")
+def step_each_acknowledged(context):
+    assert all(reply.status == 200 for reply in context.replies), context.replies
+
+
+@then("each replica reads back the first document of version {version:d}")
+def step_read_first(context, version):
+    for address in addresses(context):
+        assert read_back(context, address) == document(version)
+
+
+@when("a configuration with {fault} is sent")
+def step_send_faulty(context, fault):
+    context.reply = context.tier.put_until_clear(faulty_document(fault))
+
+
+@then("it is refused with 400, and the fault is named")
+def step_refused_named(context):
+    assert context.reply.status == 400, context.reply
+    assert len(json.loads(context.reply.body)["error"]) > 20, context.reply
+
+
+@when("a replica that follows loses its folder and starts again at its address")
+def step_lose_folder(context):
+    leader = context.tier.leader()
+    context.lost = next(a for a in addresses(context) if a != leader.own_address)
+    peer, _ = context.tier.stop_registry(context.lost)
+    context.tier.start_registry(peer, seeds=context.peers, founds=False)
+
+
+@then("the group has {count:d} voters again")
+def step_whole_again(context, count):
+    def is_whole():
+        leader = context.tier.leader()
+        daemon = context.tier.registries[context.lost][0]
+        if leader is None or daemon.replica is None:
+            return False
+        members = leader.replica.members()
+        incarnations = {m.incarnation for m in members if m.voter}
+        new = daemon.replica.member_id.incarnation
+        return len(members) == len(incarnations) == count and new in incarnations
+
+    context.tier.wait_for(is_whole, "the repair")
+
+
+@when("another replica is stopped for good")
+def step_stop_other(context):
+    other = next(a for a in addresses(context) if a != context.lost)
+    context.tier.stop_registry(other)
+
+
+@then(
+    "configuration {version:d} is acknowledged and read back from a replica that runs"
+)
+def step_put_after_loss(context, version):
+    reply = context.tier.put_until_clear(document(version), context.lost)
+    assert reply.status == 200, reply
+    assert read_back(context, context.lost)["version"] == version
+
+
+@given('a searcher "{searcher_id}" has announced itself')
+def step_announced(context, searcher_id):
+    searcher = StandInSearcher(searcher_id=searcher_id, service="cards")
+    context.tier.run(searcher.start())
+    context.searcher = searcher
+    context.resources.callback(searcher.server.close)
+    for address in addresses(context):
+        reply = context.tier.run(context.tier.announce(searcher, address=address))
+        assert reply.status == 200, reply
+
+
+@when("all replicas are stopped and one starts again alone")
+def step_restart_one(context):
+    saved = [daemon for daemon, *_ in context.tier.registries.values()]
+    context.tier.wait_for(
+        lambda: all(
+            d.saved_cursor == d.register.cursor and not d.recent_due.is_set()
+            for d in saved
+        ),
+        "the saved state",
+    )
+    stopped = [context.tier.stop_registry(address) for address in addresses(context)]
+    peer, folder = stopped[0]
+    context.tier.start_registry(peer, seeds=context.peers, founds=False, folder=folder)
+
+
+@then('it tells entry hosts of version {version:d} and of "{searcher_id}"')
+def step_tells(context, version, searcher_id):
+    daemon = context.tier.registries[addresses(context)[0]][0]
+    reply = context.tier.run(daemon._sync(SyncRequest(host_id="h")))
+    assert reply.version == version, reply
+    assert json.loads(reply.document) == document(version), reply
+    assert [s.searcher_id for s in reply.searchers] == [searcher_id], reply
+
+
+@then("it answers a read of the configuration with 503")
+def step_read_unsure(context):
+    work = context.tier.call_control(addresses(context)[0], "GET", NEWEST_PATH)
+    reply = context.tier.run(work)
+    assert reply.status == 503, reply
+
+
+@when("the searcher says that it drains to one replica, which is then stopped")
+def step_drain_and_stop(context):
+    address = addresses(context)[0]
+    body = context.searcher.announcement(state=1)
+    reply = context.tier.run(context.tier.announce(context.searcher, body, address))
+    assert reply.status == 200, reply
+    context.tier.stop_registry(address)
+
+
+@then('each replica that runs knows that "{searcher_id}" drains')
+def step_knows_drain(context, searcher_id):
+    for daemon, *_ in context.tier.registries.values():
+        state = daemon.register.entries[searcher_id].searcher.state
+        assert state == 1, state
+
+
+@when("an announcement with {fault} is sent")
+def step_faulty_announcement(context, fault):
+    searcher = StandInSearcher(searcher_id="s-9", service="cards")
+    searcher.address = "127.0.0.1:9"
+    body = searcher.announcement()
+    match fault:
+        case "bytes that cannot be read":
+            body = body[:-7]
+        case "a missing field":
+            fields = json.loads(body)
+            del fields["address"]
+            body = json.dumps(fields).encode()
+        case "slots that are a text":
+            body = searcher.announcement(slots="2")
+        case "an unknown state":
+            body = searcher.announcement(state=9)
+    context.reply = context.tier.run(context.tier.announce(searcher, body))
+
+
+@then("no searcher is known")
+def step_no_searcher(context):
+    for daemon, *_ in context.tier.registries.values():
+        assert not daemon.register.entries
--- /dev/null
+++ b/features/steps/serving_decision_steps.py
@@ -0,0 +1,289 @@
+"""Steps for the pure decisions about routed requests."""
+
+import random
+from collections import deque
+
+from behave import given, then, when
+
+from plantainstage._serving import placement
+from plantainstage._serving.configuration import (
+    OneOf,
+    Route,
+    RouteKind,
+    Service,
+    ServingConfiguration,
+    Share,
+)
+from plantainstage._serving.gathering import GatherTerms, Progress, next_step
+from plantainstage._serving.retry_budget import BudgetTerms, RetryBudget
+from plantainstage._serving.routes import RouteTable
+from plantainstage._serving.searchers import Searcher, SearcherState, newer
+from plantainstage._serving.splitting import SplitTurns
+from plantainstage._serving.vouching import VouchedSearchers
+
+WINDOW_S = 10.0
+STEP_S = 0.02
+NEAR, FAR = "dc-1", "dc-2"
+WORK_S = 0.02
+
+# ---- Budget ---------------------------------------------------------------------------
+
+
+@given(
+    "{hosts:d} entry hosts that share a budget of {ratio:g} of the requests plus {slack:d}"
+)
+def step_budget(context, hosts, ratio, slack):
+    context.terms = BudgetTerms(ratio=ratio, slack=slack)
+    context.budgets = [
+        RetryBudget(terms=context.terms, hosts=hosts) for _ in range(hosts)
+    ]
+
+
+def requests_in_step(load, source, now):
+    if load == "bursts and pauses" and int(now) % 7 > 3:
+        return 0
+    return source.randrange(4)
+
+
+@when(
+    "they serve {load} for {seconds:d} s and repeat whatever they may, with seed {seed:d}"
+)
+def step_serve(context, load, seconds, seed):
+    source = random.Random(seed)
+    context.requests, context.extras = [], []
+    for number in range(round(seconds / STEP_S)):
+        now = number * STEP_S
+        for index, budget in enumerate(context.budgets):
+            if load.endswith("restart") and source.random() < 0.002:
+                budget = RetryBudget(terms=context.terms, hosts=len(context.budgets))
+                context.budgets[index] = budget
+            for _ in range(requests_in_step(load, source, now)):
+                budget.note_request()
+                context.requests.append(now)
+            while source.random() < 0.9 and budget.take():
+                context.extras.append(now)
+
+
+@then("no window of 10 s has more extra arrivals than the budget allows")
+def step_within_budget(context):
+    assert context.extras
+    window, requests = deque(), deque()
+    waiting = deque(context.requests)
+    for at in context.extras:
+        window.append(at)
+        while waiting and waiting[0] <= at:
+            requests.append(waiting.popleft())
+        for times in (window, requests):
+            while times and times[0] <= at - WINDOW_S:
+                times.popleft()
+        allowed = context.terms.ratio * len(requests) + context.terms.slack
+        assert len(window) <= allowed, (at, len(window), allowed)
+
+
+@given("a budget with half of its tokens left")
+def step_half_budget(context):
+    context.budget = RetryBudget(terms=BudgetTerms(ratio=0.2, slack=100), hosts=8)
+    context.budget.tokens = context.budget.most / 2
+
+
+@then("a request of rank {low:g} may be repeated and one of rank {high:g} may not")
+def step_ranks(context, low, high):
+    assert not context.budget.take(rank=high)
+    assert context.budget.take(rank=low)
+
+
+# ---- Weights and routes ---------------------------------------------------------------
+
+
+@given("services with the weights 5, 3, 2 and 0")
+def step_weights(context):
+    context.weights = {"a": 5.0, "b": 3.0, "c": 2.0, "d": 0.0}
+    shares = [Share(service=name, weight=w) for name, w in context.weights.items()]
+    context.turns = SplitTurns(shares=shares)
+
+
+@when("{count:d} requests are divided")
+def step_divide(context, count):
+    context.drawn = [context.turns.next() for _ in range(count)]
+
+
+@then("each service has its share to within 1 request")
+def step_shares(context):
+    total = sum(context.weights.values())
+    for name, weight in context.weights.items():
+        expected = weight / total * len(context.drawn)
+        assert abs(context.drawn.count(name) - expected) <= 1, name
+
+
+@given('routes at three nested prefixes of "{host}"')
+def step_routes(context, host):
+    routes = tuple(
+        Route(
+            name=prefix,
+            host=host,
+            path_prefix=prefix,
+            kind=RouteKind.IDEMPOTENT,
+            timeout_ms=100,
+            aim_ms=10,
+            target=OneOf(shares=(Share(service="s"),)),
+        )
+        for prefix in ("/", "/a/", "/a/b/")
+    )
+    services = (Service(name="s"),)
+    configuration = ServingConfiguration(version=1, routes=routes, services=services)
+    context.route_table = RouteTable(configuration=configuration)
+
+
+@then('"{target}" of "{host}" is found at "{prefix}"')
+def step_found(context, target, host, prefix):
+    assert context.route_table.find(host, target).path_prefix == prefix
+
+
+@then('"{target}" of "{host}" is found nowhere')
+def step_not_found(context, target, host):
+    assert context.route_table.find(host, target) is None
+
+
+# ---- Placement ------------------------------------------------------------------------
+
+
+def load_in(data_centre):
+    searcher = Searcher(
+        searcher_id=data_centre,
+        service="s",
+        address="127.0.0.1:1",
+        data_centre=data_centre,
+        slots=2,
+    )
+    return placement.SearcherLoad(searcher=searcher, known_since=0.0)
+
+
+@given("a near and a far searcher of 2 slots and work of 20 ms")
+def step_two(context):
+    context.loads = {"near": load_in(NEAR), "far": load_in(FAR)}
+    context.now = 1.0
+    context.sent_at = 1.0
+
+
+@when("the near searcher has been silent for {silent_ms:d} ms")
+def step_silent(context, silent_ms):
+    context.sent_at = context.now - silent_ms / 1000
+
+
+@when("the near searcher has answered {count:d} requests in {elapsed_ms:d} ms each")
+def step_slow(context, count, elapsed_ms):
+    for _ in range(count):
+        context.loads["near"].answered(
+            elapsed_s=elapsed_ms / 1000, work_s=WORK_S, now=context.now
+        )
+
+
+@when("{seconds:d} s have passed")
+def step_passed(context, seconds):
+    context.now += seconds
+    context.sent_at += seconds
+
+
+@then("the {expected} searcher is chosen with {count:d} request there")
+@then("the {expected} searcher is chosen with {count:d} requests there")
+@then("the {expected} searcher is chosen with {count:d} request at the near one")
+@then("the {expected} searcher is chosen with {count:d} requests at the near one")
+def step_chosen(context, expected, count):
+    near = context.loads["near"]
+    near.sent = {number: context.sent_at for number in range(count)}
+    choice = placement.choose(
+        context.loads.values(), now=context.now, work_s=WORK_S, data_centre=NEAR
+    )
+    assert choice.load is context.loads[expected], choice
+
+
+# ---- Gathers --------------------------------------------------------------------------
+
+
+@given(
+    "a gather of {shards:d} shards that needs {needed:d}, sealed at {seal_at:g} s and "
+    "ended at {end_at:g} s"
+)
+def step_gather(context, shards, needed, seal_at, end_at):
+    context.gather = GatherTerms(
+        shards=shards, needed=needed, seal_at=seal_at, end_at=end_at
+    )
+
+
+STEPS = {"is sealed": "seal", "waits": "wait", "is given up": "give_up"}
+
+
+@then("with {answered:d} answered at {now:g} s it {step}")
+def step_all_answered(context, answered, now, step):
+    assert_step(context, answered, 0, now, step)
+
+
+@then("with {answered:d} answered and {still_open:d} open at {now:g} s it {step}")
+def step_some_open(context, answered, still_open, now, step):
+    assert_step(context, answered, still_open, now, step)
+
+
+def assert_step(context, answered, still_open, now, step):
+    progress = Progress(answered=answered, open_shards=still_open)
+    taken = next_step(context.gather, progress, now)
+    assert taken.value == STEPS[step], taken
+
+
+# ---- Searchers ------------------------------------------------------------------------
+
+
+def heard(state, started_at_ms, sequence):
+    return Searcher(
+        searcher_id="s-1",
+        service="s",
+        address="127.0.0.1:1",
+        data_centre=NEAR,
+        slots=2,
+        state=SearcherState[state.upper()],
+        sequence=sequence,
+        started_at_ms=started_at_ms,
+    )
+
+
+@given("a searcher that drained in the start {start:d} with sequence {sequence:d}")
+def step_drained(context, start, sequence):
+    context.known = heard("draining", start, sequence)
+
+
+@then('"{state}" of the start {start:d} with sequence {sequence:d} changes nothing')
+def step_no_change(context, state, start, sequence):
+    assert newer(context.known, heard(state, start, sequence)) is context.known
+
+
+@then('"{state}" of the start {start:d} with sequence {sequence:d} is believed')
+def step_believed(context, state, start, sequence):
+    later = heard(state, start, sequence)
+    assert newer(context.known, later) is later
+
+
+@given('a searcher that replicas "a" and "b" have heard')
+def step_vouched(context):
+    context.vouched = VouchedSearchers()
+    for source in ("a", "b"):
+        context.vouched.hear(source, heard("ready", 1, 1))
+
+
+@when('replica "{source}" says that it is silent')
+def step_source_silent(context, source):
+    context.vouched.silent(source, "s-1", 0.0)
+
+
+@when('replica "{source}" is lost')
+def step_source_lost(context, source):
+    context.vouched.source_lost(source, 0.0)
+
+
+@then("the searcher is kept for {seconds:d} s")
+def step_kept(context, seconds):
+    assert context.vouched.expire(float(seconds)) == []
+
+
+@then("the searcher is kept for {kept:d} s and dropped after {dropped:d} s")
+def step_dropped(context, kept, dropped):
+    assert context.vouched.expire(float(kept)) == []
+    assert context.vouched.expire(float(dropped)) == ["s-1"]
