--- a/features/behaviour/settings.feature
+++ b/features/behaviour/settings.feature
@@ -21,6 +21,16 @@
       | burn    | PLANTAINSTAGE_BURN_MINUTES=0      | --minutes  | 0                 | a whole number from 1 to 180 minutes        |
       | burn    | PLANTAINSTAGE_BURN_FORMAT=yaml    | --format   | yaml              | one of text, json                           |
 
+    Examples: plantainstage-gateway and plantainstage-registry
+      | program  | change                                | flag           | value          | range                               |
+      | gateway  | --registry registry:80                | --registry     | registry:80    | IP:port with a port from 1 to 65535 |
+      | gateway  | --retry-ratio 2                       | --retry-ratio  | 2              | a number from 0.0 to 1.0            |
+      | gateway  | --listen USED                         | --listen       | USED           | an address of this host with a free port |
+      | gateway  | PLANTAINSTAGE_GATEWAY_STOP=0          | --stop         | 0              | a number from 1.0 to 600.0 s        |
+      | registry | --heartbeat never                     | --heartbeat    | never          | a number from 0.05 to 60.0 s        |
+      | registry | --data-folder /dev/null/x             | --data-folder  | /dev/null/x    | a folder that this process may write |
+      | registry | --found --seed 127.0.0.1:1            | --found        | True           | --listen among the addresses of --seed |
+
     Examples: plantainstage-entry
       | program | change                               | flag             | value          | range                                |
       | entry   | --drain-delay soon                   | --drain-delay    | soon           | a number from 0.0 to 600.0 seconds   |
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -21,6 +21,8 @@
         *("--entry-id", "e1", "--data-centre", "z1", "--control", "127.0.0.1:7100"),
         *("--listen", "FREE", "--forward-listen", "FREE"),
     ],
+    "gateway": ["--listen", "FREE", "--ready-listen", "FREE"],
+    "registry": ["--listen", "FREE"],
 }
 _VARIABLE = re.compile(r"[A-Z_]+=.*")
 _ERROR = re.compile(r"^error: (--[a-z/-]+): ", re.MULTILINE)
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -11,6 +11,7 @@
 from plantainstage._gateway.dialect import HeaderNames
 from plantainstage._gateway.ingress import Ingress
 from plantainstage._gateway.router import Router
+from plantainstage._reports.exposition import serve_metrics
 from plantainstage._serving.configuration import (
     ConfigurationDecoder,
     decode_configuration,
@@ -37,6 +38,7 @@
     ready_listen: str
     control_addresses: Callable[[], tuple[str, ...]]
     ready_path: str = "/readyz"
+    metrics_listen: str = ""
     names: HeaderNames = field(default_factory=HeaderNames)
     decode_configuration: ConfigurationDecoder = decode_configuration
     budget: BudgetTerms = field(default_factory=BudgetTerms)
@@ -76,6 +78,11 @@
         """Serves until ``stop`` is set and all requests are answered."""
         probes = self._probe_server()
         self.ingress.listen(self.settings.listen)
+        if self.settings.metrics_listen:
+            serve_metrics(
+                address=self.settings.metrics_listen,
+                registry=self.router.metrics.registry,
+            )
         link = ControlLink(
             host_id=self.settings.host_id,
             router=self.router,
--- /dev/null
+++ b/src/plantainstage/_gateway/decisions.py
@@ -0,0 +1,57 @@
+"""What was decided about one request at one service, for the logs."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class Decision:
+    """One decision or outcome.
+
+    ``at`` is the event loop's time. ``step`` is ``send``, ``hedge``, ``repeat``,
+    ``wait``, ``left_out``, ``no_hedge`` or ``outcome``. ``expected_ms`` is the
+    expected time on which a choice rests, ``in_flight`` this host's requests at the
+    searcher before it, ``reported_busy`` what its last report said and
+    ``report_age_ms`` how old that was.
+    """
+
+    at: float
+    step: str
+    searcher: str = ""
+    outcome: str = ""
+    expected_ms: float | None = None
+    in_flight: int | None = None
+    reported_busy: int | None = None
+    report_age_ms: float | None = None
+
+    @classmethod
+    def sent(cls, *, step: str, choice, now: float):
+        """Returns the decision to send to the searcher of a Choice."""
+        load = choice.load
+        age_s = now - load.reported_at
+        has_report = age_s < float("inf")
+        return cls(
+            at=now,
+            step=step,
+            searcher=load.searcher.searcher_id,
+            outcome="shunned" if choice.shunned else "",
+            expected_ms=round(choice.expected_s * 1000, 1),
+            in_flight=load.in_flight,
+            reported_busy=load.reported_busy if has_report else None,
+            report_age_ms=round(age_s * 1000) if has_report else None,
+        )
+
+    def fields(self, began_at: float) -> dict:
+        """Returns the fields of a log line; times count from ``began_at``."""
+        line = {"step": self.step, "at_ms": round((self.at - began_at) * 1000, 1)}
+        for name in (
+            "searcher",
+            "outcome",
+            "expected_ms",
+            "in_flight",
+            "reported_busy",
+            "report_age_ms",
+        ):
+            value = getattr(self, name)
+            if value not in ("", None):
+                line[name] = value
+        return line
--- a/src/plantainstage/_gateway/events.py
+++ b/src/plantainstage/_gateway/events.py
@@ -31,8 +31,10 @@
         self.second = 0
         self.in_second = 0
         self.dropped = 0
+        self.dropped_in_all = 0
         self.timer = None
         self.loop = asyncio.get_running_loop()
+        self.clock = time.monotonic
 
     def note(self, event: str, **fields):
         """Logs a change of belief, a lifecycle event or a failed request."""
@@ -57,11 +59,12 @@
             self.lines = []
 
     def _add(self, event, fields, limit):
-        second = int(time.monotonic())
+        second = int(self.clock())
         if second != self.second:
             self.second, self.in_second = second, 0
         if self.in_second >= limit:
             self.dropped += 1
+            self.dropped_in_all += 1
             return
         self.in_second += 1
         self.lines.append(self._encode(event, fields))
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -107,11 +107,13 @@
         self.connection.set_close_callback(self._caller_left)
         router = self.ingress.router
         if router.table is None:
+            self._log_refusal("no_configuration")
             up_s = self.received_at - self.ingress.started_at
             self._reply(answers.no_configuration(up_s=up_s))
             return
         route = router.table.find(self.headers.get("Host", ""), self.start_line.path)
         if route is None:
+            self._log_refusal("no_route")
             self._reply(answers.no_route())
             return
         request = CallerRequest.of(
@@ -129,6 +131,18 @@
         """The connection closed before the request was complete."""
         self.ingress.running.discard(self)
 
+    def _log_refusal(self, outcome):
+        """Logs a request for which there is no route."""
+        router = self.ingress.router
+        router.events.note_ordinary(
+            "request",
+            request_id=self.headers.get(router.names.request_id, ""),
+            host_header=self.headers.get("Host", ""),
+            target=self.start_line.path,
+            version=router.version,
+            outcome=outcome,
+        )
+
     def _is_closed(self):
         return self.connection.stream is None or self.connection.stream.closed()
 
--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -28,6 +28,8 @@
 class RoutedRequest:
     """Base of both kinds; ``reply`` gets the Answer exactly once."""
 
+    kind = ""  # in metrics
+
     def __init__(
         self, *, router, route: Route, request: CallerRequest, reply: Callable
     ):
@@ -88,7 +90,9 @@
             self.loop.call_later(grace_s, _abandon_all, running)
 
     def _log(self, outcome, *, status):
-        elapsed_ms = (self.loop.time() - self.request.received_at) * 1000
+        elapsed_s = self.loop.time() - self.request.received_at
+        elapsed_ms = elapsed_s * 1000
+        self._count(status, elapsed_s)
         fields = {
             "request_id": self.request.request_id,
             "route": self.route.name,
@@ -104,6 +108,25 @@
             self.router.events.note_ordinary("request", **fields)
         else:
             self.router.events.note("request", **fields)
+            self._log_decisions()
+
+    def _log_decisions(self):
+        """Logs what was decided at each service where something went wrong."""
+        for part in self.parts:
+            if part.went_plainly:
+                continue
+            for decision in part.decisions:
+                self.router.events.note(
+                    "decision",
+                    request_id=self.request.request_id,
+                    service=part.service,
+                    **decision.fields(self.request.received_at),
+                )
+
+    def _count(self, status, elapsed_s):
+        metrics = self.router.metrics
+        metrics.requests.labels(self.kind, status).inc()
+        metrics.request_seconds.labels(self.kind).observe(elapsed_s)
 
     def _log_fields(self):
         return {}
@@ -138,6 +161,8 @@
 class SingleRequest(RoutedRequest):
     """A request that one searcher of one service answers."""
 
+    kind = "single"
+
     def start(self):
         """Sends the request to the service whose turn it is."""
         part = self._service_request(self.router.next_service(self.route))
@@ -195,6 +220,8 @@
 class GatherRequest(RoutedRequest):
     """A request to all shards, answered by their greatest records."""
 
+    kind = "gather"
+
     def start(self):
         """Sends the request to every shard."""
         target = self.route.target
@@ -306,6 +333,7 @@
         body = greatest_records(
             (reply.body for reply in replies), self.route.target.top_records
         )
+        self.router.metrics.missing_parts.inc(self.terms.shards - len(replies))
         self._finish(answers.Answer(status=200, body=body, headers=headers))
 
     def _give_up(self, now):
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -3,6 +3,7 @@
 import random
 
 from plantainstage._gateway.fleet import Fleet
+from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import ServingConfiguration
 from plantainstage._serving.retry_budget import BudgetTerms, RetryBudget
 from plantainstage._serving.routes import RouteTable
@@ -17,7 +18,11 @@
         self.names = names
         self.terms = terms
         self.events = events
+        self.metrics = GatewayMetrics()
         self.fleet = Fleet(data_centre=data_centre, names=names)
+        self.metrics.version.set_function(lambda: self.version)
+        self.metrics.searchers.set_function(lambda: len(self.fleet.members))
+        self.metrics.dropped_lines.set_function(lambda: events.dropped_in_all)
         self.table = None
         self.budgets = {}
         self.work_times = {}
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from plantainstage._gateway.decisions import Decision
 from plantainstage._gateway.messages import (
     CallerRequest,
     CallFailure,
@@ -35,6 +36,28 @@
     reply: SearcherReply | None = None
 
 
+def _outcome_label(outcome):
+    match outcome:
+        case SearcherReply(is_success=True):
+            return "success"
+        case SearcherReply(not_run=True):
+            return "rejected"
+        case SearcherReply():
+            return "failure"
+        case CallFailure():
+            return "no_reply"
+
+
+def _describe(outcome):
+    match outcome:
+        case CallFailure(kind=kind, reason=reason):
+            return f"{kind.value}: {reason}"
+        case SearcherReply(status=status, not_run=True):
+            return f"{status}, not run"
+        case SearcherReply(status=status):
+            return str(status)
+
+
 class ServiceRequest:
     """Gets one answer for a request from the searchers of one service.
 
@@ -71,11 +94,19 @@
         self.waiting = False
         self.over = False
         self.sent_at = None  # of the first call
+        self.decisions = []
         self.last_reply = None
         self.last_reason = "no searcher is known"
 
     # ---- Queries ------------------------------------------------------------------
 
+    @property
+    def went_plainly(self):
+        """Whether one searcher was asked and answered."""
+        steps = [decision.step for decision in self.decisions]
+        succeeded = self.over and not self.calls and self.last_reply is None
+        return steps == ["send", "outcome"] and succeeded and not self.rejections
+
     @property
     def may_repeat(self):
         """Whether the route lets more than one searcher run the request."""
@@ -105,6 +136,7 @@
 
     def leave_out(self):
         """Ends the request before anything was sent."""
+        self._note("left_out")
         self._end(reason="left_out")
 
     def hedge(self, *, useful_until: float) -> bool:
@@ -118,13 +150,16 @@
         choice = self.best_choice()
         now = asyncio.get_running_loop().time()
         if choice is None or choice.shunned or now + choice.expected_s > useful_until:
+            self._note("no_hedge", outcome="no searcher in time")
             return False
         budget = self.router.budget(self.service)
         if not budget.take():
+            self._note("no_hedge", outcome="budget exhausted")
             return False
-        if not self._send():
+        if not self._send("hedge"):
             budget.give_back()
             return False
+        self.router.metrics.hedges.inc()
         return True
 
     def abandon_hopeless(self):
@@ -149,27 +184,30 @@
         if self._left_s() < MIN_LEFT_S:
             self._end(reason="deadline_passed")
             return True
-        if self._send():
+        if self._send("send"):
             return True
         if not self.router.fleet.count(self.service):
             self._end(reason="no searcher is known")
             return True
         if not self.waiting:
             self.waiting = True
+            self._note("wait", outcome="no searcher has room")
             self.router.fleet.wait_for_room(
                 self.service, self.route.priority, self._send_first
             )
         return False
 
-    def _send(self):
+    def _send(self, step):
         choice = self.best_choice()
         left_s = self._left_s()
         if choice is None or left_s < MIN_LEFT_S:
             return False
         searcher_id = choice.load.searcher.searcher_id
         self.tried.add(searcher_id)
+        now = asyncio.get_running_loop().time()
+        self.decisions.append(Decision.sent(step=step, choice=choice, now=now))
         if self.sent_at is None:
-            self.sent_at = asyncio.get_running_loop().time()
+            self.sent_at = now
         call = self.router.fleet.send(
             searcher_id,
             request=addressed_request(
@@ -187,6 +225,11 @@
         self.calls.append(call)
         return True
 
+    def _note(self, step, searcher="", outcome=""):
+        now = asyncio.get_running_loop().time()
+        decision = Decision(at=now, step=step, searcher=searcher, outcome=outcome)
+        self.decisions.append(decision)
+
     def _left_s(self):
         return self.end_at - asyncio.get_running_loop().time()
 
@@ -194,6 +237,8 @@
 
     def _call_done(self, call, outcome):
         self.calls.remove(call)
+        self.router.metrics.calls.labels(_outcome_label(outcome)).inc()
+        self._note("outcome", call.member.searcher.searcher_id, _describe(outcome))
         if not outcome.not_run:
             self.runs += 1
         if self.over:
@@ -201,6 +246,7 @@
         match outcome:
             case SearcherReply(is_success=True):
                 elapsed = asyncio.get_running_loop().time() - call.sent_at
+                self.router.metrics.call_seconds.observe(elapsed)
                 self.router.work_time(self.route).observe(elapsed)
                 self.over = True
                 self.on_done(self, outcome)
@@ -221,7 +267,8 @@
         if self._may_try_again():
             budget = self.router.budget(self.service)
             if not arrived or budget.take(rank=self.rank):
-                if self._send():
+                if self._send("repeat"):
+                    self.router.metrics.repeats.inc()
                     return
                 if arrived:
                     budget.give_back()
--- /dev/null
+++ b/src/plantainstage/_programs/gateway.py
@@ -0,0 +1,71 @@
+"""``plantainstage-gateway``: an entry host of routed requests."""
+
+import asyncio
+
+import click
+
+from plantainstage._gateway.daemon import GatewayDaemon
+from plantainstage._programs.event_logs import run_until_stopped, start_event_log
+from plantainstage._settings.base import build_settings
+from plantainstage._settings.serving import check_gateway_settings
+
+
+@click.command(context_settings={"auto_envvar_prefix": "PLANTAINSTAGE_GATEWAY"})
+@click.option("--host-id", default="gateway-1", show_default=True, help="Unique name.")
+@click.option(
+    "--data-centre", default="dc-1", show_default=True, help="Where this host runs."
+)
+@click.option(
+    "--listen", default="127.0.0.1:8200", show_default=True, help="IP:port for callers."
+)
+@click.option(
+    "--ready-listen",
+    default="127.0.0.1:8201",
+    show_default=True,
+    help="IP:port for the balancer's probes of /readyz.",
+)
+@click.option(
+    "--metrics-listen", default="", help="IP:port that serves /metrics; none if empty."
+)
+@click.option(
+    "--registry",
+    multiple=True,
+    default=("127.0.0.1:8100",),
+    show_default=True,
+    help="IP:port of a control replica (its --listen); repeat for each one known.",
+)
+@click.option(
+    "--retry-ratio",
+    default="0.2",
+    show_default=True,
+    help="Extra arrivals at a service, as a share of its requests (0 to 1).",
+)
+@click.option(
+    "--retry-slack",
+    default="50",
+    show_default=True,
+    help="Extra arrivals beyond the ratio in any window, over all entry hosts.",
+)
+@click.option(
+    "--stop",
+    default="6",
+    show_default=True,
+    help="How long a planned stop may take, in seconds (1 to 600).",
+)
+def main(**options):
+    """Route callers' requests to searchers.
+
+    Exit codes: 0 after a planned stop, 2 for wrong settings.
+    """
+    settings = build_settings(lambda: check_gateway_settings(**options))
+    asyncio.run(_run(settings))
+
+
+async def _run(settings):
+    events = start_event_log(program="gateway", host_id=settings.host_id)
+    daemon = GatewayDaemon(settings=settings, events=events)
+    await run_until_stopped(daemon, events=events)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/plantainstage/_programs/registry.py
@@ -0,0 +1,66 @@
+"""``plantainstage-registry``: a control replica of routed requests."""
+
+import asyncio
+
+import click
+
+from plantainstage._programs.event_logs import run_until_stopped, start_event_log
+from plantainstage._registry.daemon import RegistryDaemon
+from plantainstage._settings.base import build_settings
+from plantainstage._settings.serving import check_registry_settings
+
+
+@click.command(context_settings={"auto_envvar_prefix": "PLANTAINSTAGE_REGISTRY"})
+@click.option("--host-id", default="registry-1", show_default=True, help="Unique name.")
+@click.option(
+    "--listen",
+    default="127.0.0.1:8100",
+    show_default=True,
+    help="IP:port for operators and searchers; the next two ports are used too.",
+)
+@click.option(
+    "--metrics-listen", default="", help="IP:port that serves /metrics; none if empty."
+)
+@click.option(
+    "--data-folder",
+    default="registry-data",
+    show_default=True,
+    help="Folder on a local disk; it is created if need be.",
+)
+@click.option(
+    "--seed",
+    multiple=True,
+    default=("127.0.0.1:8100",),
+    show_default=True,
+    help="IP:port of a replica (its --listen); repeat for each one known.",
+)
+@click.option(
+    "--found/--join",
+    default=False,
+    show_default=True,
+    help="What an empty folder does: found a new group with all of --seed, or ask "
+    "to join the group of any of them. A folder of a group ignores both.",
+)
+@click.option(
+    "--heartbeat",
+    default="1",
+    show_default=True,
+    help="How often searchers announce themselves, in seconds (0.05 to 60).",
+)
+def main(**options):
+    """Keep the configuration and take announcements of searchers.
+
+    Exit codes: 0 after a planned stop, 2 for wrong settings.
+    """
+    settings = build_settings(lambda: check_registry_settings(**options))
+    asyncio.run(_run(settings))
+
+
+async def _run(settings):
+    events = start_event_log(program="registry", host_id=settings.host_id)
+    daemon = RegistryDaemon(settings=settings, events=events)
+    await run_until_stopped(daemon, events=events)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -25,6 +25,7 @@
 from plantainstage._registry.peers import Peer
 from plantainstage._registry.recent import RecentFile, RecentState
 from plantainstage._registry.register import SearcherRegister
+from plantainstage._reports.exposition import RegistryMetrics, serve_metrics
 from plantainstage._serving.searchers import Searcher
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
@@ -59,6 +60,7 @@
     sync_address_of: Callable[[str], str]
     founders: tuple[Peer, ...] = ()
     heartbeat_s: float = 1.0
+    metrics_listen: str = ""
     format: ControlFormat = field(default_factory=ControlFormat)
 
 
@@ -78,6 +80,7 @@
         self.recent = RecentFile(folder=settings.data_folder, events=events)
         self.recent_due = asyncio.Event()
         self.saved_cursor = 0
+        self.metrics = RegistryMetrics()
         self.hosts = {}  # host id -> time of its last poll
         self.peer_clients = {}
 
@@ -95,6 +98,7 @@
             requests=serving.REQUESTS,
         )
         sync.start()
+        self._serve_metrics()
         self.events.note("started", address=self.own_address)
         tasks = [
             asyncio.create_task(self._run_replica()),
@@ -112,6 +116,21 @@
         self.events.note("stopped")
         self.events.flush()
 
+    def _serve_metrics(self):
+        metrics = self.metrics
+        metrics.version.set_function(lambda: self.machine.held.version)
+        metrics.searchers.set_function(lambda: len(self.register.entries))
+        metrics.hosts.set_function(lambda: len(self.hosts))
+        metrics.leads.set_function(self._leads)
+        metrics.dropped_lines.set_function(lambda: self.events.dropped_in_all)
+        if self.settings.metrics_listen:
+            serve_metrics(
+                address=self.settings.metrics_listen, registry=metrics.registry
+            )
+
+    def _leads(self):
+        return self.replica is not None and self.replica.is_leader
+
     async def _run_replica(self):
         """Keeps a replica running; a failed disk may come back."""
         while True:
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -86,6 +86,7 @@
         try:
             version = decode(document).version
         except InvalidConfigurationError as error:
+            self._count("refused")
             self.control.events.note("configuration_refused", reason=str(error)[:500])
             self._refuse(error)
             return
@@ -93,19 +94,25 @@
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 held = await self.control.put_configuration(version, document)
         except NotLeaderError:
+            self._count("not_leader")
             self._to_leader()
         except (OutcomeUnknownError, TimeoutError) as error:
             reason = type(error).__name__
+            self._count("unsettled")
             self.control.events.note(
                 "configuration_unsettled", version=version, reason=reason
             )
             self._reply(503)
         else:
+            self._count("acknowledged")
             self.control.events.note(
                 "configuration_acknowledged", version=version, held=held
             )
             self._reply(200)
 
+    def _count(self, outcome):
+        self.control.metrics.configurations.labels(outcome).inc()
+
 
 class _GetConfiguration(_Handler):
     async def get(self):
@@ -128,11 +135,13 @@
         try:
             searcher = decode(searcher_id, self.request.body)
         except InvalidAnnouncementError as error:
+            self.control.metrics.announcements.labels("refused").inc()
             self.control.events.note(
                 "announcement_refused", searcher=searcher_id, reason=str(error)[:200]
             )
             self._refuse(error)
             return
+        self.control.metrics.announcements.labels("taken").inc()
         await self.control.announced(searcher)
         self._reply(200)
 
--- /dev/null
+++ b/src/plantainstage/_settings/serving.py
@@ -0,0 +1,108 @@
+"""Settings of ``plantainstage-gateway`` and ``plantainstage-registry``."""
+
+from plantainstage._gateway.daemon import GatewaySettings
+from plantainstage._registry.daemon import RegistrySettings
+from plantainstage._registry.peers import Peer
+from plantainstage._serving.retry_budget import BudgetTerms
+from plantainstage._settings.base import SettingsCheck
+
+# A replica listens on three ports in a row: for operators and searchers, for the
+# other replicas, and for entry hosts.
+PEER_OFFSET = 1
+SYNC_OFFSET = 2
+
+
+def peer_at(address: str) -> Peer:
+    """Returns the addresses of the replica whose first one is ``address``."""
+    return Peer(
+        client_address=address,
+        peer_address=_shifted(address, PEER_OFFSET),
+        sync_address=sync_address_of(address),
+    )
+
+
+def sync_address_of(address: str) -> str:
+    """Returns where the replica with this first address serves entry hosts."""
+    return _shifted(address, SYNC_OFFSET)
+
+
+def _shifted(address, offset):
+    host, _, port = address.rpartition(":")
+    return f"{host}:{int(port) + offset}"
+
+
+def check_gateway_settings(
+    *,
+    host_id,
+    data_centre,
+    listen,
+    ready_listen,
+    metrics_listen,
+    registry,
+    retry_ratio,
+    retry_slack,
+    stop,
+) -> GatewaySettings:
+    """Checks all flags; raises SettingsError with every error."""
+    check = SettingsCheck()
+    check.name(flag="--host-id", value=host_id)
+    check.name(flag="--data-centre", value=data_centre)
+    check.listen_address(flag="--listen", value=listen)
+    check.listen_address(flag="--ready-listen", value=ready_listen)
+    if metrics_listen:
+        check.listen_address(flag="--metrics-listen", value=metrics_listen)
+    check.addresses(flag="--registry", values=registry)
+    ratio = check.number(
+        flag="--retry-ratio", value=retry_ratio, low=0.0, high=1.0, unit=""
+    )
+    slack = check.number(
+        flag="--retry-slack", value=retry_slack, low=0.0, high=1e6, unit="requests"
+    )
+    stop_s = check.number(flag="--stop", value=stop, low=1.0, high=600.0, unit="s")
+    check.finish()
+    addresses = tuple(sync_address_of(address) for address in registry)
+    return GatewaySettings(
+        host_id=host_id,
+        data_centre=data_centre,
+        listen=listen,
+        ready_listen=ready_listen,
+        metrics_listen=metrics_listen,
+        control_addresses=lambda: addresses,
+        budget=BudgetTerms(ratio=ratio, slack=slack),
+        stop_s=stop_s,
+    )
+
+
+def check_registry_settings(
+    *, host_id, listen, metrics_listen, data_folder, seed, found, heartbeat
+) -> RegistrySettings:
+    """Checks all flags; raises SettingsError with every error."""
+    check = SettingsCheck()
+    check.name(flag="--host-id", value=host_id)
+    check.listen_address(flag="--listen", value=listen)
+    if metrics_listen:
+        check.listen_address(flag="--metrics-listen", value=metrics_listen)
+    check.writable_folder(flag="--data-folder", value=data_folder)
+    check.addresses(flag="--seed", values=seed)
+    check.require(
+        flag="--found",
+        value=found,
+        condition=not found or listen in seed,
+        expected="--listen among the addresses of --seed",
+        remedy="Name all founders with --seed, or start without --found to join.",
+    )
+    heartbeat_s = check.number(
+        flag="--heartbeat", value=heartbeat, low=0.05, high=60.0, unit="s"
+    )
+    check.finish()
+    seeds = tuple(map(peer_at, seed))
+    return RegistrySettings(
+        host_id=host_id,
+        own=peer_at(listen),
+        data_folder=data_folder,
+        peers=lambda: seeds,
+        sync_address_of=sync_address_of,
+        founders=seeds if found else (),
+        heartbeat_s=heartbeat_s,
+        metrics_listen=metrics_listen,
+    )
