--- a/features/behaviour/explaining.feature
+++ b/features/behaviour/explaining.feature
@@ -9,6 +9,19 @@
     And the event lines of "r-1" name the searcher "s-1", the inputs of its choice and "503, not run"
     And plantainstage-explain tells the same from a file of these lines
 
+  Scenario Outline: A request that a searcher <fault> leaves the lines that say so
+    # Guards against a failure of the only searcher that counts as nothing special.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And the searcher "s-1" <fault>
+    When a caller sends POST "/card/x" with body "book"
+    Then the event lines of "r-1" name the searcher "s-1", the inputs of its choice and "<outcome>"
+
+    Examples:
+      | fault                  | outcome       |
+      | resets                 | broken: reset |
+      | cuts its answers short | broken: reset |
+      | fails                  | 500           |
+
   Scenario: Event lines are bounded, the dropped ones counted, failed requests kept first
     # Guards against logs that grow with the load, and against the loss of just those
     # lines that explain a failure.
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -39,7 +39,7 @@
     assert sent["expected_ms"] > 0 and sent["in_flight"] == 0, sent
     assert any(line.get("outcome") == outcome for line in own), own
     ended = next(line for line in own if line["event"] == "request")
-    assert (ended["status"], ended["version"]) == (503, 1), ended
+    assert (ended["status"], ended["version"]) == (context.reply.status, 1), ended
 
 
 @then("plantainstage-explain tells the same from a file of these lines")
--- /dev/null
+++ b/src/plantainstage/_gateway/call.py
@@ -0,0 +1,126 @@
+"""One request under way at one searcher."""
+
+import asyncio
+
+from plantainstage._gateway.messages import (
+    STATUS_MISDIRECTED,
+    CallFailure,
+    FailureKind,
+)
+
+# A searcher that can't be reached is tried again after this time.
+UNREACHABLE_PAUSE_S = 1.0
+
+
+class Call:
+    """Sends one request and learns from its outcome.
+
+    ``on_done(call, outcome)`` is called exactly once, also when it is abandoned.
+    """
+
+    def __init__(self, *, fleet, member, request, request_id, work_s, on_done):
+        self.fleet = fleet
+        self.member = member
+        self.request = request
+        self.request_id = request_id
+        self.work_s = work_s
+        self.on_done = on_done
+        self.connection = None
+        self.task = None
+        self.timer = None
+        self.sent_at = None
+        self.over = False
+
+    def start(self, left_s):
+        """Sends on an idle connection, or on a new one once it is open."""
+        loop = asyncio.get_running_loop()
+        self.member.load.started(self, loop.time())
+        self.timer = loop.call_later(left_s, self.abandon, "deadline_passed")
+        connection = self.member.pool.take_idle(loop.time())
+        if connection is None:
+            self.task = asyncio.ensure_future(self._open())
+        else:
+            self._send(connection)
+
+    def abandon(self, reason="abandoned"):
+        """Gives the call up; its connection is closed, so that work stops."""
+        if self.over:
+            return
+        self.over = True  # the close below must not count as a broken reply
+        if self.connection is not None:
+            connection, self.connection = self.connection, None
+            self.member.pool.discard(connection)
+            kind = FailureKind.ABANDONED
+        else:
+            kind = FailureKind.UNREACHABLE
+            if self.task is not None:
+                self.task.cancel()
+        self._finish(CallFailure(kind=kind, reason=reason))
+
+    async def _open(self):
+        connection = await self.member.pool.open()
+        if self.over:
+            if connection is not None:
+                self.member.pool.put_back(connection, None)
+            return
+        if connection is None:
+            loop = asyncio.get_running_loop()
+            self.member.load.avoid(loop.time() + UNREACHABLE_PAUSE_S)
+            failure = CallFailure(kind=FailureKind.UNREACHABLE, reason="no connection")
+            self._finish(failure)
+            return
+        self._send(connection)
+
+    def _send(self, connection):
+        self.connection = connection
+        self.sent_at = asyncio.get_running_loop().time()
+        self.member.pool.exchange(
+            connection,
+            request=self.request,
+            request_id=self.request_id,
+            on_done=self._replied,
+        )
+
+    def _replied(self, outcome):
+        self.connection = None
+        if self.over:
+            return
+        self._finish(outcome)
+
+    def _finish(self, outcome):
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self._learn(outcome)
+        self.on_done(self, outcome)
+        self.fleet.offer_room(self.member.searcher.service)
+
+    def _learn(self, outcome):
+        now = asyncio.get_running_loop().time()
+        load = self.member.load
+        started_at = load.ended(self)
+        match outcome:
+            case CallFailure(kind=FailureKind.ABANDONED):
+                load.answered(
+                    elapsed_s=max(now - started_at, self.work_s),
+                    work_s=self.work_s,
+                    now=now,
+                )
+            case CallFailure():
+                load.failed(now)
+            case reply:
+                self._learn_reply(reply, now)
+
+    def _learn_reply(self, reply, now):
+        load = self.member.load
+        if reply.load is not None:
+            load.reported(
+                running=reply.load.running, waiting=reply.load.waiting, now=now
+            )
+        if reply.status == STATUS_MISDIRECTED:
+            self.fleet.forget(self.member.searcher.searcher_id)
+        elif reply.is_success:
+            elapsed_s = now - self.sent_at
+            load.answered(elapsed_s=elapsed_s, work_s=self.work_s, now=now)
+        else:
+            load.failed(now)
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -107,13 +107,13 @@
         self.connection.set_close_callback(self._caller_left)
         router = self.ingress.router
         if router.table is None:
-            self._log_refusal("no_configuration")
+            self._log_refusal("no_configuration", status=503)
             up_s = self.received_at - self.ingress.started_at
             self._reply(answers.no_configuration(up_s=up_s))
             return
         route = router.table.find(self.headers.get("Host", ""), self.start_line.path)
         if route is None:
-            self._log_refusal("no_route")
+            self._log_refusal("no_route", status=404)
             self._reply(answers.no_route())
             return
         request = CallerRequest.of(
@@ -131,7 +131,7 @@
         """The connection closed before the request was complete."""
         self.ingress.running.discard(self)
 
-    def _log_refusal(self, outcome):
+    def _log_refusal(self, outcome, *, status):
         """Logs a request for which there is no route."""
         router = self.ingress.router
         router.events.note_ordinary(
@@ -141,6 +141,7 @@
             target=self.start_line.path,
             version=router.version,
             outcome=outcome,
+            status=status,
         )
 
     def _is_closed(self):
--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -22,6 +22,8 @@
 # Searchers still at work when the answer has left may end within this time, so
 # that their connections stay usable.
 LOSER_GRACE_S = 0.25
+# A service that took this share of a late request's time is told in the logs.
+LONG_SHARE = 0.5
 LEFT_GRACE_S = 0.05  # after the caller has left
 
 
@@ -108,12 +110,12 @@
             self.router.events.note_ordinary("request", **fields)
         else:
             self.router.events.note("request", **fields)
-            self._log_decisions()
+            self._log_decisions(elapsed_s)
 
-    def _log_decisions(self):
-        """Logs what was decided at each service where something went wrong."""
+    def _log_decisions(self, elapsed_s):
+        """Logs what was decided where something went wrong or took long."""
         for part in self.parts:
-            if part.went_plainly:
+            if part.went_plainly and part.took_s < LONG_SHARE * elapsed_s:
                 continue
             for decision in part.decisions:
                 self.router.events.note(
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -93,6 +93,7 @@
         self.hedged = False
         self.waiting = False
         self.over = False
+        self.succeeded = False
         self.sent_at = None  # of the first call
         self.decisions = []
         self.last_reply = None
@@ -102,10 +103,16 @@
 
     @property
     def went_plainly(self):
-        """Whether one searcher was asked and answered."""
+        """Whether the first searcher that was asked answered with success."""
         steps = [decision.step for decision in self.decisions]
-        succeeded = self.over and not self.calls and self.last_reply is None
-        return steps == ["send", "outcome"] and succeeded and not self.rejections
+        return self.succeeded and steps == ["send", "outcome"]
+
+    @property
+    def took_s(self):
+        """How long it took from the first decision to the last, in seconds."""
+        if not self.decisions:
+            return 0.0
+        return self.decisions[-1].at - self.decisions[0].at
 
     @property
     def may_repeat(self):
@@ -248,7 +255,7 @@
                 elapsed = asyncio.get_running_loop().time() - call.sent_at
                 self.router.metrics.call_seconds.observe(elapsed)
                 self.router.work_time(self.route).observe(elapsed)
-                self.over = True
+                self.over = self.succeeded = True
                 self.on_done(self, outcome)
             case SearcherReply(not_run=True):
                 self.last_reason = "rejected"
--- a/src/plantainstage/_programs/event_logs.py
+++ b/src/plantainstage/_programs/event_logs.py
@@ -44,10 +44,18 @@
         logger.bind(**fields).log(record.levelname, record.getMessage()[:500])
 
 
-async def run_until_stopped(daemon, *, events: EventLog):
-    """Runs a daemon until SIGTERM or SIGINT; SIGHUP is logged as a reload."""
+def run_daemon(kind, *, program: str, settings):
+    """Runs a daemon of a class until SIGTERM or SIGINT.
+
+    ``kind(settings=..., events=...)`` makes it; ``settings`` has a ``host_id``.
+    """
+    asyncio.run(_run_until_stopped(kind, program, settings))
+
+
+async def _run_until_stopped(kind, program, settings):
     stop = catch_stop_signals()
-    loop = asyncio.get_running_loop()
+    events = start_event_log(program=program, host_id=settings.host_id)
     # Settings are read anew whenever they are needed, with or without a signal.
+    loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, events.note, "reload")
-    await daemon.run(stop)
+    await kind(settings=settings, events=events).run(stop)
--- a/src/plantainstage/_programs/gateway.py
+++ b/src/plantainstage/_programs/gateway.py
@@ -1,11 +1,9 @@
 """``plantainstage-gateway``: an entry host of routed requests."""
 
-import asyncio
-
 import click
 
 from plantainstage._gateway.daemon import GatewayDaemon
-from plantainstage._programs.event_logs import run_until_stopped, start_event_log
+from plantainstage._programs.event_logs import run_daemon
 from plantainstage._settings.base import build_settings
 from plantainstage._settings.serving import check_gateway_settings
 
@@ -58,13 +56,7 @@
     Exit codes: 0 after a planned stop, 2 for wrong settings.
     """
     settings = build_settings(lambda: check_gateway_settings(**options))
-    asyncio.run(_run(settings))
-
-
-async def _run(settings):
-    events = start_event_log(program="gateway", host_id=settings.host_id)
-    daemon = GatewayDaemon(settings=settings, events=events)
-    await run_until_stopped(daemon, events=events)
+    run_daemon(GatewayDaemon, program="gateway", settings=settings)
 
 
 if __name__ == "__main__":
--- a/src/plantainstage/_programs/registry.py
+++ b/src/plantainstage/_programs/registry.py
@@ -1,10 +1,8 @@
 """``plantainstage-registry``: a control replica of routed requests."""
 
-import asyncio
-
 import click
 
-from plantainstage._programs.event_logs import run_until_stopped, start_event_log
+from plantainstage._programs.event_logs import run_daemon
 from plantainstage._registry.daemon import RegistryDaemon
 from plantainstage._settings.base import build_settings
 from plantainstage._settings.serving import check_registry_settings
@@ -53,13 +51,7 @@
     Exit codes: 0 after a planned stop, 2 for wrong settings.
     """
     settings = build_settings(lambda: check_registry_settings(**options))
-    asyncio.run(_run(settings))
-
-
-async def _run(settings):
-    events = start_event_log(program="registry", host_id=settings.host_id)
-    daemon = RegistryDaemon(settings=settings, events=events)
-    await run_until_stopped(daemon, events=events)
+    run_daemon(RegistryDaemon, program="registry", settings=settings)
 
 
 if __name__ == "__main__":
