--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -67,6 +67,23 @@
       | fails                  | 500    | 1    |
       | rejects                | 503    | 2    |
 
+  Scenario: A searcher that rejects a long body early gets the rest of it, then the next request
+    # Guards against other bytes where the rest of a body is due.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And "s-1" rejects requests before it has read their bodies
+    When 3 callers send POST "/card/x" with a body of 200000 bytes one after the other
+    Then each caller is refused with 503
+    And "s-1" got 3 whole bodies of 200000 bytes on one connection
+
+  Scenario: A connection that was dropped while idle costs no request that may repeat
+    # Guards against a request that is lost on a connection its searcher has left.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And a searcher "s-2" of "cards"
+    And 60 requests to "/read/x" were served before
+    And every connection to a searcher is closed without a word
+    When 6 callers send GET "/read/x" one after the other
+    Then all callers get 200
+
   Scenario: The work ends when the caller leaves
     # Guards against searchers that work on for a caller who has gone.
     Given a routed tier with a searcher "s-1" of "cards"
--- a/features/steps/routed_request_steps.py
+++ b/features/steps/routed_request_steps.py
@@ -112,6 +112,47 @@
     context.tier.searchers[searcher_id].behave = BEHAVIOURS[fault]
 
 
+@given('"{searcher_id}" rejects requests before it has read their bodies')
+def step_rejects_early(context, searcher_id):
+    context.tier.searchers[searcher_id].rejects_early = True
+
+
+@given("every connection to a searcher is closed without a word")
+def step_drop_idle(context):
+    for searcher in context.tier.searchers.values():
+        for writer in searcher.writers:
+            writer.transport.abort()
+
+
+@when(
+    '{count:d} callers send POST "{target}" with a body of {size:d} bytes one after '
+    "the other"
+)
+def step_send_long(context, count, target, size):
+    context.replies = [
+        call(context, "POST", target, b"x" * size, request_id=f"r-{number}")
+        for number in range(count)
+    ]
+
+
+@then("each caller is refused with 503")
+def step_each_refused(context):
+    assert all(reply.status == 503 for reply in context.replies), context.replies
+
+
+@then("all callers get 200")
+def step_all_served(context):
+    assert all(reply.status == 200 for reply in context.replies), context.replies
+
+
+@then('"{searcher_id}" got {count:d} whole bodies of {size:d} bytes on one connection')
+def step_whole_bodies(context, searcher_id, count, size):
+    searcher = context.tier.searchers[searcher_id]
+    context.tier.wait_for(lambda: len(searcher.received) == count, "the bodies")
+    assert [r.body for r in searcher.received] == [b"x" * size] * count
+    assert searcher.connections == 1, searcher.connections
+
+
 @given("all searchers {fault}")
 def step_all_faulty(context, fault):
     for searcher in context.tier.searchers.values():
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 from dataclasses import dataclass, field
+from functools import partial
 
 from plantainstage._gateway.daemon import GatewayDaemon, GatewaySettings
 from plantainstage._gateway.dialect import HeaderNames
@@ -56,8 +57,11 @@
         await asyncio.sleep(0.005)
 
 
-async def read_message(reader):
-    """Returns start line, headers and body of one HTTP message."""
+async def read_message(reader, on_head=None):
+    """Returns start line, headers and body of one HTTP message.
+
+    ``on_head`` is called, with the headers, before the body is read.
+    """
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
     lines = head.split("\r\n")
     headers = {}
@@ -65,6 +69,8 @@
         name, separator, value = line.partition(":")
         if separator:
             headers[name.lower()] = value.strip()
+    if on_head is not None:
+        await on_head(headers)
     body = await reader.readexactly(int(headers.get("content-length", 0)))
     return lines[0], headers, body
 
@@ -80,9 +86,11 @@
         self.sequence = 0
         self.received = []
         self.connections = 0
+        self.writers = []
         self.closed_early = 0
         self.record = searcher_id.encode().ljust(16, b".")
         self.behave = answer_whole
+        self.rejects_early = False  # before it has read the body
         self.server = None
 
     async def start(self):
@@ -91,14 +99,18 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.append(writer)
         try:
             while True:
-                line, headers, body = await read_message(reader)
+                early = partial(self._reject_early, writer)
+                line, headers, body = await read_message(reader, early)
                 method, target, _ = line.split(" ")
                 request = ReceivedRequest(
                     method=method, target=target, headers=headers, body=body
                 )
                 self.received.append(request)
+                if self.rejects_early:
+                    continue
                 working = asyncio.ensure_future(self.behave(self, request, writer))
                 watching = asyncio.ensure_future(reader.read(1))
                 await asyncio.wait(
@@ -115,6 +127,16 @@
         finally:
             writer.close()
 
+    async def _reject_early(self, writer, headers):
+        """Rejects a request whose body is still on its way, and reads on later."""
+        if self.rejects_early:
+            extra = f"{NAMES.not_executed}: 1\r\nContent-Length: 0\r\n\r\n"
+            name = NAMES.request_id
+            echo = f"{name}: {headers[name.lower()]}\r\n"
+            writer.write(f"HTTP/1.1 503 Full\r\n{echo}{extra}".encode())
+            await writer.drain()
+            await asyncio.sleep(0.02)
+
     def announcement(self, state=0, **changes):
         self.sequence += 1
         fields = {
