Add plantainstage-ctl routes put and show

Puts and shows the configuration of routed requests; follows redirections and asks other replicas until the outcome is clear. Test: failures/routed_control, real replicas.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -71,3 +71,16 @@
       | a missing field           |
       | slots that are a text     |
       | an unknown state          |
+
+  Scenario: The operator's command publishes, shows and refuses a configuration
+    # Guards against an exit code that calls a refusal a success, or an unknown outcome
+    # a refusal.
+    Given a control group of 3 replicas for routed requests
+    When the command puts configuration 3
+    Then it ends with 0 and "version 3 is acknowledged"
+    When the command shows the configuration
+    Then it ends with 0 and prints configuration 3
+    When the command puts a configuration with a timeout of 0
+    Then it ends with 3 and "timeout has to be above 0"
+    When all replicas are stopped and the command puts configuration 4
+    Then it ends with 6 and "No leader replied"
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -3,8 +3,10 @@
 import json
 
 from behave import given, then, when
+from click.testing import CliRunner
 
 from plantainstage._messages.serving import SyncRequest
+from plantainstage._programs.ctl import main as ctl
 from support.routed_tier import RoutedTier, StandInSearcher
 
 PATH = "/v1/configuration"
@@ -253,3 +255,55 @@
 def step_no_searcher(context):
     for daemon, *_ in context.tier.registries.values():
         assert not daemon.register.entries
+
+
+# ---- The operator's command -----------------------------------------------------------
+
+
+def run_command(context, *arguments, document=b""):
+    """Runs plantainstage-ctl on a thread while the replicas run on their loop."""
+    flags = [flag for a in context.controls for flag in ("--control", a)]
+
+    def invoke():
+        command = ["routes", *arguments, *flags, "--timeout", "3"]
+        return CliRunner().invoke(ctl, command, input=document)
+
+    work = context.tier.loop.run_in_executor(None, invoke)
+    context.command = context.tier.run(work)
+
+
+@when("the command puts configuration {version:d}")
+def step_command_put(context, version):
+    context.controls = addresses(context)
+    content = json.dumps(document(version)).encode()
+    run_command(context, "put", "-", document=content)
+
+
+@when("the command shows the configuration")
+def step_command_show(context):
+    run_command(context, "show")
+
+
+@when("the command puts a configuration with a timeout of 0")
+def step_command_put_faulty(context):
+    run_command(context, "put", "-", document=faulty_document("a timeout of 0"))
+
+
+@when("all replicas are stopped and the command puts configuration {version:d}")
+def step_command_without_replicas(context, version):
+    for address in addresses(context):
+        context.tier.stop_registry(address)
+    content = json.dumps(document(version)).encode()
+    run_command(context, "put", "-", document=content)
+
+
+@then('it ends with {code:d} and "{text}"')
+def step_command_ended(context, code, text):
+    assert context.command.exit_code == code, context.command.output
+    assert text in context.command.output, context.command.output
+
+
+@then("it ends with 0 and prints configuration {version:d}")
+def step_command_printed(context, version):
+    assert context.command.exit_code == 0, context.command.output
+    assert json.loads(context.command.output) == document(version)
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -75,6 +75,11 @@
     return lines[0], headers, body
 
 
+async def all_of(tasks):
+    """Waits for the end of all tasks, of which there may be none."""
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class StandInSearcher:
     """A searcher whose replies ``behave(searcher, request, writer)`` writes."""
 
@@ -430,7 +435,7 @@
             stop.set()
         tasks = [task for _, _, task in self.gateways]
         tasks += [task for _, _, task, _ in self.registries.values()]
-        self.run(asyncio.gather(*tasks, return_exceptions=True))
+        self.run(all_of(tasks))
         for searcher in self.searchers.values():
             searcher.server.close()
         for task in asyncio.all_tasks(self.loop):
--- /dev/null
+++ b/src/plantainstage/_operator/routing.py
@@ -0,0 +1,88 @@
+"""Calls of an operator to the control replicas of routed requests."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass
+
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from plantainstage._errors import ControlUnavailableError, PlantainstageError
+from plantainstage._registry.http_api import ControlFormat
+
+ATTEMPT_TIMEOUT_S = 1.5
+MAX_REDIRECTS = 2
+PAUSE_S = 0.1
+STATUS_REFUSED = 400
+PATHS = ControlFormat()
+
+
+@dataclass(kw_only=True, eq=False)
+class ConfigurationRefusedError(PlantainstageError):
+    """A replica refused a configuration; nothing of it is in force."""
+
+    detail: str
+
+    def describe(self):
+        return self.detail
+
+
+async def put_configuration(document: bytes, *, addresses, timeout_s: float):
+    """Sends a configuration until a majority has it.
+
+    Raises ConfigurationRefusedError or ControlUnavailableError; after the latter it
+    may or may not be in force, and may be sent again.
+    """
+    response = await _call(
+        PATHS.put_configuration, "POST", document, addresses, timeout_s
+    )
+    if response.code == STATUS_REFUSED:
+        detail = json.loads(response.body)["error"]
+        raise ConfigurationRefusedError(detail=detail)
+
+
+async def newest_configuration(*, addresses, timeout_s: float) -> bytes:
+    """Returns the newest configuration; raises ControlUnavailableError."""
+    response = await _call(PATHS.get_configuration, "GET", None, addresses, timeout_s)
+    return response.body
+
+
+async def _call(path, method, body, addresses, timeout_s) -> HTTPResponse:
+    """Asks one replica after the other until one gives a clear answer."""
+    client = SimpleAsyncHTTPClient(force_instance=True)
+    deadline = time.monotonic() + timeout_s
+    last_error = "nothing was asked"
+    try:
+        while time.monotonic() < deadline:
+            for address in addresses:
+                try:
+                    return await _ask(client, f"http://{address}{path}", method, body)
+                except (HTTPClientError, OSError) as error:
+                    # Another replica may lead, or this one may be up again soon.
+                    last_error = f"{address}: {error}"
+            await asyncio.sleep(PAUSE_S)
+    finally:
+        client.close()
+    raise ControlUnavailableError(
+        addresses=tuple(addresses),
+        waited_ms=round(timeout_s * 1000),
+        last_error=last_error,
+    )
+
+
+async def _ask(client, url, method, body) -> HTTPResponse:
+    """Returns a success or a refusal; raises for any other outcome."""
+    request = HTTPRequest(
+        url,
+        method=method,
+        body=body,
+        request_timeout=ATTEMPT_TIMEOUT_S,
+        max_redirects=MAX_REDIRECTS,
+    )
+    try:
+        return await client.fetch(request)
+    except HTTPClientError as error:
+        if error.code == STATUS_REFUSED:
+            return error.response
+        raise
--- a/src/plantainstage/_programs/ctl.py
+++ b/src/plantainstage/_programs/ctl.py
@@ -6,6 +6,7 @@
 from plantainstage._programs.ctl_profiles import profile_group
 from plantainstage._programs.ctl_quarantines import quarantine_group
 from plantainstage._programs.ctl_replicas import replica_group
+from plantainstage._programs.ctl_routes import routes_group
 from plantainstage._programs.ctl_status import (
     change_group,
     status_command,
@@ -27,6 +28,7 @@
     upstream_group,
     quarantine_group,
     replica_group,
+    routes_group,
     change_group,
     status_command,
     wait_command,
--- /dev/null
+++ b/src/plantainstage/_programs/ctl_routes.py
@@ -0,0 +1,76 @@
+"""``plantainstage-ctl routes``: publish and show the serving configuration."""
+
+import asyncio
+
+import click
+import msgspec
+
+from plantainstage._errors import ControlUnavailableError, InvalidConfigurationError
+from plantainstage._operator import routing
+from plantainstage._operator.outcomes import ExitCode
+from plantainstage._programs.ctl_options import (
+    check_common,
+    finish,
+    operator_command,
+)
+from plantainstage._serving.configuration import decode_configuration
+from plantainstage._settings.base import SettingsCheck, build_settings
+
+
+@click.group("routes")
+def routes_group():
+    """Publish and show the configuration of routed requests.
+
+    --control names --listen addresses of plantainstage-registry.
+    """
+
+
+@routes_group.command("put")
+@click.argument("file", type=click.File("rb"))
+@operator_command
+def put(file, control, timeout, as_json):
+    """Put the configuration in FILE (JSON) in force; - reads standard input."""
+    timeout_s = _checked_timeout(control, timeout)
+    document = file.read()
+    try:
+        # Checked here first, so that a mistake is named without a replica.
+        version = decode_configuration(document).version
+        work = routing.put_configuration(
+            document, addresses=control, timeout_s=timeout_s
+        )
+        asyncio.run(work)
+    except (InvalidConfigurationError, routing.ConfigurationRefusedError) as error:
+        _fail("rejected", error, as_json, ExitCode.REJECTED)
+    except ControlUnavailableError as error:
+        _fail("unavailable", error, as_json, ExitCode.UNAVAILABLE)
+    body = {"outcome": "acknowledged", "version": version}
+    text = f"version {version} is acknowledged; the highest version is in force"
+    finish(body, [text], as_json=as_json)
+
+
+@routes_group.command("show")
+@operator_command
+def show(control, timeout, as_json):
+    """Print the newest configuration as it was sent."""
+    timeout_s = _checked_timeout(control, timeout)
+    work = routing.newest_configuration(addresses=control, timeout_s=timeout_s)
+    try:
+        document = asyncio.run(work)
+    except ControlUnavailableError as error:
+        _fail("unavailable", error, as_json, ExitCode.UNAVAILABLE)
+    finish(msgspec.Raw(document), [document.decode()], as_json=as_json)
+
+
+def _checked_timeout(control, timeout):
+    def build():
+        check = SettingsCheck()
+        timeout_s = check_common(check, control=control, timeout=timeout)
+        check.finish()
+        return timeout_s
+
+    return build_settings(build)
+
+
+def _fail(outcome, error, as_json, code):
+    body = {"outcome": outcome, "message": str(error)}
+    finish(body, [str(error)], as_json=as_json, code=code)
