File a searcher anew when it announces another service

Cause: an announcement of a known searcher for another service left it filed under the old one; forgetting it then raised KeyError, which ended the task that polls control, so that the host kept its configuration for good. The test raises KeyError without the change.

--- a/features/behaviour/serving_decisions.feature
+++ b/features/behaviour/serving_decisions.feature
@@ -79,3 +79,10 @@
     Then the searcher is kept for 100 s
     When replica "b" is lost
     Then the searcher is kept for 5 s and dropped after 10 s
+
+  Scenario: A searcher that announces itself for another service is filed anew
+    # Guards against a host that stops to hear control: a forged announcement moved a
+    # searcher between services, and forgetting it then failed and ended all polls.
+    Given an entry host that knows "s-1" of "cards"
+    When "s-1" announces itself of "books" and is then forgotten
+    Then the host knows no searcher of "cards" or "books"
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -1,10 +1,14 @@
 """Steps for the pure decisions about routed requests."""
 
+import asyncio
 import random
 from collections import deque
 
+import msgspec
 from behave import given, then, when
 
+from plantainstage._gateway.dialect import HeaderNames
+from plantainstage._gateway.fleet import Fleet
 from plantainstage._serving import placement
 from plantainstage._serving.configuration import (
     OneOf,
@@ -287,3 +291,40 @@
 def step_dropped(context, kept, dropped):
     assert context.vouched.expire(float(kept)) == []
     assert context.vouched.expire(float(dropped)) == ["s-1"]
+
+
+# ---- Known searchers ------------------------------------------------------------------
+
+
+def on_a_loop(function):
+    async def run():
+        function()
+
+    asyncio.run(run())
+
+
+@given('an entry host that knows "{searcher_id}" of "{service}"')
+def step_fleet(context, searcher_id, service):
+    context.fleet = Fleet(data_centre=NEAR, names=HeaderNames())
+    known = msgspec.structs.replace(
+        heard("ready", 1, 1), searcher_id=searcher_id, service=service
+    )
+    context.searcher = known
+    on_a_loop(lambda: context.fleet.learn(known))
+
+
+@when('"{searcher_id}" announces itself of "{service}" and is then forgotten')
+def step_refile(context, searcher_id, service):
+    moved = msgspec.structs.replace(context.searcher, service=service, sequence=2)
+
+    def learn_and_forget():
+        context.fleet.learn(moved)
+        context.fleet.forget(searcher_id)
+
+    on_a_loop(learn_and_forget)
+
+
+@then('the host knows no searcher of "{one}" or "{other}"')
+def step_none_known(context, one, other):
+    assert context.fleet.count(one) == context.fleet.count(other) == 0
+    assert not context.fleet.members
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -11,6 +11,10 @@
 from plantainstage._serving.searchers import Searcher, SearcherState
 
 
+def _same_place(one, other):
+    return (one.address, one.service) == (other.address, other.service)
+
+
 class Member:
     """One start of a searcher with its load and its pool."""
 
@@ -49,7 +53,7 @@
         if searcher.state is not SearcherState.READY:
             self.forget(searcher.searcher_id)
             return
-        if known is not None and known.searcher.address == searcher.address:
+        if known is not None and _same_place(known.searcher, searcher):
             known.load.searcher = searcher
             return
         self.forget(searcher.searcher_id)
