--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -10,6 +10,13 @@
 from plantainstage._serving import placement
 from plantainstage._serving.searchers import Searcher, SearcherState
 
+# Of a service that the configuration in force does not name.
+DEFAULT_CONNECTIONS = 16
+# Of a searcher's connections; the rest is for hosts that are restarted.
+CAP_SHARE = 0.9
+# Of one host at one searcher; with a single one a pause would stop the host.
+LEAST_REQUESTS = 2
+
 
 def _same_place(one, other):
     return (one.address, one.service) == (other.address, other.service)
@@ -102,12 +109,12 @@
         )
 
     def _connection_share(self, service):
-        cap = self.connection_caps.get(service, 16)
-        return max(1, int(cap * 0.9 / max(1, self.hosts)))
+        cap = self.connection_caps.get(service, DEFAULT_CONNECTIONS)
+        return max(1, int(cap * CAP_SHARE / self.hosts))
 
     def _request_share(self, member):
         """How many requests of this host may be at one searcher at a time."""
-        return max(2, member.searcher.slots)
+        return max(LEAST_REQUESTS, member.searcher.slots)
 
     # ---- Waiting for room ---------------------------------------------------------
 
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -88,7 +88,6 @@
         self.calls = []  # under way
         self.tried = set()
         self.runs = 0  # searchers that may have run it
-        self.arrivals = 0
         self.rejections = 0
         self.hedged = False
         self.waiting = False
