Keep tasks of the daemons running after an unexpected failure

Change: the tasks of both daemons start anew after an unexpected error, which is logged with its trace; a configuration is applied before anything else of a reply, so that no fault in the rest can keep a host at an old version.

--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -105,3 +105,11 @@
     When the entry host is stopped while a caller waits
     Then the caller gets 200 with the answer of "s-1"
     And the entry host says that it is not ready, and ends
+
+  Scenario: A fault while searchers are taken in keeps no host at an old version
+    # Guards against hunt-796c-31: a forged announcement ended the tasks that poll
+    # control, and the host refused routes of later versions with 404 for good.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And taking in the searcher "s-2" raises an error, and so does dropping any searcher
+    When the searcher "s-2" announces itself and configuration 2 is published
+    Then the host has configuration 2 in force and has logged a failed task
--- a/features/steps/routed_request_steps.py
+++ b/features/steps/routed_request_steps.py
@@ -366,3 +366,50 @@
     parts = named_parts(context.reply)
     records = sorted((context.tier.searchers[p].record for p in parts), reverse=True)
     assert context.reply.body == b"".join(records[:TOP_RECORDS]), context.reply
+
+
+# ---- Faults of the program ------------------------------------------------------------
+
+
+@given(
+    'taking in the searcher "{searcher_id}" raises an error, and so does dropping any '
+    "searcher"
+)
+def step_faulty_fleet(context, searcher_id):
+    fleet = context.gateway.router.fleet
+    learn = fleet.learn
+
+    def learn_others(searcher):
+        if searcher.searcher_id == searcher_id:
+            raise KeyError(searcher_id)
+        learn(searcher)
+
+    def drop(searcher_id):
+        raise KeyError(searcher_id)
+
+    fleet.learn = learn_others
+    fleet.forget = drop
+
+
+@when(
+    'the searcher "{searcher_id}" announces itself and configuration {version:d} is '
+    "published"
+)
+def step_announce_and_publish(context, searcher_id, version):
+    searcher = StandInSearcher(searcher_id=searcher_id, service="cards")
+    context.tier.add_searcher(searcher)
+    context.tier.wait_for(
+        lambda: any(e["event"] == "task_failed" for e in context.tier.events),
+        "the failure of the task",
+    )
+    context.configuration = {**context.configuration, "version": version}
+    put_configuration(context)
+
+
+@then("the host has configuration {version:d} in force and has logged a failed task")
+def step_in_force_after_fault(context, version):
+    context.tier.wait_for(
+        lambda: context.gateway.router.version == version, "the new version"
+    )
+    failed = [e for e in context.tier.events if e["event"] == "task_failed"]
+    assert failed and "KeyError" in failed[0]["trace"], failed
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -1,6 +1,7 @@
 """Polls every control replica for the configuration and for searchers."""
 
 import asyncio
+from functools import partial
 
 import msgspec
 import pynng
@@ -9,6 +10,7 @@
 from plantainstage._messages import serving
 from plantainstage._serving.searchers import SearcherState
 from plantainstage._serving.vouching import VouchedSearchers
+from plantainstage._supervision import run_supervised
 from plantainstage._transport.rpc import RpcClient
 
 POLL_INTERVAL_S = 0.35
@@ -48,12 +50,17 @@
         finally:
             for poller in self.pollers.values():
                 poller.cancel()
+            self.pollers.clear()
 
     def _start_pollers(self, addresses):
         for address in addresses:
             if address not in self.pollers:
-                task = asyncio.create_task(self._poll(address))
-                self.pollers[address] = task
+                polling = run_supervised(
+                    partial(self._poll, address),
+                    task=f"poll {address}",
+                    events=self.events,
+                )
+                self.pollers[address] = asyncio.create_task(polling)
 
     async def _poll(self, address):
         loop = asyncio.get_running_loop()
@@ -91,6 +98,9 @@
         return POLL_INTERVAL_S if self.router.table is not None else FIRST_POLL_S
 
     def _take(self, reply):
+        # First, since no fault in the rest may keep a host at an old version.
+        if reply.document is not None and reply.version > self.router.version:
+            self._apply(reply)
         self.router.set_hosts(reply.hosts)
         self._start_pollers(reply.replicas)
         for searcher in reply.searchers:
@@ -100,8 +110,6 @@
         now = asyncio.get_running_loop().time()
         for searcher_id in reply.silent:
             self.vouched.silent(reply.process, searcher_id, now)
-        if reply.document is not None and reply.version > self.router.version:
-            self._apply(reply)
 
     def _learn(self, searcher):
         self.router.fleet.learn(searcher)
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -17,6 +17,7 @@
     decode_configuration,
 )
 from plantainstage._serving.retry_budget import BudgetTerms
+from plantainstage._supervision import run_supervised
 
 # A planned stop: the balancer notices within two missed probes, a second apart.
 DRAIN_S = 2.6
@@ -91,7 +92,8 @@
             on_limits=self.ingress.set_limits,
             events=self.events,
         )
-        linking = asyncio.create_task(link.run())
+        supervised = run_supervised(link.run, task="control", events=self.events)
+        linking = asyncio.create_task(supervised)
         self.events.note("started", address=self.settings.listen)
         await stop.wait()
         await self._drain()
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -27,6 +27,7 @@
 from plantainstage._registry.register import SearcherRegister
 from plantainstage._reports.exposition import RegistryMetrics, serve_metrics
 from plantainstage._serving.searchers import Searcher
+from plantainstage._supervision import run_supervised
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
 EXPIRE_INTERVAL_S = 0.3
@@ -101,9 +102,12 @@
         self._serve_metrics()
         self.events.note("started", address=self.own_address)
         tasks = [
-            asyncio.create_task(self._run_replica()),
-            asyncio.create_task(self._expire()),
-            asyncio.create_task(self._save_recent()),
+            asyncio.create_task(run_supervised(run, task=task, events=self.events))
+            for task, run in (
+                ("replica", self._run_replica),
+                ("expiry", self._expire),
+                ("recent state", self._save_recent),
+            )
         ]
         await stop.wait()
         self.events.note("stopping")
