Answer entry hosts before the rest of a control replica is loaded

Change: the sync server starts first, with what was saved before; the log, the HTTP interface and metrics are loaded on a thread. The entry host imports Peer alone, and dials every 60 ms at most until it has a configuration. The tests of the folder fail without the change (front loads _control; core loads http_api).

--- a/features/behaviour/platform_folder.feature
+++ b/features/behaviour/platform_folder.feature
@@ -29,3 +29,12 @@
   Scenario: A configuration of the platform becomes the product's own
     # Guards against a field that is read as another one.
     Then the routes of a platform's configuration have the product's types
+
+  Scenario: The entry host loads no control replica
+    # Guards against memory and start-up time, which callers wait for after a loss of
+    # power, for what another program does.
+    Then the program "front" loads none of the modules that only "core" needs
+
+  Scenario: A control replica can answer entry hosts before it has loaded the rest
+    # Guards against entry hosts that wait for modules which they do not need.
+    Then the program "core" starts without its later modules, each of which exists
--- a/features/steps/platform_folder_steps.py
+++ b/features/steps/platform_folder_steps.py
@@ -1,5 +1,6 @@
 """Steps for the folder ``platform``."""
 
+import importlib.util
 import json
 import re
 import subprocess
@@ -8,6 +9,8 @@
 
 from behave import then
 
+from plantainstage._registry.daemon import LATER_MODULES
+
 ROOT = Path(__file__).resolve().parents[2]
 FOLDER = ROOT / "platform"
 PLATFORM_NAMES = (
@@ -141,3 +144,29 @@
 print("same")
 """
     assert in_folder(code) == "same"
+
+
+def loaded_modules(program):
+    """Returns the modules that a program of the folder loads when it starts."""
+    code = f"import {program}; print(*sys.modules)"
+    return set(in_folder(code).split())
+
+
+@then('the program "front" loads none of the modules that only "core" needs')
+def step_front_modules(context):
+    loaded = loaded_modules("front")
+    control = ("_agreement", "_control", "_storage", "_registry.daemon")
+    found = [
+        name
+        for name in loaded
+        if name.startswith(tuple(f"plantainstage.{package}." for package in control))
+    ]
+    assert found == [], found
+
+
+@then('the program "core" starts without its later modules, each of which exists')
+def step_core_modules(context):
+    loaded = loaded_modules("core")
+    assert not loaded & set(LATER_MODULES), loaded & set(LATER_MODULES)
+    for name in LATER_MODULES:
+        assert importlib.util.find_spec(name) is not None, name
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -306,6 +306,7 @@
             stop = asyncio.Event()
             task = asyncio.create_task(daemon.run(stop))
             self.registries[peer.client_address] = (daemon, stop, task, folder)
+            await daemon.started.wait()
 
         self.run(start())
 
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -11,10 +11,13 @@
 from plantainstage._serving.searchers import SearcherState
 from plantainstage._serving.vouching import VouchedSearchers
 from plantainstage._supervision import run_supervised
-from plantainstage._transport.rpc import RpcClient
+from plantainstage._transport.rpc import RECONNECT_MAX_MS, RpcClient
 
 POLL_INTERVAL_S = 0.35
 FIRST_POLL_S = 0.06
+# Without a configuration a host serves nobody until a replica that is starting up
+# takes its connection.
+FIRST_RECONNECT_MAX_MS = 60
 POLL_TIMEOUT_S = 0.8
 SOURCE_LOST_S = 2.0
 EXPIRE_INTERVAL_S = 0.25
@@ -65,6 +68,8 @@
     async def _poll(self, address):
         loop = asyncio.get_running_loop()
         client = RpcClient(address=address, replies=serving.REPLIES)
+        if self.router.table is None:
+            client.reconnect_max_ms = FIRST_RECONNECT_MAX_MS
         process, cursor = "", 0
         heard_at = loop.time()
         reachable = False
@@ -87,6 +92,7 @@
                 if not reachable:
                     self.events.note("control_reached", replica=address)
                 reachable, heard_at = True, loop.time()
+                client.reconnect_max_ms = RECONNECT_MAX_MS
                 if process and reply.process != process:
                     self.vouched.source_lost(process, loop.time())
                 process, cursor = reply.process, reply.cursor
--- a/src/plantainstage/_operator/routing.py
+++ b/src/plantainstage/_operator/routing.py
@@ -9,7 +9,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from plantainstage._errors import ControlUnavailableError, PlantainstageError
-from plantainstage._registry.http_api import ControlFormat
+from plantainstage._registry.control_format import ControlFormat
 
 ATTEMPT_TIMEOUT_S = 1.5
 MAX_REDIRECTS = 2
--- /dev/null
+++ b/src/plantainstage/_registry/control_format.py
@@ -0,0 +1,44 @@
+"""Paths and body formats of the HTTP interface of a control replica."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from plantainstage._errors import InvalidAnnouncementError
+from plantainstage._serving.configuration import (
+    ConfigurationDecoder,
+    decode_configuration,
+)
+from plantainstage._serving.searchers import Searcher
+
+_announcement_decoder = msgspec.json.Decoder(Searcher)
+
+
+def decode_announcement(searcher_id: str, body: bytes) -> Searcher:
+    """Decodes an announcement of the project's own format (JSON).
+
+    Raises InvalidAnnouncementError.
+    """
+    try:
+        searcher = _announcement_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise InvalidAnnouncementError(detail=str(error)) from error
+    if searcher.searcher_id != searcher_id:
+        raise InvalidAnnouncementError(detail="path and body name different searchers")
+    return searcher
+
+
+@dataclass(frozen=True, kw_only=True)
+class ControlFormat:
+    """Paths and body formats; the defaults are the project's own.
+
+    ``*_searcher`` paths are regular expressions whose group is the searcher's id.
+    """
+
+    put_configuration: str = "/v1/configuration"
+    get_configuration: str = "/v1/configuration/newest"
+    announce_searcher: str = "/v1/searchers/([^/]+)/announcement"
+    remove_searcher: str = "/v1/searchers/([^/]+)/departure"
+    decode_configuration: ConfigurationDecoder = decode_configuration
+    decode_announcement: Callable[[str, bytes], Searcher] = decode_announcement
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -10,24 +9,15 @@
 import msgspec
 import pynng
 
-from plantainstage._agreement.state import Timing
-from plantainstage._control.replica import Replica
-from plantainstage._control.replica_settings import InitialMember, ReplicaSettings
-from plantainstage._errors import (
-    BootstrapRefusedError,
-    NotLeaderError,
-    PlantainstageError,
-)
+from plantainstage._errors import NotLeaderError
 from plantainstage._messages import serving
-from plantainstage._registry.http_api import ControlFormat, make_server
-from plantainstage._registry.keeper import GroupKeeper
+from plantainstage._registry.control_format import ControlFormat
 from plantainstage._registry.machine import ConfigurationMachine
 from plantainstage._registry.peers import Peer
 from plantainstage._registry.recent import RecentFile, RecentState
 from plantainstage._registry.register import SearcherRegister
-from plantainstage._reports.exposition import RegistryMetrics, serve_metrics
 from plantainstage._serving.searchers import Searcher
-from plantainstage._supervision import run_supervised
+from plantainstage._supervision import load_modules, run_supervised
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
 EXPIRE_INTERVAL_S = 0.3
@@ -38,11 +28,13 @@
 # What is recalled after a restart lags by this much, departures excepted.
 SAVE_INTERVAL_S = 0.5
 SAVE_TIMEOUT_S = 0.3
-LOG_FOLDER = "log"
-# All replicas of a group may start together, with callers waiting.
-START_ELECTION_S = 0.08
-# After a replica stopped for a full or failed disk.
-REPLICA_RETRY_S = 0.5
+# Loading these takes most of the start on a small host. Entry hosts without a
+# configuration wait for the sync server alone, which needs none of them.
+LATER_MODULES = (
+    "plantainstage._registry.group_replica",
+    "plantainstage._registry.http_api",
+    "plantainstage._reports.exposition",
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -76,35 +68,44 @@
         self.process = secrets.token_hex(6)
         self.machine = ConfigurationMachine()
         self.register = SearcherRegister(heartbeat_s=settings.heartbeat_s)
-        self.replica = None
-        self.keeper = None
+        self.group = None  # GroupReplica, once its module is loaded
+        self.metrics = None  # RegistryMetrics, likewise
+        self.started = asyncio.Event()  # set once all interfaces listen
         self.recent = RecentFile(folder=settings.data_folder, events=events)
         self.recent_due = asyncio.Event()
         self.saved_cursor = 0
-        self.metrics = RegistryMetrics()
         self.hosts = {}  # host id -> time of its last poll
         self.peer_clients = {}
 
     # ---- Running ------------------------------------------------------------------
 
+    @property
+    def replica(self):
+        """The replica of the log, or None while none runs."""
+        return self.group.replica if self.group is not None else None
+
     async def run(self, stop: asyncio.Event):
         """Serves until ``stop`` is set; raises OSError when a port is taken."""
         self._recall()
-        server = make_server(self)
-        host, _, port = self.own_address.rpartition(":")
-        server.listen(int(port), address=host)
         sync = RpcServer(
             address=self.settings.own.sync_address,
             handler=self._sync,
             requests=serving.REQUESTS,
         )
         sync.start()
-        self._serve_metrics()
+        self.events.note("sync_started", address=self.settings.own.sync_address)
+        group_replica, http_api, exposition = await load_modules(LATER_MODULES)
+        self.group = self._make_group(group_replica.GroupReplica)
+        self._serve_metrics(exposition)
+        server = http_api.make_server(self)
+        host, _, port = self.own_address.rpartition(":")
+        server.listen(int(port), address=host)
+        self.started.set()
         self.events.note("started", address=self.own_address)
         tasks = [
             asyncio.create_task(run_supervised(run, task=task, events=self.events))
             for task, run in (
-                ("replica", self._run_replica),
+                ("replica", self.group.run),
                 ("expiry", self._expire),
                 ("recent state", self._save_recent),
             )
@@ -120,77 +121,32 @@
         self.events.note("stopped")
         self.events.flush()
 
-    def _serve_metrics(self):
-        metrics = self.metrics
+    def _make_group(self, group_replica):
+        settings = self.settings
+        return group_replica(
+            own=settings.own,
+            data_folder=settings.data_folder,
+            founders=settings.founders,
+            machine=self.machine,
+            addresses=self._sync_addresses,
+            events=self.events,
+        )
+
+    def _serve_metrics(self, exposition):
+        metrics = self.metrics = exposition.RegistryMetrics()
         metrics.version.set_function(lambda: self.machine.held.version)
         metrics.searchers.set_function(lambda: len(self.register.entries))
         metrics.hosts.set_function(lambda: len(self.hosts))
         metrics.leads.set_function(self._leads)
         metrics.dropped_lines.set_function(lambda: self.events.dropped_in_all)
         if self.settings.metrics_listen:
-            serve_metrics(
+            exposition.serve_metrics(
                 address=self.settings.metrics_listen, registry=metrics.registry
             )
 
     def _leads(self):
         return self.replica is not None and self.replica.is_leader
 
-    async def _run_replica(self):
-        """Keeps a replica running; a failed disk may come back."""
-        while True:
-            try:
-                await self._run_replica_once()
-                return
-            except (PlantainstageError, pynng.NNGException) as error:
-                self.events.note("replica_stopped", reason=str(error)[:500])
-            self.replica = self.keeper = None
-            await asyncio.sleep(REPLICA_RETRY_S)
-
-    async def _run_replica_once(self):
-        try:
-            replica = await self._start_replica(self.settings.founders)
-        except BootstrapRefusedError:
-            replica = await self._start_replica(())
-        self.keeper = GroupKeeper(
-            replica=replica,
-            own_address=self.settings.own.sync_address,
-            addresses=self._sync_addresses,
-            events=self.events,
-        )
-        self.replica = replica
-        keeping = asyncio.create_task(self.keeper.run())
-        try:
-            await replica.wait_stopped()
-        finally:
-            keeping.cancel()
-
-    async def _start_replica(self, founders):
-        own = self.settings.own
-        replica = Replica(
-            settings=ReplicaSettings(
-                replica_id=own.client_address,
-                data_folder=os.path.join(self.settings.data_folder, LOG_FOLDER),
-                client_address=own.client_address,
-                peer_address=own.peer_address,
-                bootstrap=tuple(
-                    InitialMember(
-                        replica_id=peer.client_address,
-                        client_address=peer.client_address,
-                        peer_address=peer.peer_address,
-                    )
-                    for peer in founders
-                ),
-                timing=Timing(start_election_s=START_ELECTION_S),
-            ),
-            machine=self.machine,
-            on_leader_change=self._leader_changed,
-        )
-        await replica.start()
-        return replica
-
-    def _leader_changed(self, leader, term):
-        self.events.note("leader", leader=str(leader) if leader else "", term=term)
-
     async def _expire(self):
         loop = asyncio.get_running_loop()
         while True:
@@ -321,9 +277,9 @@
                 self.register.hear(searcher, now)
                 return serving.Noted()
             case serving.JoinRequest(member=member):
-                if self.keeper is None:
+                if self.group is None or self.group.keeper is None:
                     return serving.JoinReply()
-                return self.keeper.take_request(member)
+                return self.group.keeper.take_request(member)
 
     def _sync_reply(self, request, now):
         self.hosts[request.host_id] = now
--- /dev/null
+++ b/src/plantainstage/_registry/group_replica.py
@@ -0,0 +1,108 @@
+"""The replica of the log that a control replica of routed requests runs."""
+
+import asyncio
+import os
+from collections.abc import Callable
+
+import pynng
+
+from plantainstage._agreement.state import Timing
+from plantainstage._control.replica import Replica
+from plantainstage._control.replica_settings import InitialMember, ReplicaSettings
+from plantainstage._errors import BootstrapRefusedError, PlantainstageError
+from plantainstage._registry.keeper import GroupKeeper
+from plantainstage._registry.machine import ConfigurationMachine
+from plantainstage._registry.peers import Peer
+from plantainstage._supervision import run_supervised
+
+LOG_FOLDER = "log"
+# All replicas of a group may start together, with callers waiting.
+START_ELECTION_S = 0.08
+# After a replica stopped for a full or failed disk.
+REPLICA_RETRY_S = 0.5
+
+
+class GroupReplica:
+    """Runs a replica and the keeper of its group; a failed disk may come back.
+
+    ``replica`` and ``keeper`` are None while none runs. ``addresses()`` returns
+    the sync addresses of all replicas known, and ``founders`` names those that
+    found the group, at the very first start only.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Peer,
+        data_folder: str,
+        founders: tuple[Peer, ...],
+        machine: ConfigurationMachine,
+        addresses: Callable[[], tuple[str, ...]],
+        events,
+    ):
+        self.own = own
+        self.data_folder = data_folder
+        self.founders = founders
+        self.machine = machine
+        self.addresses = addresses
+        self.events = events
+        self.replica = None
+        self.keeper = None
+
+    async def run(self):
+        """Keeps a replica running until it is stopped on purpose."""
+        while True:
+            try:
+                await self._run_once()
+                return
+            except (PlantainstageError, pynng.NNGException) as error:
+                self.events.note("replica_stopped", reason=str(error)[:500])
+            finally:
+                self.replica = self.keeper = None
+            await asyncio.sleep(REPLICA_RETRY_S)
+
+    async def _run_once(self):
+        try:
+            replica = await self._start(self.founders)
+        except BootstrapRefusedError:
+            replica = await self._start(())
+        self.keeper = GroupKeeper(
+            replica=replica,
+            own_address=self.own.sync_address,
+            addresses=self.addresses,
+            events=self.events,
+        )
+        self.replica = replica
+        keeping = asyncio.create_task(
+            run_supervised(self.keeper.run, task="group", events=self.events)
+        )
+        try:
+            await replica.wait_stopped()
+        finally:
+            keeping.cancel()
+
+    async def _start(self, founders):
+        replica = Replica(
+            settings=ReplicaSettings(
+                replica_id=self.own.client_address,
+                data_folder=os.path.join(self.data_folder, LOG_FOLDER),
+                client_address=self.own.client_address,
+                peer_address=self.own.peer_address,
+                bootstrap=tuple(
+                    InitialMember(
+                        replica_id=peer.client_address,
+                        client_address=peer.client_address,
+                        peer_address=peer.peer_address,
+                    )
+                    for peer in founders
+                ),
+                timing=Timing(start_election_s=START_ELECTION_S),
+            ),
+            machine=self.machine,
+            on_leader_change=self._leader_changed,
+        )
+        await replica.start()
+        return replica
+
+    def _leader_changed(self, leader, term):
+        self.events.note("leader", leader=str(leader) if leader else "", term=term)
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -1,8 +1,6 @@
 """The HTTP interface of a control replica for operators and searchers."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 from tornado import web
@@ -14,48 +12,12 @@
     NotLeaderError,
     OutcomeUnknownError,
 )
-from plantainstage._serving.configuration import (
-    ConfigurationDecoder,
-    decode_configuration,
-)
-from plantainstage._serving.searchers import Searcher
 
 # A caller moves on after a second without a response.
 REPLY_TIMEOUT_S = 0.9
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 JSON = "application/json"
 
-_announcement_decoder = msgspec.json.Decoder(Searcher)
-
-
-def decode_announcement(searcher_id: str, body: bytes) -> Searcher:
-    """Decodes an announcement of the project's own format (JSON).
-
-    Raises InvalidAnnouncementError.
-    """
-    try:
-        searcher = _announcement_decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise InvalidAnnouncementError(detail=str(error)) from error
-    if searcher.searcher_id != searcher_id:
-        raise InvalidAnnouncementError(detail="path and body name different searchers")
-    return searcher
-
-
-@dataclass(frozen=True, kw_only=True)
-class ControlFormat:
-    """Paths and body formats; the defaults are the project's own.
-
-    ``*_searcher`` paths are regular expressions whose group is the searcher's id.
-    """
-
-    put_configuration: str = "/v1/configuration"
-    get_configuration: str = "/v1/configuration/newest"
-    announce_searcher: str = "/v1/searchers/([^/]+)/announcement"
-    remove_searcher: str = "/v1/searchers/([^/]+)/departure"
-    decode_configuration: ConfigurationDecoder = decode_configuration
-    decode_announcement: Callable[[str, bytes], Searcher] = decode_announcement
-
 
 class _Handler(web.RequestHandler):
     def initialize(self, control):
--- a/src/plantainstage/_supervision.py
+++ b/src/plantainstage/_supervision.py
@@ -1,6 +1,7 @@
-"""Keeps the tasks of a daemon running when one of them fails unexpectedly."""
+"""Starting and running the tasks of a daemon."""
 
 import asyncio
+import importlib
 import traceback
 from collections.abc import Awaitable, Callable
 
@@ -27,3 +28,15 @@
             trace = "".join(lines)[-MAX_TRACE_CHARACTERS:]
             events.note("task_failed", task=task, trace=trace)
         await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+async def load_modules(names: tuple[str, ...]) -> list:
+    """Imports modules on a thread; the event loop answers meanwhile.
+
+    The modules come in the order of their names.
+    """
+    loop = asyncio.get_running_loop()
+    return [
+        await loop.run_in_executor(None, importlib.import_module, name)
+        for name in names
+    ]
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -135,13 +135,17 @@
 
 
 class RpcClient:
-    """One server address; several calls may be outstanding at once."""
+    """One server address; several calls may be outstanding at once.
+
+    ``reconnect_max_ms`` bounds the pause between dials, from the next socket on.
+    """
 
     def __init__(
         self, *, address: str, replies: msgspec.msgpack.Decoder = CONTROL_REPLIES
     ):
         self.address = address
         self.replies = replies
+        self.reconnect_max_ms = RECONNECT_MAX_MS
         self.socket = None
         self.connected = asyncio.Event()
         self.lost_at = float("-inf")
@@ -157,7 +161,7 @@
             self.socket = socket = pynng.Req0(
                 resend_time=RESEND_TIME_MS,
                 reconnect_time_min=RECONNECT_MIN_MS,
-                reconnect_time_max=RECONNECT_MAX_MS,
+                reconnect_time_max=self.reconnect_max_ms,
             )
             loop = asyncio.get_running_loop()
             self.connected = connected = asyncio.Event()
