--- /dev/null
+++ b/bench/routed_model/__init__.py
@@ -0,0 +1,1 @@
+"""Entry hosts of routed requests over modelled searchers, in virtual time."""
--- /dev/null
+++ b/bench/routed_model/deployment.py
@@ -0,0 +1,167 @@
+"""The shapes and loads of the two deployments, as their sheets give them."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestKind:
+    """One kind of request; times in milliseconds, ``per_s`` over all hosts.
+
+    ``needed`` is the least share of the shards, 0 for a request to one searcher.
+    """
+
+    name: str
+    per_s: float
+    work_ms: float
+    aim_ms: float
+    deadline_ms: float
+    worth: float
+    late_worth: float
+    priority: int
+    needed: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class SearcherShape:
+    """The searchers of one kind of service."""
+
+    searchers: int
+    slots: int
+    queue: int
+    connections: int
+    connect_ms: float
+    pause_ms: float = 0.0
+    pause_every_s: float = 1.0
+    speeds: tuple[float, ...] = (1.0,)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """Data centres, hosts, services and kinds of request."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    hop_ms: float
+    caller_ms: float
+    hosts: int
+    shards: int
+    shard: SearcherShape
+    single: SearcherShape
+    kinds: tuple[RequestKind, ...]
+    retry_ratio: float = 0.2
+    retry_slack: float = 57.0
+
+
+KOGI_BASIN = Deployment(
+    name="kogi-basin",
+    data_centres=("upper-canal", "middle-canal", "lower-canal"),
+    hop_ms=0.9,
+    caller_ms=3.0,
+    hosts=8,
+    shards=10,
+    shard=SearcherShape(
+        searchers=3,
+        slots=3,
+        queue=18,
+        connections=31,
+        connect_ms=6.0,
+        pause_ms=200.0,
+        pause_every_s=4.5,
+        speeds=(0.8, 1.0, 1.3),
+    ),
+    single=SearcherShape(
+        searchers=5, slots=6, queue=24, connections=110, connect_ms=1.0
+    ),
+    kinds=(
+        RequestKind(
+            name="turn-roster",
+            per_s=67.6,
+            work_ms=30.0,
+            aim_ms=183.0,
+            deadline_ms=2500.0,
+            worth=2.0,
+            late_worth=0.1,
+            priority=1,
+            needed=0.89,
+        ),
+        RequestKind(
+            name="gate-alert",
+            per_s=22.5,
+            work_ms=10.1,
+            aim_ms=71.1,
+            deadline_ms=1000.0,
+            worth=1.0,
+            late_worth=0.1,
+            priority=2,
+            needed=0.75,
+        ),
+        RequestKind(
+            name="farm-card",
+            per_s=22.5,
+            work_ms=160.0,
+            aim_ms=600.0,
+            deadline_ms=10000.0,
+            worth=1.0,
+            late_worth=0.3,
+            priority=2,
+        ),
+    ),
+)
+
+ETAIN_GRAVE = Deployment(
+    name="etain-grave",
+    data_centres=("port-louis", "curepipe", "rose-hill", "grand-baie"),
+    hop_ms=1.4,
+    caller_ms=1.0,
+    hosts=9,
+    shards=10,
+    shard=SearcherShape(
+        searchers=3,
+        slots=2,
+        queue=12,
+        connections=26,
+        connect_ms=6.0,
+        pause_ms=120.0,
+        pause_every_s=3.0,
+        speeds=(0.8, 1.0, 1.3),
+    ),
+    single=SearcherShape(
+        searchers=4, slots=6, queue=24, connections=52, connect_ms=1.0
+    ),
+    kinds=(
+        RequestKind(
+            name="proof-sweep",
+            per_s=67.4,
+            work_ms=16.5,
+            aim_ms=118.0,
+            deadline_ms=1500.0,
+            worth=2.0,
+            late_worth=0.1,
+            priority=1,
+            needed=0.89,
+        ),
+        RequestKind(
+            name="motif-peek",
+            per_s=22.5,
+            work_ms=5.7,
+            aim_ms=56.3,
+            deadline_ms=800.0,
+            worth=1.0,
+            late_worth=0.1,
+            priority=2,
+            needed=0.75,
+        ),
+        RequestKind(
+            name="order-fetch",
+            per_s=22.5,
+            work_ms=135.0,
+            aim_ms=544.0,
+            deadline_ms=6000.0,
+            worth=1.0,
+            late_worth=0.3,
+            priority=2,
+        ),
+    ),
+)
+
+DEPLOYMENTS = {item.name: item for item in (KOGI_BASIN, ETAIN_GRAVE)}
--- /dev/null
+++ b/bench/routed_model/pool.py
@@ -0,0 +1,140 @@
+"""Connections of one entry host to one modelled searcher."""
+
+import asyncio
+import re
+
+from tornado import httputil
+
+from plantainstage._gateway.dialect import HeaderNames
+from plantainstage._gateway.messages import (
+    CallFailure,
+    FailureKind,
+    LoadReport,
+    SearcherReply,
+)
+
+from .searchers import Job
+
+NAMES = HeaderNames()
+OPEN_TIMEOUT_S = 0.3
+RECORD = b"r" * 16
+_DEADLINE = re.compile(rf"{NAMES.deadline}: (\d+)".encode())
+
+
+class ModelConnection:
+    """One connection; it carries one request at a time."""
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.job = None
+        self.closed = False
+
+    def close(self):
+        """Closes the connection; the searcher stops the work on it."""
+        if self.closed:
+            return
+        self.closed = True
+        self.pool.count -= 1
+        self.pool.model.connections -= 1
+        if self in self.pool.idle:
+            self.pool.idle.remove(self)
+        if self.job is not None:
+            delay = self.pool.delay_s
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self.pool.model.drop, self.job)
+
+
+class ModelPool:
+    """Takes the place of SearcherPool; bytes take ``delay_s`` either way."""
+
+    def __init__(self, *, model, delay_s: float, mean_work_s):
+        self.model = model
+        self.delay_s = delay_s
+        self.mean_work_s = mean_work_s  # request id -> seconds
+        self.idle = []
+        self.count = 0
+
+    # ---- Queries ------------------------------------------------------------------
+
+    def has_room(self, cap, now):
+        """Whether a request can be sent with at most ``cap`` connections."""
+        return self.count < cap or bool(self.idle)
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def take_idle(self, now):
+        """Returns an idle connection, or None."""
+        return self.idle.pop() if self.idle else None
+
+    async def open(self):
+        """Returns a new connection, or None if the searcher takes none."""
+        self.count += 1
+        try:
+            if self.model.dark:
+                await asyncio.sleep(OPEN_TIMEOUT_S)
+                self.count -= 1
+                return None
+            await asyncio.sleep(self.model.shape.connect_ms / 1000 + 2 * self.delay_s)
+        except asyncio.CancelledError:
+            self.count -= 1
+            raise
+        if self.model.connections >= self.model.shape.connections:
+            self.count -= 1
+            return None
+        self.model.connections += 1
+        return ModelConnection(self)
+
+    def exchange(self, connection, *, request, request_id, on_done):
+        """Sends a request; ``on_done`` gets a SearcherReply or a CallFailure."""
+        loop = asyncio.get_running_loop()
+        model = self.model
+        left_s = int(_DEADLINE.search(request).group(1)) / 1000
+
+        def done(executed):
+            load = LoadReport(
+                running=model.running, waiting=len(model.queue), slots=model.shape.slots
+            )
+            loop.call_later(
+                self.delay_s, self._reply, connection, executed, load, on_done
+            )
+
+        connection.job = Job(
+            work_s=model.draw_work_s(self.mean_work_s(request_id)),
+            ends_at=loop.time() + left_s,
+            reply=done,
+        )
+        loop.call_later(self.delay_s, model.receive, connection.job)
+
+    def _reply(self, connection, executed, load, on_done):
+        if connection.closed:
+            failure = CallFailure(kind=FailureKind.BROKEN, reason="closed")
+            on_done(failure)
+            return
+        connection.job = None
+        self.put_back(connection, None)
+        searcher_id = self.model.searcher.searcher_id
+        on_done(
+            SearcherReply(
+                status=200 if executed else 503,
+                reason="",
+                headers=httputil.HTTPHeaders(),
+                body=RECORD if executed else b"",
+                signature=searcher_id if executed else "",
+                not_executed=not executed,
+                load=load,
+            )
+        )
+
+    def put_back(self, connection, reader):
+        """Keeps a connection for the next request."""
+        if not connection.closed:
+            self.idle.append(connection)
+
+    def discard(self, connection):
+        """Closes a connection."""
+        connection.close()
+
+    def retire(self):
+        """Closes idle connections; the others are closed by their searcher."""
+        for connection in list(self.idle):
+            connection.close()
--- /dev/null
+++ b/bench/routed_model/searchers.py
@@ -0,0 +1,108 @@
+"""A searcher as a model: slots, a queue, pauses, speed, shedding and silence."""
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from plantainstage._serving.searchers import Searcher
+
+WORK_SIGMA = 0.35  # of the logarithm
+LONG_SHARE = 0.01  # of the requests take LONG_FACTOR as long
+LONG_FACTOR = 5.0
+
+
+@dataclass(kw_only=True)
+class Job:
+    """One request at a searcher; ``reply(executed)`` is called at most once."""
+
+    work_s: float
+    ends_at: float  # the deadline that the searcher was given
+    reply: object
+    timer: object = None
+    gone: bool = False
+
+
+@dataclass(kw_only=True)
+class SearcherModel:
+    """One searcher; ``slow``, ``shed_share`` and ``dark`` are its troubles."""
+
+    searcher: Searcher
+    shape: object
+    random: random.Random
+    speed: float = 1.0
+    slow: float = 1.0
+    shed_share: float = 0.0
+    dark: bool = False
+    connections: int = 0
+    running: int = 0
+    arrivals: int = 0
+    paused: bool = False
+    queue: deque = field(default_factory=deque)
+
+    def start_pauses(self):
+        """Pauses now and then, at times of its own."""
+        if self.shape.pause_ms:
+            first = self.random.random() * self.shape.pause_every_s
+            asyncio.get_running_loop().call_later(first, self._pause)
+
+    def draw_work_s(self, mean_s: float) -> float:
+        """Returns how long a request takes here, if nothing goes wrong."""
+        draw = self.random.lognormvariate(-(WORK_SIGMA**2) / 2, WORK_SIGMA)
+        if self.random.random() < LONG_SHARE:
+            draw *= LONG_FACTOR
+        return mean_s * draw * self.speed
+
+    def receive(self, job: Job):
+        """A request arrives."""
+        if self.dark:
+            return
+        self.arrivals += 1
+        full = len(self.queue) >= self.shape.queue
+        if full or self.random.random() < self.shed_share:
+            job.reply(False)
+            return
+        self.queue.append(job)
+        self._run_next()
+
+    def drop(self, job: Job):
+        """The connection of a request was closed."""
+        if job.gone:
+            return
+        job.gone = True
+        if job.timer is not None:
+            job.timer.cancel()
+            self.running -= 1
+            self._run_next()
+
+    def _pause(self):
+        self.paused = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.shape.pause_ms / 1000, self._resume)
+
+    def _resume(self):
+        self.paused = False
+        every_s = self.shape.pause_every_s * self.random.uniform(0.5, 1.5)
+        asyncio.get_running_loop().call_later(every_s, self._pause)
+        self._run_next()
+
+    def _run_next(self):
+        loop = asyncio.get_running_loop()
+        while self.queue and self.running < self.shape.slots and not self.paused:
+            job = self.queue.popleft()
+            if job.gone:
+                continue
+            if loop.time() >= job.ends_at:
+                job.gone = True
+                job.reply(False)
+                continue
+            self.running += 1
+            work_s = job.work_s * self.slow
+            job.timer = loop.call_later(work_s, self._done, job)
+
+    def _done(self, job):
+        job.gone = True
+        self.running -= 1
+        if not self.dark:
+            job.reply(True)
+        self._run_next()
--- /dev/null
+++ b/bench/routed_model/tier.py
@@ -0,0 +1,237 @@
+"""Entry hosts, searchers and callers of one run in virtual time."""
+
+import asyncio
+import random
+from collections import defaultdict
+from dataclasses import dataclass
+
+from tornado import httputil
+
+from plantainstage._gateway.dialect import HeaderNames
+from plantainstage._gateway.messages import CallerRequest
+from plantainstage._gateway.requests import start_request
+from plantainstage._gateway.router import Router
+from plantainstage._serving.configuration import (
+    AllOf,
+    OneOf,
+    Route,
+    RouteKind,
+    Service,
+    ServingConfiguration,
+    Share,
+)
+from plantainstage._serving.retry_budget import BudgetTerms
+from plantainstage._serving.searchers import Searcher
+
+from .pool import ModelPool
+from .searchers import SearcherModel
+
+IN_DATA_CENTRE_S = 0.0001
+MAX_SLOTS_KNOWN = 8
+NAMES = HeaderNames()
+SINGLE = "single"
+
+
+class _NoEvents:
+    """Takes the place of the event log."""
+
+    dropped_in_all = 0
+
+    def note(self, event, **fields):
+        """Drops an event."""
+
+    note_ordinary = note
+
+
+@dataclass(kw_only=True)
+class CallerRecord:
+    """One request of a caller, over its attempts."""
+
+    kind: object
+    started_at: float
+    attempts: int = 0
+    answered_at: float | None = None
+    covered: float = 0.0  # share of the shards in the answer
+
+    @property
+    def took_s(self):
+        """Time from the first attempt to the answer."""
+        return self.answered_at - self.started_at
+
+    def credit(self, caller_s):
+        """Returns the credit earned, as the users count it."""
+        if self.answered_at is None:
+            return 0.0
+        in_time = self.took_s + caller_s <= self.kind.aim_ms / 1000
+        share = 1.0 if in_time else self.kind.late_worth
+        return self.kind.worth * share * self.covered**2
+
+
+class RoutedTier:
+    """One run; ``records`` fills up while the loop runs."""
+
+    def __init__(self, *, deployment, seed: int, load: float):
+        self.deployment = deployment
+        self.load = load
+        self.random = random.Random(seed)
+        self.records = []
+        self.by_request = {}  # request id -> CallerRecord
+        self.models = {}  # service -> [SearcherModel]
+        self.shards = [f"shard-{number}" for number in range(deployment.shards)]
+        for number, service in enumerate(self.shards):
+            self._add_searchers(service, deployment.shard, number)
+        self._add_searchers(SINGLE, deployment.single, 0)
+        self.hosts = [self._make_host(number) for number in range(deployment.hosts)]
+        self.first_sends = defaultdict(int)  # service -> requests for it
+
+    # ---- Making -------------------------------------------------------------------
+
+    def _add_searchers(self, service, shape, offset):
+        centres = self.deployment.data_centres
+        self.models[service] = [
+            SearcherModel(
+                searcher=Searcher(
+                    searcher_id=f"{service}-{number}",
+                    service=service,
+                    address=f"{service}-{number}:1",
+                    data_centre=centres[(number + offset) % len(centres)],
+                    slots=shape.slots,
+                ),
+                shape=shape,
+                random=random.Random(self.random.random()),
+                speed=shape.speeds[(number + offset) % len(shape.speeds)],
+            )
+            for number in range(shape.searchers)
+        ]
+
+    def _make_host(self, number):
+        deployment = self.deployment
+        centres = deployment.data_centres
+        data_centre = centres[number % len(centres)]
+        router = Router(
+            names=NAMES,
+            data_centre=data_centre,
+            terms=BudgetTerms(
+                ratio=deployment.retry_ratio, slack=deployment.retry_slack
+            ),
+            events=_NoEvents(),
+            make_pool=lambda searcher: self._make_pool(searcher, data_centre),
+        )
+        router.apply(self._configuration())
+        router.set_hosts(deployment.hosts)
+        return router
+
+    def _make_pool(self, searcher, data_centre):
+        model = next(
+            model
+            for model in self.models[searcher.service]
+            if model.searcher.searcher_id == searcher.searcher_id
+        )
+        far = searcher.data_centre != data_centre
+        delay_s = self.deployment.hop_ms / 1000 if far else IN_DATA_CENTRE_S
+        return ModelPool(model=model, delay_s=delay_s, mean_work_s=self._mean_work_s)
+
+    def _mean_work_s(self, request_id):
+        return self.by_request[request_id].kind.work_ms / 1000
+
+    def _configuration(self):
+        deployment = self.deployment
+        services = [
+            Service(name=name, connections=deployment.shard.connections)
+            for name in self.shards
+        ]
+        services.append(Service(name=SINGLE, connections=deployment.single.connections))
+        return ServingConfiguration(
+            version=1,
+            routes=tuple(self._route(kind) for kind in deployment.kinds),
+            services=tuple(services),
+        )
+
+    def _route(self, kind):
+        target = OneOf(shares=(Share(service=SINGLE),))
+        if kind.needed:
+            target = AllOf(
+                shards=tuple(self.shards),
+                top_records=10,
+                minimum_coverage=kind.needed,
+            )
+        return Route(
+            name=kind.name,
+            host="model.example",
+            path_prefix=f"/{kind.name}/",
+            kind=RouteKind.IDEMPOTENT,
+            timeout_ms=int(kind.deadline_ms),
+            aim_ms=int(kind.aim_ms),
+            target=target,
+            attempts=2,
+            priority=kind.priority,
+        )
+
+    # ---- Running ------------------------------------------------------------------
+
+    def start(self, until: float):
+        """Lets hosts learn all searchers, and callers send until then."""
+        for models in self.models.values():
+            for model in models:
+                model.start_pauses()
+                for host in self.hosts:
+                    host.fleet.learn(model.searcher)
+        for kind in self.deployment.kinds:
+            self._schedule_next(kind, until)
+
+    def remove(self, model):
+        """A searcher leaves: hosts send nothing new to it."""
+        self.models[model.searcher.service].remove(model)
+        for host in self.hosts:
+            host.fleet.forget(model.searcher.searcher_id)
+
+    def _schedule_next(self, kind, until):
+        loop = asyncio.get_running_loop()
+        gap_s = self.random.expovariate(kind.per_s * self.load)
+        if loop.time() + gap_s < until:
+            loop.call_later(gap_s, self._send_new, kind, until)
+
+    def _send_new(self, kind, until):
+        self._schedule_next(kind, until)
+        now = asyncio.get_running_loop().time()
+        record = CallerRecord(kind=kind, started_at=now)
+        self.records.append(record)
+        self._attempt(record)
+
+    def _attempt(self, record):
+        now = asyncio.get_running_loop().time()
+        record.attempts += 1
+        request_id = f"r{len(self.by_request)}"
+        self.by_request[request_id] = record
+        for service in self.shards if record.kind.needed else (SINGLE,):
+            self.first_sends[service] += 1
+        left_ms = record.kind.deadline_ms - (now - record.started_at) * 1000
+        router = self.random.choice(self.hosts)
+        request = CallerRequest(
+            method="GET",
+            target=f"/{record.kind.name}/x",
+            headers=httputil.HTTPHeaders({"Host": "model.example"}),
+            body=b"",
+            request_id=request_id,
+            deadline_ms=int(left_ms),
+            received_at=now,
+        )
+        route = router.table.find("model.example", request.target)
+        start_request(
+            router=router,
+            route=route,
+            request=request,
+            reply=lambda answer: self._answered(record, answer),
+        )
+
+    def _answered(self, record, answer):
+        loop = asyncio.get_running_loop()
+        if answer.status == 200:
+            record.answered_at = loop.time()
+            missing = int(answer.headers.get(NAMES.missing_parts, "0"))
+            record.covered = 1 - missing / len(self.shards)
+            return
+        if record.attempts < 2:
+            pause_s = float(answer.headers.get("Retry-After", "0"))
+            pause_s += 2 * self.deployment.caller_ms / 1000
+            loop.call_later(pause_s, self._attempt, record)
--- /dev/null
+++ b/bench/routed_model/virtual_loop.py
@@ -0,0 +1,30 @@
+"""An asyncio event loop whose clock jumps to the next timer."""
+
+import asyncio
+import selectors
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Moves the clock instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("no timer is left, so that nothing can happen any more")
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs as fast as the processor allows; times are in virtual seconds."""
+
+    def __init__(self):
+        self.clock = _JumpingSelector()
+        super().__init__(self.clock)
+
+    def time(self):
+        """Returns the virtual time."""
+        return self.clock.now
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 from collections import deque
+from functools import partial
 
 import msgspec
 from behave import given, then, when
 
 from plantainstage._gateway.dialect import HeaderNames
 from plantainstage._gateway.fleet import Fleet
+from plantainstage._gateway.pool import SearcherPool
 from plantainstage._serving import placement
 from plantainstage._serving.configuration import (
     OneOf,
@@ -305,7 +307,8 @@
 
 @given('an entry host that knows "{searcher_id}" of "{service}"')
 def step_fleet(context, searcher_id, service):
-    context.fleet = Fleet(data_centre=NEAR, names=HeaderNames())
+    make_pool = partial(SearcherPool, names=HeaderNames())
+    context.fleet = Fleet(data_centre=NEAR, make_pool=make_pool)
     known = msgspec.structs.replace(
         heard("ready", 1, 1), searcher_id=searcher_id, service=service
     )
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -4,9 +4,9 @@
 import heapq
 import itertools
 from collections import defaultdict
+from collections.abc import Callable
 
 from plantainstage._gateway.call import Call
-from plantainstage._gateway.pool import SearcherPool
 from plantainstage._serving import placement
 from plantainstage._serving.searchers import Searcher, SearcherState
 
@@ -25,9 +25,9 @@
 class Member:
     """One start of a searcher with its load and its pool."""
 
-    def __init__(self, *, searcher: Searcher, names, now):
+    def __init__(self, *, searcher: Searcher, pool, now):
         self.load = placement.SearcherLoad(searcher=searcher, known_since=now)
-        self.pool = SearcherPool(searcher=searcher, names=names)
+        self.pool = pool
         self.usable = True
 
     @property
@@ -37,11 +37,14 @@
 
 
 class Fleet:
-    """All searchers by service; ``on_room`` hears of a service with room again."""
+    """All searchers by service.
 
-    def __init__(self, *, data_centre: str, names):
+    ``make_pool(searcher=...)`` returns the connections to a searcher.
+    """
+
+    def __init__(self, *, data_centre: str, make_pool: Callable):
         self.data_centre = data_centre
-        self.names = names
+        self.make_pool = make_pool
         self.members = {}  # searcher id -> Member
         self.by_service = defaultdict(dict)  # service -> searcher id -> Member
         self.connection_caps = {}  # service -> connections of each searcher
@@ -66,7 +69,8 @@
         self.forget(searcher.searcher_id)
         self._drop_earlier_at(searcher)
         now = asyncio.get_running_loop().time()
-        member = Member(searcher=searcher, names=self.names, now=now)
+        pool = self.make_pool(searcher=searcher)
+        member = Member(searcher=searcher, pool=pool, now=now)
         self.members[searcher.searcher_id] = member
         self.by_service[searcher.service][searcher.searcher_id] = member
         self.offer_room(searcher.service)
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -1,8 +1,10 @@
 """What all requests of an entry host share: routes, budgets and work times."""
 
 import random
+from functools import partial
 
 from plantainstage._gateway.fleet import Fleet
+from plantainstage._gateway.pool import SearcherPool
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import ServingConfiguration
 from plantainstage._serving.retry_budget import BudgetTerms, RetryBudget
@@ -12,14 +14,20 @@
 
 
 class Router:
-    """The configuration in force on this host and what was learnt under it."""
+    """The configuration in force on this host and what was learnt under it.
 
-    def __init__(self, *, names, data_centre: str, terms: BudgetTerms, events):
+    ``make_pool`` stands in for the connections to searchers, in tests and models.
+    """
+
+    def __init__(
+        self, *, names, data_centre: str, terms: BudgetTerms, events, make_pool=None
+    ):
         self.names = names
         self.terms = terms
         self.events = events
         self.metrics = GatewayMetrics()
-        self.fleet = Fleet(data_centre=data_centre, names=names)
+        make_pool = make_pool or partial(SearcherPool, names=names)
+        self.fleet = Fleet(data_centre=data_centre, make_pool=make_pool)
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
         self.metrics.dropped_lines.set_function(lambda: events.dropped_in_all)
