Run the group that repairs itself in the randomised simulation

The agreement's simulation can now do without an operator: every replica that leads takes the steps of next_member_step, others ask to join over the lossy network from seeds that may be stale, folders are lost, and machines are replaced at new addresses. New check: the group keeps three voters and each repair ends once the faults end.

--- a/bench/routed_model/tier.py
+++ b/bench/routed_model/tier.py
@@ -49,6 +49,8 @@
 
     kind: object
     started_at: float
+    attempt_at: float = 0.0  # start of the last attempt
+    refused_early: bool = False  # with nothing run, in a quarter of the aim
     attempts: int = 0
     answered_at: float | None = None
     covered: float = 0.0  # share of the shards in the answer
@@ -62,8 +64,12 @@
         """Returns the credit earned, as the users count it."""
         if self.answered_at is None:
             return 0.0
-        in_time = self.took_s + caller_s <= self.kind.aim_ms / 1000
-        share = 1.0 if in_time else self.kind.late_worth
+        aim_s = self.kind.aim_ms / 1000
+        share = late = self.kind.late_worth
+        if self.took_s + caller_s <= aim_s:
+            share = 1.0
+        elif self.refused_early and self.answered_at - self.attempt_at <= aim_s:
+            share = (1.0 + late) / 2
         return self.kind.worth * share * self.covered**2
 
 
@@ -201,6 +207,7 @@
     def _attempt(self, record):
         now = asyncio.get_running_loop().time()
         record.attempts += 1
+        record.attempt_at = now
         request_id = f"r{len(self.by_request)}"
         self.by_request[request_id] = record
         for service in self.shards if record.kind.needed else (SINGLE,):
@@ -231,6 +238,9 @@
             missing = int(answer.headers.get(NAMES.missing_parts, "0"))
             record.covered = 1 - missing / len(self.shards)
             return
+        if answer.status == 503:
+            waited_s = loop.time() - record.started_at
+            record.refused_early = waited_s < record.kind.aim_ms / 4000
         if record.attempts < 2:
             pause_s = float(answer.headers.get("Retry-After", "0"))
             pause_s += 2 * self.deployment.caller_ms / 1000
--- a/features/randomised/agreement.feature
+++ b/features/randomised/agreement.feature
@@ -15,3 +15,17 @@
       | 104  | 20000 |
       | 105  | 20000 |
       | 106  | 20000 |
+
+  Scenario Outline: A group that repairs itself keeps its promises and its size
+    # Guards against a repair without an operator that removes a member too early, takes
+    # a lost folder for the one that it was, or never ends.
+    Given a simulated group that repairs itself with seed <seed>
+    When it runs <steps> steps with faults
+    Then every check held and the group makes progress after the faults
+
+    Examples:
+      | seed | steps |
+      | 201  | 20000 |
+      | 202  | 20000 |
+      | 203  | 20000 |
+      | 204  | 20000 |
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -5,6 +5,7 @@
 from plantainstage._agreement.log import Log
 from plantainstage._messages.agreement import Entry, EntryKind
 from support.agreement_simulation import AgreementSimulation
+from support.simulation_self_repair import SelfRepair
 
 
 @given("a simulated group of control replicas with seed {seed:d}")
@@ -12,6 +13,11 @@
     context.simulation = AgreementSimulation(seed=seed)
 
 
+@given("a simulated group that repairs itself with seed {seed:d}")
+def simulate_self_repair(context, seed):
+    context.simulation = AgreementSimulation(seed=seed, operator_class=SelfRepair)
+
+
 @when("it runs {steps:d} steps with faults")
 def run_simulation(context, steps):
     context.simulation.run(steps)
--- a/features/support/agreement_simulation.py
+++ b/features/support/agreement_simulation.py
@@ -25,9 +25,6 @@
 SLOTS = ("control-1", "control-2", "control-3", "control-4", "control-5")
 INITIAL = SLOTS[:3]
 CLIENT_INTERVAL_S = 0.01
-# Drawn for each run: rare faults reach long logs and many snapshots, frequent
-# ones reach elections with logs that differ.
-FAULT_INTERVALS_S = (0.08, 0.15, 0.3, 0.6)
 OPERATOR_INTERVAL_S = 0.1
 MAX_BATCH = 6
 RECOVERY_S = 60.0  # simulated time; a limit for a group that makes no progress
@@ -56,9 +53,14 @@
 
 
 class AgreementSimulation:
-    """Runs a group of replicas for a number of steps."""
+    """Runs a group of replicas for a number of steps.
 
-    def __init__(self, *, seed: int, faults: bool = True):
+    ``operator_class`` brings replicas in and out: an operator, or the group itself.
+    """
+
+    def __init__(
+        self, *, seed: int, faults: bool = True, operator_class=SimulatedOperator
+    ):
         self.random = random.Random(seed)
         self.now = 0.0
         self.heap = []
@@ -78,10 +80,10 @@
             )
             for slot in SLOTS
         }
-        self.operator = SimulatedOperator(simulation=self)
+        self.operator = operator_class(simulation=self)
         self.plan = FaultPlan(simulation=self)
         self.faults = faults
-        self.fault_interval_s = self.random.choice(FAULT_INTERVALS_S)
+        self.fault_interval_s = self.random.choice(operator_class.FAULT_INTERVALS_S)
         self._found()
 
     # ---- Run ------------------------------------------------------------------
@@ -105,6 +107,14 @@
             invariant="progress once the faults have ended",
             detail=f"commit index stays at {self.checks.highest_committed}",
         )
+        limit = self.now + RECOVERY_S
+        while self.now < limit and self.operator.tasks:
+            self._next_event()
+        check_invariant(
+            not self.operator.tasks,
+            invariant="member changes end once the faults have ended",
+            detail=f"still under way: {self.operator.tasks}",
+        )
 
     def _next_event(self):
         self.now, _, callback = heapq.heappop(self.heap)
--- a/features/support/simulation_operator.py
+++ b/features/support/simulation_operator.py
@@ -20,6 +20,10 @@
 class SimulatedOperator:
     """Carries out one task after the other, through whoever leads."""
 
+    # Drawn for each run: rare faults reach long logs and many snapshots, frequent
+    # ones reach elections with logs that differ.
+    FAULT_INTERVALS_S = (0.08, 0.15, 0.3, 0.6)
+
     def __init__(self, *, simulation):
         self.simulation = simulation
         self.tasks = []
--- /dev/null
+++ b/features/support/simulation_self_repair.py
@@ -0,0 +1,173 @@
+"""A simulated group without an operator: it takes in, promotes and removes by itself.
+
+Takes the place of SimulatedOperator. Every replica that believes it leads takes the
+steps of ``next_member_step``, and every other one asks to join while it may not be
+a member. Machines are lost for good and replaced by others at new addresses.
+"""
+
+from collections import defaultdict
+
+from plantainstage._agreement.membership import MemberChangeRefusedError
+from plantainstage._control.member_statuses import member_statuses
+from plantainstage._errors import NotLeaderError, check_invariant
+from plantainstage._registry.group import (
+    MIN_VOTERS,
+    needs_to_join,
+    next_member_step,
+)
+
+# Of all addresses, those that the settings of a replica name; they may be stale.
+SEEDS = 3
+LOSS_CHANCE = 0.01  # of a machine, at each round
+
+
+class SelfRepair:
+    """Carries out what the keepers of all replicas would do."""
+
+    # A repair takes seconds; only rarer faults let several end in one run.
+    FAULT_INTERVALS_S = (0.15, 0.4, 1.0, 2.5)
+
+    def __init__(self, *, simulation):
+        self.simulation = simulation
+        self.waiting = defaultdict(dict)  # slot -> replica id -> Member that asked
+        self.leader_seen_at = defaultdict(float)  # slot -> time
+        self.repairs = {}  # slot of the new folder -> identity that it replaces
+        self.lost = set()  # identities whose machine is gone
+
+    # ---- What the fault plan asks ---------------------------------------------------
+
+    @property
+    def tasks(self):
+        """The repairs under way; another folder may be lost when there are none."""
+        return list(self.repairs)
+
+    def damaged(self):
+        """Returns the slots whose folder is lost and not yet replaced."""
+        return set(self.repairs)
+
+    def replace(self, replica, old):
+        """Notes that the replica's new folder has to take the place of ``old``."""
+        self.repairs[replica.slot] = old
+
+    def leader(self):
+        """Returns the running leader with the highest term."""
+        leaders = [replica for replica in self._running() if replica.core.is_leader]
+        return max(leaders, key=lambda r: r.core.state.term, default=None)
+
+    # ---- Rounds ---------------------------------------------------------------------
+
+    def act(self):
+        """Lets each replica do what is due, and ends repairs that are complete."""
+        for replica in self._running():
+            if replica.core.is_leader:
+                self._lead(replica)
+            else:
+                self.waiting[replica.slot].clear()
+                self._join(replica)
+        self._note_repairs()
+        may_lose = self.simulation.faults and not self.repairs
+        if may_lose and self.simulation.random.random() < LOSS_CHANCE:
+            self._replace_machine()
+
+    def _running(self):
+        return [
+            replica
+            for replica in self.simulation.replicas.values()
+            if replica.up and replica.frozen_until <= self.simulation.now
+        ]
+
+    def _lead(self, replica):
+        waiting = self.waiting[replica.slot]
+        step = next_member_step(member_statuses(replica.core), waiting)
+        if step is None:
+            return
+        counts = self.simulation.counts
+        now = replica.local(self.simulation.now)
+        try:
+            replica.core.change_member(step.action, step.member, now=now)
+        except (NotLeaderError, MemberChangeRefusedError):
+            counts["member steps refused"] += 1
+        else:
+            waiting.pop(step.member.member_id.replica_id, None)
+            counts[f"member step: {step.action.value}"] += 1
+        self.simulation.step(replica, lambda core, local: None)
+
+    def _join(self, replica):
+        simulation = self.simulation
+        state = replica.core.state
+        if state.leader is not None:
+            self.leader_seen_at[replica.slot] = simulation.now
+        members = {member.member_id for member in state.membership.members}
+        if not needs_to_join(
+            is_member=replica.member_id in members,
+            leaderless_s=simulation.now - self.leader_seen_at[replica.slot],
+        ):
+            return
+        known = {m.member_id.replica_id for m in state.membership.members}
+        seeds = simulation.random.sample(list(simulation.replicas), SEEDS)
+        for slot in sorted((known | set(seeds)) - {replica.slot}):
+            simulation.counts["asked to join"] += 1
+            self._ask(replica, slot)
+
+    def _ask(self, replica, slot):
+        simulation = self.simulation
+        member = simulation.member(replica)
+        member_id = replica.member_id
+
+        def arrive():
+            asked = simulation.replicas[slot]
+            cut = (replica.slot, slot) in simulation.network.cut
+            if cut or not asked.up or not asked.core.is_leader:
+                return
+            self.waiting[slot][member_id.replica_id] = member
+
+        if simulation.random.random() >= simulation.network.loss:
+            delay = simulation.random.uniform(0, simulation.plan.longest_delay_s())
+            simulation.at(delay, arrive)
+
+    # ---- Machines -------------------------------------------------------------------
+
+    def _replace_machine(self):
+        """Loses a machine for good; another one starts at an unused address."""
+        simulation = self.simulation
+        leader = self.leader()
+        if leader is None:
+            return
+        used = {m.member_id.replica_id for m in leader.core.state.membership.members}
+        free = [
+            replica
+            for slot, replica in simulation.replicas.items()
+            if slot not in used and not replica.up
+        ]
+        members = [r for r in self._running() if simulation.plan._may_damage(r)]
+        if not free or not members:
+            return
+        lost, new = simulation.random.choice(members), simulation.random.choice(free)
+        simulation.counts["machines replaced"] += 1
+        old = lost.member_id
+        lost.crash(simulation.now)
+        lost.new_folder()
+        self.lost.add(old)
+        new.new_folder()
+        simulation.start(new)
+        while not new.up and new.member_id is None:
+            simulation.start(new)
+        self.replace(new, old)
+
+    def _note_repairs(self):
+        leader = self.leader()
+        if leader is None:
+            return
+        state = leader.core.state
+        settled = state.commit_index >= state.log.membership_index
+        members = {m.member_id: m.voter for m in state.membership.members}
+        check_invariant(
+            sum(members.values()) >= MIN_VOTERS,
+            invariant="a group that repairs itself keeps its size",
+            detail=f"members {members}",
+        )
+        for slot, old in list(self.repairs.items()):
+            new = self.simulation.replicas[slot].member_id
+            if settled and members.get(new) and old not in members:
+                del self.repairs[slot]
+                self.simulation.counts["repairs completed"] += 1
--- /dev/null
+++ b/src/plantainstage/_control/member_statuses.py
@@ -0,0 +1,33 @@
+"""The members of a group as one replica sees them."""
+
+from plantainstage._agreement.core import Core
+from plantainstage._messages.control import ReplicaStatus
+
+
+def member_statuses(core: Core) -> tuple[ReplicaStatus, ...]:
+    """Returns the members; match and last heard are known to the leader alone.
+
+    ``last_heard_ms`` is -1 where it is not known.
+    """
+    members = core.state.membership.members
+    return tuple(_status(core.state, member) for member in members)
+
+
+def _status(state, member):
+    progress = state.progress.get(member.member_id)
+    match_index, heard_ms = 0, -1
+    if member.member_id == state.member_id:
+        match_index, heard_ms = state.log.last.index, 0
+    elif progress is not None:
+        match_index = progress.match_index
+        heard_ms = round((state.now - progress.heard_at) * 1000)
+    return ReplicaStatus(
+        replica_id=member.member_id.replica_id,
+        incarnation=member.member_id.incarnation,
+        client_address=member.client_address,
+        peer_address=member.peer_address,
+        voter=member.voter,
+        leader=member.member_id == state.leader,
+        match_index=match_index,
+        last_heard_ms=heard_ms,
+    )
--- a/src/plantainstage/_control/replica.py
+++ b/src/plantainstage/_control/replica.py
@@ -9,6 +9,7 @@
 from plantainstage._agreement.interface import StateMachine
 from plantainstage._control import replica_events as events
 from plantainstage._control.founding import Founding
+from plantainstage._control.member_statuses import member_statuses
 from plantainstage._control.peer_links import PeerLinks
 from plantainstage._control.replica_driver import ReplicaDriver
 from plantainstage._control.replica_settings import ReplicaSettings
@@ -110,33 +111,10 @@
         return self.driver.leader_address()
 
     def members(self) -> tuple[ReplicaStatus, ...]:
-        """Returns the members; match and last heard are known to the leader.
-
-        ``last_heard_ms`` is -1 where it is not known.
-        """
+        """Returns the members, none before the folder is open."""
         if self.core is None:
             return ()
-        return tuple(map(self._status, self.core.state.membership.members))
-
-    def _status(self, member):
-        state = self.core.state
-        progress = state.progress.get(member.member_id)
-        match_index, heard_ms = 0, -1
-        if member.member_id == state.member_id:
-            match_index, heard_ms = state.log.last.index, 0
-        elif progress is not None:
-            match_index = progress.match_index
-            heard_ms = round((state.now - progress.heard_at) * 1000)
-        return ReplicaStatus(
-            replica_id=member.member_id.replica_id,
-            incarnation=member.member_id.incarnation,
-            client_address=member.client_address,
-            peer_address=member.peer_address,
-            voter=member.voter,
-            leader=member.member_id == state.leader,
-            match_index=match_index,
-            last_heard_ms=heard_ms,
-        )
+        return member_statuses(self.core)
 
     def is_replaced(self, *, old: MemberId, new: MemberId):
         """Whether ``new`` has taken the place of ``old`` completely."""
--- a/src/plantainstage/_registry/group.py
+++ b/src/plantainstage/_registry/group.py
@@ -15,6 +15,8 @@
 # later has taken its place in the majority. It asks to join again if it returns.
 LOST_AFTER_MS = 6_000
 MIN_VOTERS = 3
+# A replica that hears of no leader for so long may have been removed meanwhile.
+LEADERLESS_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -40,6 +42,15 @@
     )
 
 
+def needs_to_join(*, is_member: bool, leaderless_s: float) -> bool:
+    """Whether a replica should ask to join: the group may not count it.
+
+    ``is_member`` is what its own log says, ``leaderless_s`` how long it has known
+    no leader.
+    """
+    return not is_member or leaderless_s > LEADERLESS_S
+
+
 def _promotion(statuses):
     for status in statuses:
         if not status.voter and status.last_heard_ms >= 0:
--- a/src/plantainstage/_registry/keeper.py
+++ b/src/plantainstage/_registry/keeper.py
@@ -9,14 +9,12 @@
 from plantainstage._errors import PlantainstageError
 from plantainstage._messages import serving
 from plantainstage._messages.agreement import Member
-from plantainstage._registry.group import next_member_step
+from plantainstage._registry.group import needs_to_join, next_member_step
 from plantainstage._transport.rpc import RpcClient
 
 STEP_INTERVAL_S = 0.2
 ASK_INTERVAL_S = 0.3
 ASK_TIMEOUT_S = 0.5
-# A replica that hears of no leader for so long may have been removed meanwhile.
-LEADERLESS_S = 3.0
 
 
 class GroupKeeper:
@@ -45,9 +43,10 @@
         if core.state.leader is not None:
             self.leader_seen_at = now
         members = {m.member_id for m in core.state.membership.members}
-        if self.replica.member_id not in members:
-            return True
-        return now - self.leader_seen_at > LEADERLESS_S
+        return needs_to_join(
+            is_member=self.replica.member_id in members,
+            leaderless_s=now - self.leader_seen_at,
+        )
 
     # ---- Commands -----------------------------------------------------------------
 
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -8,7 +8,7 @@
     """One replacement of text in a file below src/plantainstage.
 
     ``feature`` names the scenarios that must find it; without one, the
-    randomised run must.
+    randomised run must, with the group's own repair if ``self_repair`` is set.
     """
 
     name: str
@@ -16,6 +16,7 @@
     old: str
     new: str
     feature: str = ""
+    self_repair: bool = False
 
 
 ELECTION = "_agreement/election.py"
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -18,11 +18,12 @@
 import click
 from agreement_mutations import MUTATIONS
 from membership_mutations import MEMBERSHIP_MUTATIONS
+from self_repair_mutations import SELF_REPAIR_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
 PARTS = ("src", "features", "tools", "bench", "examples")
 RUN_TIMEOUT_S = 300
-ALL_MUTATIONS = (*MUTATIONS, *MEMBERSHIP_MUTATIONS)
+ALL_MUTATIONS = (*MUTATIONS, *MEMBERSHIP_MUTATIONS, *SELF_REPAIR_MUTATIONS)
 
 
 def apply(mutation, root):
@@ -34,13 +35,15 @@
     path.write_text(text.replace(mutation.old, mutation.new), encoding="utf-8")
 
 
-def run_seed(root, seed, steps):
+def run_seed(root, seed, steps, self_repair):
     """Returns the last line of the error, or an empty text if all held."""
     command = [
         sys.executable,
         str(root / "tools" / "run_agreement.py"),
         *("--seed", str(seed), "--steps", str(steps)),
     ]
+    if self_repair:
+        command.append("--self-repair")
     try:
         done = subprocess.run(
             command,
@@ -91,7 +94,7 @@
                 "seen": seen,
             }
         for seed in range(1, seeds + 1):
-            seen = run_seed(root, seed, steps)
+            seen = run_seed(root, seed, steps, mutation.self_repair)
             if seen:
                 return {
                     "mutation": mutation.name,
--- a/tools/run_agreement.py
+++ b/tools/run_agreement.py
@@ -16,15 +16,22 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "features")]
 
 from support.agreement_simulation import AgreementSimulation  # noqa: E402
+from support.simulation_operator import SimulatedOperator  # noqa: E402
+from support.simulation_self_repair import SelfRepair  # noqa: E402
 
 
 @click.command()
 @click.option("--seed", default=1, show_default=True, type=int)
 @click.option("--steps", default=100_000, show_default=True, type=int)
 @click.option("--no-faults", is_flag=True, help="Only the network's delays.")
-def main(seed, steps, no_faults):
+@click.option("--self-repair", is_flag=True, help="No operator: the group's own steps.")
+def main(seed, steps, no_faults, self_repair):
     """Run the simulation once."""
-    simulation = AgreementSimulation(seed=seed, faults=not no_faults)
+    simulation = AgreementSimulation(
+        seed=seed,
+        faults=not no_faults,
+        operator_class=SelfRepair if self_repair else SimulatedOperator,
+    )
     started = time.monotonic()
     try:
         simulation.run(steps)
