Add a soak of routed requests with real processes and loopback links

tools/run_soak.py runs control replicas and entry hosts as processes and checks what callers, searchers and operators saw: whole and own answers, at most once, true refusals, drains, planned stops, versions in force and never back, the configuration read back. Faults overlap in two series: kill, freeze, stop, reload, lost folder; links held, delayed, reset, silenced, cut one way; searchers crash and drain.

--- /dev/null
+++ b/tools/run_soak.py
@@ -0,0 +1,254 @@
+"""Runs real programs under random faults and checks the promises to callers.
+
+Control replicas and entry hosts are processes of their own; searchers, callers and
+operators run here. Faults come in series and overlap: processes are killed, frozen,
+stopped as planned and reloaded, a replica loses its folder, searchers crash and
+drain, and their links are cut, slowed, reset, silenced or cut one way. For example::
+
+    python tools/run_soak.py --seed 7 --faults 20
+
+The order of faults follows the seed; their effect also depends on timing. The exit
+code is 1 if a promise was broken.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "features"), str(ROOT / "src"), str(ROOT / "tools")]
+
+from soak.callers import Caller, Operator, Prober  # noqa: E402
+from soak.checks import Checks  # noqa: E402
+from soak.contents import SHARDS  # noqa: E402
+from soak.faults import Faults  # noqa: E402
+from soak.http import call  # noqa: E402
+from soak.processes import make_gateway, make_registry  # noqa: E402
+from soak.record import Record  # noqa: E402
+from soak.searchers import SoakSearcher  # noqa: E402
+
+from support.processes import free_ports  # noqa: E402
+from support.proxy import Network  # noqa: E402
+
+READY_TIMEOUT_S = 30.0
+SERVED_TIMEOUT_S = 30.0
+REPLICAS = 3
+DRAIN_S = 3.6  # how long a drained searcher serves on
+GAP_S = (0.1, 1.0)
+SERIES = 2  # faults that may be under way at a time
+
+
+class Soak:
+    """One run: the processes, what surrounds them, and what was seen."""
+
+    def __init__(self, *, seed, gateways, searchers, callers, folder):
+        self.random = random.Random(seed)
+        self.record = Record()
+        self.network = Network()
+        self.drain_s = DRAIN_S
+        self.started_at = time.monotonic()
+        seeds = [free_ports(3) for _ in range(REPLICAS)]
+        self.registries = [make_registry(folder, n, seeds) for n in range(REPLICAS)]
+        self.gateways = [make_gateway(folder, n, seeds) for n in range(gateways)]
+        self.searchers = {
+            service: [
+                SoakSearcher(soak=self, searcher_id=f"{service}-{n}", service=service)
+                for n in range(searchers)
+            ]
+            for service in ("cards", *SHARDS)
+        }
+        self.callers = [Caller(soak=self, number=n) for n in range(callers)]
+        self.operator = Operator(soak=self)
+        self.faults = Faults(soak=self)
+        self.tasks = []
+
+    # ---- Queries ------------------------------------------------------------------
+
+    def now(self):
+        """Returns the seconds since the start."""
+        return time.monotonic() - self.started_at
+
+    def shuffled(self, items):
+        """Returns the items in a random order."""
+        return self.random.sample(items, len(items))
+
+    async def group_is_whole(self):
+        """Whether each replica confirms the newest configuration."""
+        path = "/v1/configuration/newest"
+        for registry in self.registries:
+            status, _ = await call(registry.address, "GET", path)
+            if status != 200:
+                return False
+        return True
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def note(self, text):
+        """Adds a line to the story of the run."""
+        self.record.log.append(f"{self.now():8.3f} {text}")
+
+    def violation(self, text):
+        """Notes a broken promise."""
+        self.note(f"VIOLATION {text}")
+        self.record.violations.append(text)
+
+    async def start(self):
+        """Starts everything and waits until requests of each kind are served."""
+        for process in (*self.registries, *self.gateways):
+            process.start()
+        for searchers in self.searchers.values():
+            for searcher in searchers:
+                await searcher.start()
+        self.operator.version = 1
+        await self.operator.put(1)
+        for process in (*self.registries, *self.gateways):
+            await self.until_ready(process)
+        await self.until_served()
+        workers = [*self.callers, self.operator]
+        workers += [Prober(soak=self, gateway=gateway) for gateway in self.gateways]
+        self.tasks = [asyncio.create_task(worker.run()) for worker in workers]
+
+    async def until_ready(self, process):
+        """Waits until a process serves again."""
+        limit = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < limit:
+            address = getattr(process, "ready_address", process.address)
+            path = "/readyz" if address != process.address else "/"
+            status, _ = await call(address, "GET", path)
+            if status in (200, 404):
+                return
+            await asyncio.sleep(0.05)
+        self.violation(f"{process.name} does not serve again")
+
+    async def until_served(self):
+        """Waits until each entry host serves each kind of request."""
+        caller = Caller(soak=self, number=len(self.callers))
+        for gateway in self.gateways:
+            for method, path in (("GET", "/all/x"), ("GET", "/read/x")):
+                limit = time.monotonic() + SERVED_TIMEOUT_S
+                attempt = await caller.send(method, path, gateway)
+                while attempt.status != 200 and time.monotonic() < limit:
+                    await asyncio.sleep(0.1)
+                    attempt = await caller.send(method, path, gateway)
+                if attempt.status != 200:
+                    self.violation(f"{gateway.name} does not serve {path} again")
+
+    async def run(self, faults):
+        """Carries out the faults, in series that overlap."""
+        share = [faults // SERIES + (n < faults % SERIES) for n in range(SERIES)]
+        await asyncio.gather(*(self._series(count) for count in share))
+
+    async def _series(self, count):
+        for _ in range(count):
+            await self.faults.one()
+            await asyncio.sleep(self.random.uniform(*GAP_S))
+
+    async def finish(self):
+        """Ends load and faults, and waits until everything works again."""
+        self.note("recovering")
+        for process in (*self.registries, *self.gateways):
+            if process.ended_by_itself():
+                self.violation(f"{process.name} has ended by itself")
+        await self.until_served()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self._read_back()
+        self._look_for_failed_tasks()
+        Checks(record=self.record).run_all()
+
+    async def _read_back(self):
+        limit = time.monotonic() + READY_TIMEOUT_S
+        path = "/v1/configuration/newest"
+        while self.record.final_document is None and time.monotonic() < limit:
+            registry = self.random.choice(self.registries)
+            status, body = await call(registry.address, "GET", path)
+            if status == 200:
+                self.record.final_document = json.loads(body)
+            else:
+                await asyncio.sleep(0.1)
+
+    def _look_for_failed_tasks(self):
+        for process in (*self.registries, *self.gateways):
+            text = process.log_path.read_text(encoding="utf-8")
+            if '"event":"task_failed"' in text or "Traceback" in text:
+                self.violation(f"{process.name} has logged a fault of the program")
+
+    def close(self):
+        """Ends what this run has started."""
+        for process in (*self.registries, *self.gateways):
+            if process.program is not None:
+                process.program.close()
+        for searchers in self.searchers.values():
+            for searcher in searchers:
+                if searcher.server is not None:
+                    searcher.crash()
+        self.network.close()
+
+
+def summary(record):
+    """Returns the lines of the report."""
+    statuses = Counter(attempt.status for attempt in record.attempts)
+    kinds = Counter(item.kind for item in record.disturbances)
+    return [
+        f"requests: {len(record.attempts)} {dict(sorted(statuses.items()))}",
+        f"runs: {len(record.runs)}, versions: {len(record.acknowledged)}, "
+        f"probes: {len(record.probes)}",
+        f"faults: {sum(kinds.values())} {dict(sorted(kinds.items()))}",
+        f"violations: {len(record.violations)}",
+        *(f"  {text}" for text in record.violations[:20]),
+    ]
+
+
+async def run_soak(*, seed, faults, gateways, searchers, callers, folder) -> Record:
+    """Runs one seed and returns what was seen."""
+    soak = Soak(
+        seed=seed,
+        gateways=gateways,
+        searchers=searchers,
+        callers=callers,
+        folder=folder,
+    )
+    try:
+        await soak.start()
+        await soak.run(faults)
+        await soak.finish()
+    finally:
+        soak.close()
+    return soak.record
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--faults", default=10, show_default=True, help="Number of faults.")
+@click.option("--gateways", default=3, show_default=True)
+@click.option("--searchers", default=3, show_default=True, help="Of each service.")
+@click.option("--callers", default=8, show_default=True)
+@click.option("--story", is_flag=True, help="Print each fault with its time.")
+def main(seed, faults, gateways, searchers, callers, story):
+    """Run the faults of one seed."""
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        record = asyncio.run(
+            run_soak(
+                seed=seed,
+                faults=faults,
+                gateways=gateways,
+                searchers=searchers,
+                callers=callers,
+                folder=Path(folder),
+            )
+        )
+    print(f"seed: {seed}, faults: {faults}")
+    print("\n".join([*(record.log if story else []), *summary(record)]))
+    raise SystemExit(1 if record.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak/record.py
@@ -0,0 +1,84 @@
+"""What callers, searchers and operators saw, and what was done to the processes."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class Attempt:
+    """One request of a caller; ``status`` is 0 without a complete answer."""
+
+    request_id: str
+    path: str
+    gateway: str
+    sent_at: float
+    sent_whole: bool = False
+    ended_at: float = float("inf")
+    status: int = 0
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """A searcher began to work on a request."""
+
+    request_id: str
+    service: str
+    searcher: str
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Departure:
+    """An acknowledged announcement that a searcher drains."""
+
+    searcher: str
+    at: float
+
+
+@dataclass(kw_only=True)
+class Disturbance:
+    """Something done to a process or a link, from ``began_at`` to ``ended_at``."""
+
+    kind: str
+    target: str
+    began_at: float
+    ended_at: float = float("inf")
+
+    def overlaps(self, since, until):
+        """Whether it was going on at any time between the two."""
+        return self.began_at <= until and self.ended_at >= since
+
+
+@dataclass(frozen=True, kw_only=True)
+class Probe:
+    """An answer of one gateway process on the route that a version added."""
+
+    gateway: str
+    process: int
+    version: int
+    status: int
+    at: float
+
+
+@dataclass(kw_only=True)
+class Record:
+    """Everything that the checks need."""
+
+    attempts: list = field(default_factory=list)
+    runs: list = field(default_factory=list)
+    departures: list = field(default_factory=list)
+    disturbances: list = field(default_factory=list)
+    probes: list = field(default_factory=list)
+    acknowledged: dict = field(default_factory=dict)  # version -> time
+    documents: dict = field(default_factory=dict)  # version -> what was sent
+    final_document: dict | None = None
+    violations: list = field(default_factory=list)
+    log: list = field(default_factory=list)
+
+    def disturbed(self, targets, since, until):
+        """Whether any of the targets was disturbed between the two times."""
+        return any(
+            item.target in targets and item.overlaps(since, until)
+            for item in self.disturbances
+        )
