--- a/features/behaviour/serving_decisions.feature
+++ b/features/behaviour/serving_decisions.feature
@@ -86,3 +86,22 @@
     Given an entry host that knows "s-1" of "cards"
     When "s-1" announces itself of "books" and is then forgotten
     Then the host knows no searcher of "cards" or "books"
+
+  Scenario Outline: A replica of another data centre is asked less often
+    # Guards against polls that cost more bytes between data centres than requests do,
+    # and against a host that waits long for its first configuration.
+    Given an entry host of "dc-1" that has <state>
+    Then it asks a replica <place> again after <seconds> s
+
+    Examples:
+      | state              | place                  | seconds |
+      | a configuration    | of "dc-1"              | 0.35    |
+      | a configuration    | of "dc-2"              | 1.0     |
+      | a configuration    | that has not replied   | 0.35    |
+      | no configuration   | of "dc-2"              | 0.06    |
+
+  Scenario: A searcher that answers seldom is known slow after one answer
+    # Guards against many hosts that each need many late answers to find it.
+    Given a near and a far searcher of 2 slots and work of 20 ms
+    When the near searcher answers in 160 ms, 3 s after its last answer
+    Then the far searcher is chosen with 0 requests at the near one
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -8,6 +8,7 @@
 import msgspec
 from behave import given, then, when
 
+from plantainstage._gateway.control_link import poll_interval_s
 from plantainstage._gateway.dialect import HeaderNames
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.pool import SearcherPool
@@ -184,6 +185,16 @@
         )
 
 
+@when(
+    "the near searcher answers in {elapsed_ms:d} ms, {seconds:d} s after its last answer"
+)
+def step_answers_seldom(context, elapsed_ms, seconds):
+    near = context.loads["near"]
+    near.answered(elapsed_s=WORK_S, work_s=WORK_S, now=context.now)
+    context.now += seconds
+    near.answered(elapsed_s=elapsed_ms / 1000, work_s=WORK_S, now=context.now)
+
+
 @when("{seconds:d} s have passed")
 def step_passed(context, seconds):
     context.now += seconds
@@ -331,3 +342,22 @@
 def step_none_known(context, one, other):
     assert context.fleet.count(one) == context.fleet.count(other) == 0
     assert not context.fleet.members
+
+
+# ---- Polls of control -----------------------------------------------------------------
+
+
+@given('an entry host of "dc-1" that has {state}')
+def step_polling_host(context, state):
+    context.has_configuration = state == "a configuration"
+
+
+@then("it asks a replica {place} again after {seconds:f} s")
+def step_poll_interval(context, place, seconds):
+    data_centre = "" if place == "that has not replied" else place.split('"')[1]
+    interval_s = poll_interval_s(
+        has_configuration=context.has_configuration,
+        own_data_centre="dc-1",
+        data_centre=data_centre,
+    )
+    assert interval_s == seconds, interval_s
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -14,6 +14,9 @@
 from plantainstage._transport.rpc import RECONNECT_MAX_MS, RpcClient
 
 POLL_INTERVAL_S = 0.35
+# Bytes between data centres are dear. What a replica elsewhere tells may come this
+# much later: a departure has to be in force within 3 s.
+REMOTE_POLL_INTERVAL_S = 1.0
 FIRST_POLL_S = 0.06
 # Without a configuration a host serves nobody until a replica that is starting up
 # takes its connection.
@@ -23,6 +26,21 @@
 EXPIRE_INTERVAL_S = 0.25
 
 
+def poll_interval_s(
+    *, has_configuration: bool, own_data_centre: str, data_centre: str
+) -> float:
+    """Returns how long to wait before a replica of ``data_centre`` is asked again.
+
+    A host without a configuration serves nobody, so that it asks often. An empty
+    ``data_centre`` is that of a replica which has not replied yet.
+    """
+    if not has_configuration:
+        return FIRST_POLL_S
+    if data_centre in ("", own_data_centre):
+        return POLL_INTERVAL_S
+    return REMOTE_POLL_INTERVAL_S
+
+
 class ControlLink:
     """Keeps the router informed; ``addresses()`` names replicas to begin with.
 
@@ -70,7 +88,7 @@
         client = RpcClient(address=address, replies=serving.REPLIES)
         if self.router.table is None:
             client.reconnect_max_ms = FIRST_RECONNECT_MAX_MS
-        process, cursor = "", 0
+        process, cursor, data_centre = "", 0, ""
         heard_at = loop.time()
         reachable = False
         while True:
@@ -96,12 +114,14 @@
                 if process and reply.process != process:
                     self.vouched.source_lost(process, loop.time())
                 process, cursor = reply.process, reply.cursor
+                data_centre = reply.data_centre
                 self._take(reply)
-            await asyncio.sleep(self._pause_s())
-
-    def _pause_s(self):
-        """A host without a configuration serves nobody, so that it asks often."""
-        return POLL_INTERVAL_S if self.router.table is not None else FIRST_POLL_S
+            interval_s = poll_interval_s(
+                has_configuration=self.router.table is not None,
+                own_data_centre=self.router.fleet.data_centre,
+                data_centre=data_centre,
+            )
+            await asyncio.sleep(interval_s)
 
     def _take(self, reply):
         # First, since no fault in the rest may keep a host at an old version.
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -1,7 +1,8 @@
 """Messages between entry hosts and control replicas about routed requests.
 
 pynng Req0/Rep0, msgpack. An entry host polls every replica and names what it
-holds, so that a reply carries only what is new to it.
+holds, so that a reply carries only what is new to it. Polls are most of the traffic
+of control, which is why their fields travel without names.
 """
 
 import msgspec
@@ -10,7 +11,7 @@
 from plantainstage._serving.searchers import Searcher
 
 
-class SyncRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class SyncRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """What an entry host holds.
 
     ``process`` and ``cursor`` are those of the replica's last reply, ``version``
@@ -23,17 +24,18 @@
     version: int = -1
 
 
-class SyncReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class SyncReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """What is new since the cursor.
 
     ``silent`` names searchers that this replica has not heard for a while,
     ``replicas`` the addresses of all replicas and ``hosts`` the number of entry
-    hosts that polled lately.
+    hosts that polled lately. ``data_centre`` is that of the replica.
     """
 
     process: str
     cursor: int
     version: int
+    data_centre: str = ""
     document: bytes | None = None
     searchers: tuple[Searcher, ...] = ()
     silent: tuple[str, ...] = ()
@@ -41,23 +43,25 @@
     hosts: int = 1
 
 
-class SearcherNotice(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class SearcherNotice(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
     """A replica tells another that a searcher drains or has left."""
 
     searcher: Searcher
 
 
-class Noted(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class Noted(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """The notice was taken."""
 
 
-class JoinRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class JoinRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """A replica that is in no group asks to be added."""
 
     member: Member
 
 
-class JoinReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+class JoinReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """``leader`` is the address to ask next, or empty when none is known."""
 
     leader: str = ""
--- a/src/plantainstage/_programs/registry.py
+++ b/src/plantainstage/_programs/registry.py
@@ -10,6 +10,9 @@
 
 @click.command(context_settings={"auto_envvar_prefix": "PLANTAINSTAGE_REGISTRY"})
 @click.option("--host-id", default="registry-1", show_default=True, help="Unique name.")
+@click.option(
+    "--data-centre", default="dc-1", show_default=True, help="Where this host runs."
+)
 @click.option(
     "--listen",
     default="127.0.0.1:8100",
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -52,6 +52,7 @@
     peers: Callable[[], tuple[Peer, ...]]
     sync_address_of: Callable[[str], str]
     founders: tuple[Peer, ...] = ()
+    data_centre: str = "dc-1"
     heartbeat_s: float = 1.0
     metrics_listen: str = ""
     format: ControlFormat = field(default_factory=ControlFormat)
@@ -290,6 +291,7 @@
             process=self.process,
             cursor=self.register.cursor,
             version=held.version,
+            data_centre=self.settings.data_centre,
             document=held.document if held.version > request.version else None,
             searchers=tuple(e.searcher for e in changed if not e.silent),
             silent=tuple(e.searcher.searcher_id for e in changed if e.silent),
--- a/src/plantainstage/_settings/serving.py
+++ b/src/plantainstage/_settings/serving.py
@@ -74,11 +74,20 @@
 
 
 def check_registry_settings(
-    *, host_id, listen, metrics_listen, data_folder, seed, found, heartbeat
+    *,
+    host_id,
+    data_centre,
+    listen,
+    metrics_listen,
+    data_folder,
+    seed,
+    found,
+    heartbeat,
 ) -> RegistrySettings:
     """Checks all flags; raises SettingsError with every error."""
     check = SettingsCheck()
     check.name(flag="--host-id", value=host_id)
+    check.name(flag="--data-centre", value=data_centre)
     check.listen_address(flag="--listen", value=listen)
     if metrics_listen:
         check.listen_address(flag="--metrics-listen", value=metrics_listen)
@@ -98,6 +107,7 @@
     seeds = tuple(map(peer_at, seed))
     return RegistrySettings(
         host_id=host_id,
+        data_centre=data_centre,
         own=peer_at(listen),
         data_folder=data_folder,
         peers=lambda: seeds,
