--- a/bench/routed_load.py
+++ b/bench/routed_load.py
@@ -19,7 +19,7 @@
 PROCESSES = 4
 
 
-def _run(task, *, seconds, load):
+def _run(task, *, seconds, load, owner_hop_ms):
     deployment, scenario, seed = task
     return run_scenario(
         name=scenario,
@@ -27,6 +27,7 @@
         seed=seed,
         seconds=seconds,
         load=load,
+        owner_hop_ms=owner_hop_ms,
     )
 
 
@@ -68,7 +69,13 @@
 @click.option("--seeds", default=3, show_default=True, help="Runs with seeds 1 to N.")
 @click.option("--seconds", default=8.0, show_default=True, help="Time under trouble.")
 @click.option("--load", default=1.0, show_default=True, help="Times the usual load.")
-def main(deployments, scenarios, seeds, seconds, load):
+@click.option(
+    "--owner-hop-ms",
+    type=float,
+    help="Send through one owner of each searcher that sees all requests there, "
+    "with a hop of so many ms; without it hosts send directly.",
+)
+def main(deployments, scenarios, seeds, seconds, load, owner_hop_ms):
     """Play load and troubles of searchers on the decisions of entry hosts."""
     tasks = [
         (deployment, scenario, seed)
@@ -77,7 +84,8 @@
         for seed in range(1, seeds + 1)
     ]
     with multiprocessing.Pool(PROCESSES) as pool:
-        results = pool.map(partial(_run, seconds=seconds, load=load), tasks, 1)
+        run = partial(_run, seconds=seconds, load=load, owner_hop_ms=owner_hop_ms)
+        results = pool.map(run, tasks, 1)
     for result in results:
         line = msgspec.json.encode(dataclasses.asdict(result)).decode()
         print(line)
--- a/bench/routed_model/scenarios.py
+++ b/bench/routed_model/scenarios.py
@@ -51,17 +51,22 @@
     p99_ms: dict[str, float]
 
 
-def run_scenario(*, name, deployment, seed, seconds, load) -> Measures:
+def run_scenario(
+    *, name, deployment, seed, seconds, load, owner_hop_ms=None
+) -> Measures:
     """Plays one scenario and returns what callers got."""
     loop = VirtualLoop()
     try:
-        return loop.run_until_complete(_play(name, deployment, seed, seconds, load))
+        playing = _play(name, deployment, seed, seconds, load, owner_hop_ms)
+        return loop.run_until_complete(playing)
     finally:
         loop.close()
 
 
-async def _play(name, deployment, seed, seconds, load):
-    tier = RoutedTier(deployment=deployment, seed=seed, load=load)
+async def _play(name, deployment, seed, seconds, load, owner_hop_ms):
+    tier = RoutedTier(
+        deployment=deployment, seed=seed, load=load, owner_hop_ms=owner_hop_ms
+    )
     tier.start(until=WARM_UP_S + seconds)
     await asyncio.sleep(WARM_UP_S)
     arrived = _shard_arrivals(tier)
--- a/bench/routed_model/tier.py
+++ b/bench/routed_model/tier.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from plantainstage._gateway.dialect import HeaderNames
+from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.messages import CallerRequest
 from plantainstage._gateway.requests import start_request
 from plantainstage._gateway.router import Router
@@ -27,7 +28,8 @@
 from .searchers import SearcherModel
 
 IN_DATA_CENTRE_S = 0.0001
-MAX_SLOTS_KNOWN = 8
+# Requests that an owner keeps at a searcher, in multiples of its slots.
+OWNER_DEPTH = 2
 NAMES = HeaderNames()
 SINGLE = "single"
 
@@ -73,12 +75,25 @@
         return self.kind.worth * share * self.covered**2
 
 
+class _OwnerFleet(Fleet):
+    """The searchers as their owners see them: with the requests of all hosts."""
+
+    def _request_share(self, member):
+        return OWNER_DEPTH * member.searcher.slots
+
+
 class RoutedTier:
-    """One run; ``records`` fills up while the loop runs."""
+    """One run; ``records`` fills up while the loop runs.
 
-    def __init__(self, *, deployment, seed: int, load: float):
+    With ``owner_hop_ms`` each request passes through the owner of its searcher, which
+    sees all requests there; the hop takes so long either way.
+    """
+
+    def __init__(self, *, deployment, seed: int, load: float, owner_hop_ms=None):
         self.deployment = deployment
         self.load = load
+        self.owner_hop_ms = owner_hop_ms
+        self.owner_fleet = None
         self.random = random.Random(seed)
         self.records = []
         self.by_request = {}  # request id -> CallerRecord
@@ -123,10 +138,22 @@
             events=_NoEvents(),
             make_pool=lambda searcher: self._make_pool(searcher, data_centre),
         )
+        if self.owner_hop_ms is not None:
+            self._use_owners(router)
         router.apply(self._configuration())
         router.set_hosts(deployment.hosts)
+        if self.owner_fleet is not None:
+            self.owner_fleet.hosts = 1  # one owner has the whole caps
         return router
 
+    def _use_owners(self, router):
+        if self.owner_fleet is None:
+            fleet = router.fleet
+            self.owner_fleet = _OwnerFleet(
+                data_centre=fleet.data_centre, make_pool=fleet.make_pool
+            )
+        router.fleet = self.owner_fleet
+
     def _make_pool(self, searcher, data_centre):
         model = next(
             model
@@ -135,6 +162,7 @@
         )
         far = searcher.data_centre != data_centre
         delay_s = self.deployment.hop_ms / 1000 if far else IN_DATA_CENTRE_S
+        delay_s += (self.owner_hop_ms or 0.0) / 1000
         return ModelPool(model=model, delay_s=delay_s, mean_work_s=self._mean_work_s)
 
     def _mean_work_s(self, request_id):
--- a/bench/run_all.py
+++ b/bench/run_all.py
@@ -18,6 +18,7 @@
     "entry_cpu",
     "decisions",
     "tier_load",
+    "routed_load",
 )
 
 
