Keep the shapes of the two deployments once

bench/tier_model/deployment.py repeated examples/standin/deployments.py with other field names. The model takes the groups of the stand-in searchers; the shapes of all 83 searchers of each deployment are the same as before.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -12,15 +12,19 @@
 import dataclasses
 import multiprocessing
 import sys
+from pathlib import Path
 
 import click
 import msgspec
 
-from tier_model.deployment import DEPLOYMENTS
-from tier_model.policies import POLICIES
-from tier_model.records import Measures, measure
-from tier_model.scenarios import SCENARIOS, Plan, run_scenario
-from tier_model.targets import judge
+# The shapes of the deployments are those of the stand-in searchers.
+sys.path.append(str(Path(__file__).resolve().parent.parent / "examples"))
+
+from tier_model.deployment import DEPLOYMENTS  # noqa: E402
+from tier_model.policies import POLICIES  # noqa: E402
+from tier_model.records import Measures, measure  # noqa: E402
+from tier_model.scenarios import SCENARIOS, Plan, run_scenario  # noqa: E402
+from tier_model.targets import judge  # noqa: E402
 
 BASE_LOAD = 0.35  # share of capacity where a scenario does not say otherwise
 QUICK = Plan(warm_up_s=1.0, minutes=1, minute_s=4.0, load=BASE_LOAD)
--- a/bench/tier_model/deployment.py
+++ b/bench/tier_model/deployment.py
@@ -12,23 +12,12 @@
     Upstream,
     UpstreamState,
 )
+from standin import deployments
 
 SAME_ZONE_S = 0.0001
 DOCUMENTS_PER_PARTITION = 10_000
 
 
-@dataclass(frozen=True, kw_only=True)
-class Group:
-    """Services of one kind; each service is one partition."""
-
-    name: str
-    services: int
-    searchers: int
-    slots: int
-    connections: int
-    connect_s: float
-
-
 @dataclass(frozen=True, kw_only=True)
 class Deployment:
     """Groups of services, zones, entry hosts and the profile of the load."""
@@ -37,7 +26,7 @@
     index: str
     zones: tuple[str, ...]
     zone_hop_s: float
-    groups: tuple[Group, ...]
+    groups: tuple[deployments.Group, ...]
     profile: Profile
     entry_hosts: int = 9
 
@@ -51,40 +40,7 @@
     index="ditch-turns",
     zones=("upper-canal", "middle-canal", "lower-canal"),
     zone_hop_s=0.001,
-    groups=(
-        Group(
-            name="rider-desk",
-            services=10,
-            searchers=3,
-            slots=3,
-            connections=30,
-            connect_s=0.006,
-        ),
-        Group(
-            name="ward-ledger",
-            services=15,
-            searchers=3,
-            slots=3,
-            connections=30,
-            connect_s=0.006,
-        ),
-        Group(
-            name="farmer-phone-line",
-            services=1,
-            searchers=5,
-            slots=6,
-            connections=110,
-            connect_s=0.001,
-        ),
-        Group(
-            name="levy-book",
-            services=1,
-            searchers=3,
-            slots=6,
-            connections=110,
-            connect_s=0.001,
-        ),
-    ),
+    groups=deployments.KOGI.groups,
     profile=Profile(
         name="rider-gate",
         index="ditch-turns",
@@ -99,40 +55,7 @@
     index="order-history",
     zones=("port-louis", "curepipe", "rose-hill", "grand-baie"),
     zone_hop_s=0.0015,
-    groups=(
-        Group(
-            name="counter-desk",
-            services=10,
-            searchers=3,
-            slots=2,
-            connections=25,
-            connect_s=0.006,
-        ),
-        Group(
-            name="royalty-ledger",
-            services=15,
-            searchers=3,
-            slots=2,
-            connections=25,
-            connect_s=0.006,
-        ),
-        Group(
-            name="workshop-queue",
-            services=1,
-            searchers=4,
-            slots=6,
-            connections=50,
-            connect_s=0.001,
-        ),
-        Group(
-            name="pewter-stock",
-            services=1,
-            searchers=4,
-            slots=6,
-            connections=50,
-            connect_s=0.001,
-        ),
-    ),
+    groups=deployments.MAURITIUS.groups,
     profile=Profile(
         name="counter",
         index="order-history",
@@ -162,9 +85,9 @@
     shapes = []
     zones = deployment.zones
     for group in deployment.groups:
-        for service in range(group.services):
+        for service in range(group.partitions):
             partition = f"{group.name}-{service}"
-            for replica in range(group.searchers):
+            for replica in range(group.replicas):
                 shapes.append(
                     SearcherShape(
                         upstream_id=f"{partition}-{replica}",
@@ -172,7 +95,7 @@
                         zone=zones[(service + replica) % len(zones)],
                         slots=group.slots,
                         connections=group.connections,
-                        connect_s=group.connect_s,
+                        connect_s=group.connect_ms / 1000,
                     )
                 )
     return shapes
--- a/features/support/decision_simulation.py
+++ b/features/support/decision_simulation.py
@@ -11,7 +11,8 @@
 from dataclasses import replace
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "bench"))
+ROOT = Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT / "bench"), str(ROOT / "examples")]
 
 import msgspec  # noqa: E402
 
@@ -21,8 +22,9 @@
     FinishRequest,
     SendSubRequest,
 )
+from standin.deployments import Group  # noqa: E402
 from support.decision_checks import DecisionChecks  # noqa: E402
-from tier_model.deployment import KOGI_BASIN, Group  # noqa: E402
+from tier_model.deployment import KOGI_BASIN  # noqa: E402
 from tier_model.entry import EntryModel, QueueModel  # noqa: E402
 from tier_model.policies import PlantainstagePolicy  # noqa: E402
 from tier_model.searchers import CRASH_MARK, SearcherModel  # noqa: E402
@@ -36,19 +38,19 @@
     groups=(
         Group(
             name="part",
-            services=2,
-            searchers=3,
+            partitions=2,
+            replicas=3,
             slots=3,
             connections=6,  # an owner may use fewer connections than slots
-            connect_s=0.003,
+            connect_ms=3,
         ),
         Group(
             name="fast",
-            services=2,
-            searchers=3,
+            partitions=2,
+            replicas=3,
             slots=2,
             connections=20,
-            connect_s=0.001,
+            connect_ms=1,
         ),
     ),
     profile=Profile(
