Close the client of a poll that failed; tell of shards without a known searcher

Change: the client is closed with its poll; such a shard leaves a decision line. Result: the new scenario fails without the line and passes with it.

--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -42,6 +42,15 @@
     assert (ended["status"], ended["version"]) == (context.reply.status, 1), ended
 
 
+@then('the event lines of "{request_id}" say "{step}" and "{outcome}"')
+def step_lines_say(context, request_id, step, outcome):
+    daemon = context.tier.gateways[0][0]
+    daemon.events.flush()
+    own = [e for e in context.tier.events if e.get("request_id") == request_id]
+    told = [(line.get("step"), line.get("outcome")) for line in own]
+    assert (step, outcome) in told, told
+
+
 @then("plantainstage-explain tells the same from a file of these lines")
 def step_explain(context):
     with tempfile.NamedTemporaryFile("w", suffix=".log") as file:
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -84,8 +84,14 @@
                 self.pollers[address] = asyncio.create_task(polling)
 
     async def _poll(self, address):
-        loop = asyncio.get_running_loop()
         client = RpcClient(address=address, replies=serving.REPLIES)
+        try:
+            await self._poll_with(client, address)
+        finally:
+            client.close()
+
+    async def _poll_with(self, client, address):
+        loop = asyncio.get_running_loop()
         if self.router.table is None:
             client.reconnect_max_ms = FIRST_RECONNECT_MAX_MS
         process, cursor, data_centre = "", 0, ""
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -188,11 +188,13 @@
         if self.over:
             return True
         if self._left_s() < MIN_LEFT_S:
+            self._note("given_up", outcome="deadline_passed")
             self._end(reason="deadline_passed")
             return True
         if self._send("send"):
             return True
         if not self.router.fleet.count(self.service):
+            self._note("given_up", outcome="no searcher is known")
             self._end(reason="no searcher is known")
             return True
         if not self.waiting:
