--- a/features/behaviour/explaining.feature
+++ b/features/behaviour/explaining.feature
@@ -22,12 +22,11 @@
       | cuts its answers short | broken: reset |
       | fails                  | 500           |
 
-  Scenario: A shard of which no searcher is known leaves a line
-    # Guards against a failed gather of which the logs explain one missing shard only.
-    Given a routed tier with one searcher for each of 3 shards
-    And the searcher of shard 1 fails
-    When a caller sends GET "/all/x"
-    Then the caller gets 502
+  Scenario: A service of which no searcher is known leaves a line
+    # Guards against a refusal that the logs do not explain.
+    Given a routed tier with a searcher "s-1" of "books"
+    When a caller sends GET "/read/x"
+    Then the caller gets 503
     And the event lines of "r-1" say "given_up" and "no searcher is known"
 
   Scenario: Event lines are bounded, the dropped ones counted, failed requests kept first
--- a/src/plantainstage/_gateway/decisions.py
+++ b/src/plantainstage/_gateway/decisions.py
@@ -8,10 +8,10 @@
     """One decision or outcome.
 
     ``at`` is the event loop's time. ``step`` is ``send``, ``hedge``, ``repeat``,
-    ``wait``, ``left_out``, ``no_hedge``, ``given_up`` or ``outcome``. ``expected_ms`` is the
-    expected time on which a choice rests, ``in_flight`` this host's requests at the
-    searcher before it, ``reported_busy`` what its last report said and
-    ``report_age_ms`` how old that was.
+    ``wait``, ``left_out``, ``no_hedge``, ``given_up`` or ``outcome``.
+    ``expected_ms`` is the expected time on which a choice rests, ``in_flight`` this
+    host's requests at the searcher before it, ``reported_busy`` what its last report
+    said and ``report_age_ms`` how old that was.
     """
 
     at: float
