--- a/bench/routed_model/tier.py
+++ b/bench/routed_model/tier.py
@@ -67,11 +67,11 @@
         if self.answered_at is None:
             return 0.0
         aim_s = self.kind.aim_ms / 1000
-        share = late = self.kind.late_worth
+        share = self.kind.late_worth
         if self.took_s + caller_s <= aim_s:
             share = 1.0
         elif self.refused_early and self.answered_at - self.attempt_at <= aim_s:
-            share = (1.0 + late) / 2
+            share = (1.0 + share) / 2
         return self.kind.worth * share * self.covered**2
 
 
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -123,10 +123,9 @@
         """Waits until a process serves again."""
         limit = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < limit:
-            address = getattr(process, "ready_address", process.address)
-            path = "/readyz" if address != process.address else "/"
+            address, path = process.probe
             status, _ = await call(address, "GET", path)
-            if status in (200, 404):
+            if status in (200, 404):  # a replica has nothing at its root
                 return
             await asyncio.sleep(0.05)
         self.violation(f"{process.name} does not serve again")
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -125,14 +125,17 @@
             if seen.get(key, 0) >= probe.version:
                 self._violation(f"{probe.gateway} went back behind {probe.version}")
             due_at = self.record.acknowledged[probe.version] + IN_FORCE_S
-            registries = {f"registry-{number}" for number in range(9)}
-            targets = {probe.gateway, *registries}
+            targets = {probe.gateway, *self._registries()}
             since = due_at - IN_FORCE_S - SETTLE_S
             if probe.at > due_at and not self.record.disturbed(
                 targets, since, probe.at
             ):
                 self._violation(f"{probe.gateway} lacks {probe.version} in time")
 
+    def _registries(self):
+        targets = {item.target for item in self.record.disturbances}
+        return {target for target in targets if target.startswith("registry-")}
+
     def _check_final_configuration(self):
         """What is read back is the newest version that was acknowledged."""
         newest = max(self.record.acknowledged, default=0)
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -6,19 +6,26 @@
 
 
 class Process:
-    """A program that is ended and started again; only this soak's own."""
+    """A program that is ended and started again; only this soak's own.
 
-    def __init__(self, *, name, module, arguments, log_path):
+    ``address`` is where it serves, ``probe`` an address and a path that answer once
+    it does, and ``data`` the folder of a control replica.
+    """
+
+    def __init__(self, *, name, arguments, folder, address, probe, data=None):
         self.name = name
-        self.module = module
         self.arguments = arguments
-        self.log_path = log_path
+        self.log_path = folder / f"{name}.log"
+        self.address = address
+        self.probe = probe
+        self.data = data
         self.program = None
 
     def start(self):
         """Starts the program."""
+        module = self.name.partition("-")[0]
         self.program = Program(
-            module=["-m", self.module],
+            module=["-m", f"plantainstage._programs.{module}"],
             arguments=self.arguments,
             log_path=self.log_path,
         )
@@ -35,49 +42,49 @@
 
 def make_registry(folder, number, seeds):
     """Returns the process of one control replica; ``seeds`` are first ports."""
-    port = seeds[number]
-    data = folder / f"registry-{number}"
+    name = f"registry-{number}"
+    address = f"127.0.0.1:{seeds[number]}"
+    data = folder / name
     arguments = [
-        *("--host-id", f"registry-{number}"),
-        *("--listen", f"127.0.0.1:{port}"),
+        *("--host-id", name),
+        *("--listen", address),
         *("--data-folder", str(data)),
         *("--heartbeat", "0.4"),
         "--found",
     ]
     for seed in seeds:
         arguments += ["--seed", f"127.0.0.1:{seed}"]
-    process = Process(
-        name=f"registry-{number}",
-        module="plantainstage._programs.registry",
+    return Process(
+        name=name,
         arguments=arguments,
-        log_path=folder / f"registry-{number}.log",
+        folder=folder,
+        address=address,
+        probe=(address, "/"),
+        data=data,
     )
-    process.address = f"127.0.0.1:{port}"
-    process.data = data
-    return process
 
 
 def make_gateway(folder, number, seeds):
     """Returns the process of one entry host."""
-    listen = free_ports(2)
+    name = f"gateway-{number}"
+    port = free_ports(2)
+    address, ready_address = f"127.0.0.1:{port}", f"127.0.0.1:{port + 1}"
     arguments = [
-        *("--host-id", f"gateway-{number}"),
+        *("--host-id", name),
         *("--data-centre", "dc-1"),
-        *("--listen", f"127.0.0.1:{listen}"),
-        *("--ready-listen", f"127.0.0.1:{listen + 1}"),
+        *("--listen", address),
+        *("--ready-listen", ready_address),
         *("--retry-slack", "1000"),
     ]
     for seed in seeds:
         arguments += ["--registry", f"127.0.0.1:{seed}"]
-    process = Process(
-        name=f"gateway-{number}",
-        module="plantainstage._programs.gateway",
+    return Process(
+        name=name,
         arguments=arguments,
-        log_path=folder / f"gateway-{number}.log",
+        folder=folder,
+        address=address,
+        probe=(ready_address, "/readyz"),
     )
-    process.address = f"127.0.0.1:{listen}"
-    process.ready_address = f"127.0.0.1:{listen + 1}"
-    return process
 
 
 def lose_folder(registry):
