--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -31,6 +31,7 @@
       | cuts its answers short          |
       | resets answers without a length |
       | answers with garbage            |
+      | answers for another request     |
       | rejects                         |
       | resets                          |
       | fails                           |
@@ -42,6 +43,13 @@
     When a caller sends GET "/read/x"
     Then the caller gets 200 with the answer of "s-1"
 
+  Scenario: An answer in chunks is passed on whole
+    # Guards against chunk sizes among the bytes of an answer, and against a part of it.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And the searcher "s-1" answers in chunks
+    When 2 callers send GET "/read/x" one after the other
+    Then each caller gets 200 with the answer of "s-1"
+
   Scenario: A second answer to one request reaches no later caller
     # Guards against an extra answer that is taken for the next request's.
     Given a routed tier with a searcher "s-1" of "cards"
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -212,6 +212,21 @@
     asyncio.get_running_loop().call_later(0.02, writer.write, whole)
 
 
+async def answer_for_another(searcher, request, writer):
+    """Answers with the id of a request that it never got."""
+    writer.write(
+        reply_head(searcher, request, request_id="other") + sized(searcher.record)
+    )
+
+
+async def answer_in_chunks(searcher, request, writer):
+    extra = ["Transfer-Encoding: chunked"]
+    writer.write(reply_head(searcher, request, extra=extra) + b"\r\n")
+    half = len(searcher.record) // 2
+    for part in (searcher.record[:half], searcher.record[half:], b""):
+        writer.write(b"%x\r\n" % len(part) + part + b"\r\n")
+
+
 async def reject(searcher, request, writer):
     extra = [f"{NAMES.not_executed}: 1"]
     head = reply_head(searcher, request, status="503 Full", extra=extra)
@@ -240,6 +255,8 @@
     "answers without a length": answer_unframed,
     "resets answers without a length": answer_unframed_reset,
     "answers twice": answer_with_extra,
+    "answers for another request": answer_for_another,
+    "answers in chunks": answer_in_chunks,
     "rejects": reject,
     "resets": reset,
     "fails": fail,
