--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -68,6 +68,8 @@
             for service in ("cards", *SHARDS)
         }
         self.callers = [Caller(soak=self, number=n) for n in range(callers)]
+        # Asks before and after the faults; ids must not come twice.
+        self.first_caller = Caller(soak=self, number=callers)
         self.operator = Operator(soak=self)
         self.faults = Faults(soak=self)
         self.stopping = False
@@ -132,7 +134,7 @@
 
     async def until_served(self):
         """Waits until each entry host serves each kind of request."""
-        caller = Caller(soak=self, number=len(self.callers))
+        caller = self.first_caller
         for gateway in self.gateways:
             for method, path in (("GET", "/all/x"), ("GET", "/read/x")):
                 limit = time.monotonic() + SERVED_TIMEOUT_S
