Pass on the reports of all control replicas through the nearest one

Change: replicas poll each other (answered when something changes, or after 0.6 s) and keep a mirror of what each one hears. A host polls one replica, of its own data centre if there is one, and others only while no preferred replica is in touch with them. Which replica is polled is decided in _serving/control_sources.py, without a network. A replica also takes a newer committed configuration that its log does not deliver.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -59,6 +59,25 @@
     When the searcher announces to one replica that it drains, and the replica is stopped
     Then each running replica knows that "s-1" drains
 
+  Scenario: An entry host learns from one replica what the others hear, also when it stops
+    # Guards against a searcher that is missing or used after its departure, since the
+    # host polls a single replica.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    And an entry host that polls one replica
+    When a searcher "s-1" announces itself to a replica that the host does not poll
+    Then the host sends requests to "s-1"
+    When the polled replica is stopped, and "s-1" announces to another that it drains
+    Then the host sends no requests to "s-1"
+
+  Scenario: A replica takes a newer configuration that its log does not deliver
+    # Guards against an old configuration on the hosts that poll a replica whose own log
+    # is behind, for example because its disk stalls.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    When a follower's log stops, and configuration 9 is acknowledged by another replica
+    Then the follower reports version 9 to entry hosts
+
   Scenario Outline: An announcement with <fault> registers no searcher
     # Guards against a record of another program that is taken for a searcher.
     Given a control group of 1 replicas for routed requests
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -206,7 +206,8 @@
     reply = context.tier.run(daemon._handle_request(SyncRequest(host_id="h")))
     assert reply.version == version, reply
     assert json.loads(reply.document) == document(version), reply
-    assert [s.searcher_id for s in reply.searchers] == [searcher_id], reply
+    own = reply.sources[0]
+    assert [s.searcher_id for s in own.searchers] == [searcher_id], reply
 
 
 @then("it answers a read of the configuration with 503")
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -1,4 +1,4 @@
-"""Polls all control replicas for the configuration and the searchers."""
+"""Polls control replicas for the configuration and the searchers."""
 
 import asyncio
 from functools import partial
@@ -8,6 +8,7 @@
 
 from plantainstage._errors import InvalidConfigurationError
 from plantainstage._messages import serving
+from plantainstage._serving.control_sources import ControlSources
 from plantainstage._serving.merged_searchers import MergedSearchers
 from plantainstage._serving.searchers import SearcherState
 from plantainstage._supervision import run_supervised
@@ -22,7 +23,6 @@
 # intervals to connect to replicas that are still starting.
 UNCONFIGURED_RECONNECT_MAX_MS = 60
 POLL_TIMEOUT_S = 0.8
-SOURCE_LOST_S = 2.0
 EXPIRE_INTERVAL_S = 0.25
 
 
@@ -44,9 +44,9 @@
 class ControlLink:
     """Passes configurations and searchers from control replicas to the router.
 
-    ``addresses()`` returns the seed replicas; replies list all others. Each replica is
-    polled by its own task, so that an unreachable one does not delay updates from the
-    rest.
+    ``addresses()`` returns the seed replicas; replies list all others. Each replica
+    has a task of its own, which polls it unless another one passes on its reports, so
+    that an unreachable replica does not delay updates from the rest.
     """
 
     def __init__(self, *, host_id, router, addresses, decode, on_limits, events):
@@ -57,23 +57,34 @@
         self.on_limits = on_limits
         self.events = events
         self.merged_searchers = MergedSearchers()
+        self.sources = ControlSources(
+            host_id=host_id, data_centre=router.fleet.data_centre
+        )
         self.pollers = {}
 
+    # ---- Tasks --------------------------------------------------------------------
+
     async def run(self):
         """Runs until it is cancelled."""
-        loop = asyncio.get_running_loop()
         try:
             while True:
                 self._start_pollers(self.addresses())
-                for searcher_id in self.merged_searchers.expire(loop.time()):
-                    self.events.log_event("searcher_lost", searcher=searcher_id)
-                    self.router.fleet.remove_searcher(searcher_id)
+                self._expire(asyncio.get_running_loop().time())
                 await asyncio.sleep(EXPIRE_INTERVAL_S)
         finally:
             for poller in self.pollers.values():
                 poller.cancel()
             self.pollers.clear()
 
+    def _expire(self, now):
+        for source in self.sources.take_lost(now):
+            self.merged_searchers.mark_source_lost(source.process, now)
+            self.events.log_event("control_lost", replica=source.address)
+        for searcher_id in self.merged_searchers.expire(now):
+            self.events.log_event("searcher_lost", searcher=searcher_id)
+            self.router.fleet.remove_searcher(searcher_id)
+        self.router.set_hosts(self.sources.hosts(now))
+
     def _start_pollers(self, addresses):
         for address in addresses:
             if address not in self.pollers:
@@ -93,59 +104,82 @@
 
     async def _poll_with(self, client, address):
         loop = asyncio.get_running_loop()
-        if self.router.table is None:
+        if not self._is_configured:
             client.reconnect_max_ms = UNCONFIGURED_RECONNECT_MAX_MS
-        process, cursor, data_centre = "", 0, ""
-        last_reply_at = loop.time()
-        reachable = False
         while True:
-            request = serving.SyncRequest(
-                host_id=self.host_id,
-                process=process,
-                cursor=cursor,
-                version=self.router.version,
-            )
+            if self._is_configured and self.sources.is_relayed(address, loop.time()):
+                client.close()
+                await self._wait_while_relayed(address)
+                continue
             try:
-                reply = await client.call(request, timeout_s=POLL_TIMEOUT_S)
+                reply = await client.call(
+                    self._request(address), timeout_s=POLL_TIMEOUT_S
+                )
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
-                if reachable and loop.time() - last_reply_at > SOURCE_LOST_S:
-                    reachable = False
-                    self.merged_searchers.mark_source_lost(process, loop.time())
-                    reason = type(error).__name__
-                    self.events.log_event(
-                        "control_lost", replica=address, reason=reason
-                    )
+                self.router.metrics.failed_polls.labels(type(error).__name__).inc()
             else:
-                if not reachable:
-                    self.events.log_event("control_reached", replica=address)
-                reachable, last_reply_at = True, loop.time()
                 client.reconnect_max_ms = RECONNECT_MAX_MS
-                if process and reply.process != process:
-                    self.merged_searchers.mark_source_lost(process, loop.time())
-                process, cursor = reply.process, reply.cursor
-                data_centre = reply.data_centre
-                self._apply_reply(reply)
-            interval_s = poll_interval_s(
-                has_configuration=self.router.table is not None,
-                own_data_centre=self.router.fleet.data_centre,
-                data_centre=data_centre,
-            )
-            await asyncio.sleep(interval_s)
+                self._apply_reply(address, reply)
+            await asyncio.sleep(self._poll_interval_s(address))
+
+    async def _wait_while_relayed(self, address):
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, self.sources.relayed_until(address) - now))
 
-    def _apply_reply(self, reply):
+    @property
+    def _is_configured(self):
+        return self.router.table is not None
+
+    def _poll_interval_s(self, address):
+        return poll_interval_s(
+            has_configuration=self._is_configured,
+            own_data_centre=self.router.fleet.data_centre,
+            data_centre=self.sources.data_centre_of(address),
+        )
+
+    def _request(self, address):
+        now = asyncio.get_running_loop().time()
+        return serving.SyncRequest(
+            host_id=self.host_id,
+            version=self.router.version,
+            counts=self.sources.counting_replica(now) == address,
+            cursors=tuple(
+                serving.SourceCursor(
+                    address=source.address,
+                    process=source.process,
+                    cursor=source.cursor,
+                )
+                for source in self.sources.held()
+            ),
+        )
+
+    # ---- Replies ------------------------------------------------------------------
+
+    def _apply_reply(self, address, reply):
         # Applied first, so that an error in the rest of the reply cannot keep the host
         # at an old version.
         if reply.document is not None and reply.version > self.router.version:
             self._apply_configuration(reply)
-        self.router.set_hosts(reply.hosts)
+        now = asyncio.get_running_loop().time()
+        self.sources.record_reply(address, now)
         self._start_pollers(reply.replicas)
-        for searcher in reply.searchers:
-            changed = self.merged_searchers.update(reply.process, searcher)
+        for report in reply.sources:
+            self._apply_report(address, report, now)
+
+    def _apply_report(self, relay, report, now):
+        recorded = self.sources.record_report(relay, report, now)
+        if not recorded.current:
+            return
+        if recorded.is_new:
+            self.events.log_event("control_reached", replica=report.address)
+        if recorded.replaced_process:
+            self.merged_searchers.mark_source_lost(recorded.replaced_process, now)
+        for searcher in report.searchers:
+            changed = self.merged_searchers.update(report.process, searcher)
             if changed is not None:
                 self._update_searcher(changed)
-        now = asyncio.get_running_loop().time()
-        for searcher_id in reply.silent:
-            self.merged_searchers.mark_silent(reply.process, searcher_id, now)
+        for searcher_id in report.silent:
+            self.merged_searchers.mark_silent(report.process, searcher_id, now)
 
     def _update_searcher(self, searcher):
         self.router.fleet.update_searcher(searcher)
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -70,6 +70,7 @@
             events=events,
         )
         self.ingress = Ingress(router=self.router)
+        self.link = None  # ControlLink, while the daemon runs
 
     @property
     def is_ready(self):
@@ -85,7 +86,7 @@
                 address=self.settings.metrics_listen,
                 registry=self.router.metrics.registry,
             )
-        link = ControlLink(
+        self.link = ControlLink(
             host_id=self.settings.host_id,
             router=self.router,
             addresses=self.settings.control_addresses,
@@ -93,7 +94,7 @@
             on_limits=self.ingress.set_limits,
             events=self.events,
         )
-        supervised = run_supervised(link.run, task="control", events=self.events)
+        supervised = run_supervised(self.link.run, task="control", events=self.events)
         link_task = asyncio.create_task(supervised)
         self.events.log_event("started", address=self.settings.listen)
         await stop.wait()
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -1,8 +1,9 @@
 """Messages between entry hosts and control replicas about routed requests.
 
-pynng Req0/Rep0, msgpack. An entry host polls every replica and states what it
-has, so that a reply contains only what is new to it. Polls are most of the traffic
-of control, which is why the structs are encoded as arrays, without field names.
+pynng Req0/Rep0, msgpack. Replicas poll each other, and an entry host polls a replica
+of its own data centre, which reports on the others too. A poll states what the sender
+has, so that a reply contains only what is new to it. Polls are most of the traffic of
+control, which is why the structs are encoded as arrays, without field names.
 """
 
 import msgspec
@@ -11,36 +12,87 @@
 from plantainstage._serving.searchers import Searcher
 
 
+class SourceCursor(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """How much an entry host has of what one replica hears from searchers.
+
+    ``process`` and ``cursor`` are taken from the replica's last report, which may have
+    come through another replica.
+    """
+
+    address: str
+    process: str
+    cursor: int
+
+
+class SourceReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What one replica hears from searchers, as far as it changed since a cursor.
+
+    ``silent`` lists searchers that have not announced themselves to the replica for a
+    while. ``hosts`` is the number of entry hosts that count themselves at the replica.
+    ``age_ms`` is how long ago the replying replica was last in touch with it; 0 for
+    its own report.
+    """
+
+    address: str
+    process: str
+    cursor: int
+    data_centre: str = ""
+    hosts: int = 0
+    age_ms: int = 0
+    searchers: tuple[Searcher, ...] = ()
+    silent: tuple[str, ...] = ()
+
+
 class SyncRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """A poll by an entry host, with the state that it has.
 
-    ``process`` and ``cursor`` are taken from the replica's last reply. ``version`` is
-    that of the configuration in force on the host.
+    ``version`` is that of the configuration in force on the host. ``counts`` tells
+    that the replica should count the host; a host asks this of one replica at a time.
     """
 
     host_id: str
-    process: str = ""
-    cursor: int = 0
     version: int = -1
+    counts: bool = True
+    cursors: tuple[SourceCursor, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
-    """What has changed since the cursor of the poll.
+    """What has changed since the cursors of the poll.
 
-    ``silent`` lists searchers that have not announced themselves to this replica for
-    a while, ``replicas`` the addresses of all replicas, and ``hosts`` is the number
-    of entry hosts that polled recently. ``data_centre`` is that of the replica.
+    The first of ``sources`` is the replying replica; the others are those that it is
+    in touch with, so that the host need not poll them. ``replicas`` lists the
+    addresses of all replicas.
     """
 
-    process: str
-    cursor: int
     version: int
-    data_centre: str = ""
     document: bytes | None = None
-    searchers: tuple[Searcher, ...] = ()
-    silent: tuple[str, ...] = ()
+    sources: tuple[SourceReport, ...] = ()
     replicas: tuple[str, ...] = ()
-    hosts: int = 1
+
+
+class PeerSyncRequest(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """A poll by another replica, which passes the reply on to its entry hosts.
+
+    It is answered once something has changed since the cursor, or after ``wait_ms``.
+    The document is sent only if its version is above ``version``.
+    """
+
+    process: str = ""
+    cursor: int = 0
+    version: int = -1
+    wait_ms: int = 0
+
+
+class PeerSyncReply(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """The report of a replica on itself, and its newest committed version."""
+
+    version: int
+    report: SourceReport
+    document: bytes | None = None
 
 
 class SearcherNotice(
@@ -67,8 +119,8 @@
     leader: str = ""
 
 
-ServingRequest = SyncRequest | SearcherNotice | JoinRequest
-ServingReply = SyncReply | Noted | JoinReply
+ServingRequest = SyncRequest | PeerSyncRequest | SearcherNotice | JoinRequest
+ServingReply = SyncReply | PeerSyncReply | Noted | JoinReply
 
 REQUEST_DECODER = msgspec.msgpack.Decoder(ServingRequest)
 REPLY_DECODER = msgspec.msgpack.Decoder(ServingReply)
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -16,14 +16,13 @@
 from plantainstage._registry.peers import Peer
 from plantainstage._registry.recent import RecentFile, RecentState
 from plantainstage._registry.register import SearcherRegister
+from plantainstage._registry.relay import PeerRelay
+from plantainstage._registry.sync import SyncService
 from plantainstage._serving.searchers import Searcher
 from plantainstage._supervision import load_modules, run_supervised
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
 EXPIRE_INTERVAL_S = 0.3
-# An entry host polls several times a second. One that stopped is still counted for
-# this time, since its connections outlast it.
-HOST_RETENTION_S = 4.0
 NOTICE_TIMEOUT_S = 0.4
 # The state that is restored after a restart may be this old, except for departures.
 SAVE_INTERVAL_S = 0.5
@@ -76,8 +75,22 @@
         self.recent = RecentFile(folder=settings.data_folder, events=events)
         self.save_due = asyncio.Event()
         self.saved_cursor = 0
-        self.hosts = {}  # host id -> time of its last poll
         self.peer_clients = {}
+        self.relay = PeerRelay(
+            own_address=settings.own.sync_address,
+            addresses=self._sync_addresses,
+            machine=self.machine,
+            events=events,
+        )
+        self.sync = SyncService(
+            own_address=settings.own.sync_address,
+            process=self.process,
+            data_centre=settings.data_centre,
+            machine=self.machine,
+            register=self.register,
+            relay=self.relay,
+            addresses=self._sync_addresses,
+        )
 
     # ---- Running ------------------------------------------------------------------
 
@@ -109,6 +122,7 @@
             for task, run in (
                 ("replica", self.group.run),
                 ("expiry", self._expire),
+                ("relay", self.relay.run),
                 ("recent state", self._save_recent),
             )
         ]
@@ -138,7 +152,7 @@
         metrics = self.metrics = exposition.RegistryMetrics()
         metrics.version.set_function(lambda: self.machine.newest.version)
         metrics.searchers.set_function(lambda: len(self.register.entries))
-        metrics.hosts.set_function(lambda: len(self.hosts))
+        metrics.hosts.set_function(lambda: len(self.sync.hosts))
         metrics.leader_state.set_function(self._leads)
         metrics.dropped_lines.set_function(lambda: self.events.dropped_total)
         if self.settings.metrics_listen:
@@ -155,9 +169,7 @@
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             now = loop.time()
             self.register.expire(now)
-            for host_id, polled_at in list(self.hosts.items()):
-                if now - polled_at > HOST_RETENTION_S:
-                    del self.hosts[host_id]
+            self.sync.expire(now)
 
     # ---- State from before a restart ----------------------------------------------
 
@@ -270,16 +282,23 @@
     def _sync_addresses(self):
         """Returns the sync addresses of all replicas known to this one."""
         addresses = {peer.sync_address for peer in self.settings.peers()}
-        if self.replica is not None and self.replica.core is not None:
-            for member in self.replica.core.state.membership.members:
-                addresses.add(self.settings.sync_address_of(member.client_address))
+        for member in self._members():
+            addresses.add(self.settings.sync_address_of(member.client_address))
         return tuple(sorted(addresses))
 
+    def _members(self):
+        """Returns the members of the group as far as this replica knows them."""
+        if self.replica is None or self.replica.core is None:
+            return ()
+        return self.replica.core.state.membership.members
+
     async def _handle_request(self, request):
         now = asyncio.get_running_loop().time()
         match request:
             case serving.SyncRequest():
-                return self._sync_reply(request, now)
+                return self.sync.reply_to_host(request, now)
+            case serving.PeerSyncRequest():
+                return await self.sync.reply_to_peer(request)
             case serving.SearcherNotice(searcher=searcher):
                 self.register.record_announcement(searcher, now)
                 return serving.Noted()
@@ -287,20 +306,3 @@
                 if self.group is None or self.group.maintainer is None:
                     return serving.JoinReply()
                 return self.group.maintainer.record_join_request(member)
-
-    def _sync_reply(self, request, now):
-        self.hosts[request.host_id] = now
-        known = request.cursor if request.process == self.process else 0
-        changed = self.register.changes_since(known)
-        newest = self.machine.newest
-        return serving.SyncReply(
-            process=self.process,
-            cursor=self.register.cursor,
-            version=newest.version,
-            data_centre=self.settings.data_centre,
-            document=newest.document if newest.version > request.version else None,
-            searchers=tuple(e.searcher for e in changed if not e.silent),
-            silent=tuple(e.searcher.searcher_id for e in changed if e.silent),
-            replicas=self._sync_addresses(),
-            hosts=len(self.hosts),
-        )
--- a/src/plantainstage/_registry/register.py
+++ b/src/plantainstage/_registry/register.py
@@ -31,6 +31,7 @@
         self.silent_after_s = heartbeat_s * MISSED_ANNOUNCEMENTS
         self.entries = {}
         self.cursor = 0
+        self.on_change = None  # called after a change that hosts need to know
 
     # ---- Queries ------------------------------------------------------------------
 
@@ -95,4 +96,6 @@
 
     def _next_change(self):
         self.cursor += 1
+        if self.on_change is not None:
+            self.on_change()
         return self.cursor
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -16,7 +16,8 @@
 
     Labels take few values: ``kind`` is ``single`` or ``gather``, ``status`` a
     status code (0 if the caller disconnected), ``outcome`` one of ``success``,
-    ``rejected``, ``failure`` and ``no_reply``. Times are in seconds.
+    ``rejected``, ``failure`` and ``no_reply``, ``error`` the name of an error type.
+    Times are in seconds.
     """
 
     def __init__(self):
@@ -46,6 +47,9 @@
         )
         self.hedges = Counter("hedges", "Hedged calls to a second searcher", **shared)
         self.repeats = Counter("repeats", "Calls repeated after a failure", **shared)
+        self.failed_polls = Counter(
+            "failed_polls", "Polls of control that got no reply", ["error"], **shared
+        )
         self.version = Gauge(
             "configuration_version",
             "Configuration version in force, -1 for none",
