Share the connections of searchers by data centre in tiers of many hosts

Cause: each host took an equal share of the connections that a searcher accepts, but at least one.

Change: if an equal share is below 2, only the hosts in the searcher's data centre keep idle connections, and hosts without a near searcher keep them to one that is drawn from their id. Others open a connection on demand and close it 0.8 s after its last reply. The number of hosts is known per data centre. Small tiers keep equal shares.

New scenario over six shapes of tiers (the shapes with more hosts than connections fail with equal shares).

--- a/bench/routed_model/tier.py
+++ b/bench/routed_model/tier.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 
 from tornado import httputil
@@ -21,6 +21,7 @@
     ServingConfiguration,
     Share,
 )
+from plantainstage._serving.connection_shares import HostCounts
 from plantainstage._serving.retry_budget import RetryBudgetLimits
 from plantainstage._serving.searchers import Searcher
 
@@ -138,6 +139,7 @@
         data_centre = centres[number % len(centres)]
         router = Router(
             names=NAMES,
+            host_id=f"host-{number}",
             data_centre=data_centre,
             budget_limits=RetryBudgetLimits(
                 ratio=deployment.retry_ratio, slack=deployment.retry_slack
@@ -148,9 +150,11 @@
         if self.owner_hop_ms is not None:
             self._use_owners(router)
         router.apply(self._configuration())
-        router.set_hosts(deployment.hosts)
+        places = (centres[n % len(centres)] for n in range(deployment.hosts))
+        router.set_hosts(HostCounts(by_data_centre=Counter(places)))
         if self.owner_fleet is not None:
-            self.owner_fleet.hosts = 1  # the owner may use the whole caps
+            # The owner may use the whole caps.
+            self.owner_fleet.set_limits(hosts=HostCounts(by_data_centre={}))
         return router
 
     def _use_owners(self, router):
--- a/features/behaviour/serving_decisions.feature
+++ b/features/behaviour/serving_decisions.feature
@@ -108,3 +108,26 @@
     Given a near and a far searcher with 2 slots and a work time of 20 ms
     When the near searcher answers in 160 ms, 3 s after its last answer
     Then the far searcher is chosen with 0 requests at the near one
+
+  Scenario Outline: The connections that hosts keep stay within what a searcher accepts
+    # Guards against connections that a searcher resets, since more hosts than it
+    # accepts connections each keep one.
+    Given <hosts> entry hosts in each of <data centres> data centres
+    And a service with a searcher in <places> of them, which accepts <cap> connections
+    Then the hosts together keep at most 0.9 of what each searcher accepts
+    And each host keeps a connection to a searcher, in its own data centre if it has one
+
+    Examples:
+      | hosts | data centres | places | cap |
+      | 2     | 3            | 3      | 30  |
+      | 3     | 3            | 3      | 26  |
+      | 23    | 3            | 3      | 67  |
+      | 18    | 3            | 3      | 76  |
+      | 38    | 5            | 3      | 123 |
+      | 29    | 3            | 3      | 76  |
+
+  Scenario: A connection beyond those that are kept is closed soon after its reply
+    # Guards against idle connections of many hosts that fill up a searcher.
+    Given a searcher to which this host keeps 1 connection
+    When 2 connections become idle at the same time
+    Then one of them is closed after a while and the other one is kept
--- a/features/steps/control_source_steps.py
+++ b/features/steps/control_source_steps.py
@@ -129,7 +129,7 @@
 
 @then("at {now:g} s the host counts {hosts:d} hosts")
 def step_counts_hosts(context, now, hosts):
-    assert context.sources.hosts(now) == hosts, context.sources.hosts(now)
+    assert context.sources.hosts(now).total == hosts, context.sources.hosts(now)
 
 
 # ---- Mirrors --------------------------------------------------------------------------
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -65,6 +65,7 @@
         self.stopping = False
         self.router = Router(
             names=settings.names,
+            host_id=settings.host_id,
             data_centre=settings.data_centre,
             budget_limits=settings.budget,
             events=events,
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -7,13 +7,12 @@
 from collections.abc import Callable
 
 from plantainstage._gateway.call import Call
-from plantainstage._serving import placement
+from plantainstage._serving import connection_shares, placement
+from plantainstage._serving.connection_shares import ConnectionShare, HostCounts
 from plantainstage._serving.searchers import Searcher, SearcherState
 
 # For a service that the configuration in force does not define.
 DEFAULT_CONNECTIONS = 16
-# Share of a searcher's connections that hosts use; the rest is for restarted hosts.
-CONNECTION_CAP_SHARE = 0.9
 # Lower bound for the requests of one host at one searcher; with a limit of one, a
 # single paused request would block the host.
 MIN_REQUEST_LIMIT = 2
@@ -40,10 +39,12 @@
 class Fleet:
     """All known searchers, by id and by service.
 
-    ``make_pool(searcher=...)`` returns the connection pool for a searcher.
+    ``make_pool(searcher=...)`` returns the connection pool for a searcher. ``host_id``
+    spreads the hosts without a near searcher over the remote ones.
     """
 
-    def __init__(self, *, data_centre: str, make_pool: Callable):
+    def __init__(self, *, data_centre: str, make_pool: Callable, host_id: str = ""):
+        self.host_id = host_id
         self.data_centre = data_centre
         self.make_pool = make_pool
         self.members = {}  # searcher id -> Member
@@ -51,7 +52,8 @@
         self.connection_caps = {}  # service -> connections of each searcher
         self.waiting = defaultdict(list)  # service -> heap of waiting requests
         self.order = itertools.count()
-        self.hosts = 1  # entry hosts that share the caps
+        self.hosts = HostCounts(by_data_centre={data_centre: 1})  # share the caps
+        self.shares = {}  # searcher id -> ConnectionShare
 
     # ---- Known searchers ----------------------------------------------------------
 
@@ -74,6 +76,7 @@
         member = Member(searcher=searcher, pool=pool, now=now)
         self.members[searcher.searcher_id] = member
         self.by_service[searcher.service][searcher.searcher_id] = member
+        self.shares.clear()
         self.retry_waiting(searcher.service)
 
     def remove_searcher(self, searcher_id: str):
@@ -83,6 +86,7 @@
             del self.by_service[member.searcher.service][searcher_id]
             member.usable = False
             member.pool.retire()
+            self.shares.clear()
 
     def _remove_earlier_at_address(self, searcher):
         """Removes searchers with earlier starts at the address, which was reused."""
@@ -101,21 +105,59 @@
     def choose(self, service: str, *, tried, work_s: float) -> placement.Choice | None:
         """Returns the best untried searcher with room for a request, or None."""
         now = asyncio.get_running_loop().time()
-        cap = self._connection_limit(service)
         loads = [
             member.load
             for searcher_id, member in self.by_service.get(service, {}).items()
             if searcher_id not in tried
             and member.load.in_flight < self._request_limit(member)
-            and member.pool.has_room(cap, now)
+            and member.pool.has_room(self.share(member).limit, now)
         ]
         return placement.choose(
             loads, now=now, work_s=work_s, data_centre=self.data_centre
         )
 
-    def _connection_limit(self, service):
-        cap = self.connection_caps.get(service, DEFAULT_CONNECTIONS)
-        return max(1, int(cap * CONNECTION_CAP_SHARE / self.hosts))
+    def share(self, member) -> ConnectionShare:
+        """Returns this host's share of a searcher's connections."""
+        searcher = member.searcher
+        share = self.shares.get(searcher.searcher_id)
+        if share is None:
+            share = self.shares[searcher.searcher_id] = self._new_share(searcher)
+        return share
+
+    def _new_share(self, searcher):
+        members = self.by_service.get(searcher.service, {})
+        places = [member.searcher.data_centre for member in members.values()]
+        places = places or [searcher.data_centre]
+        keeping_hosts = connection_shares.hosts_that_keep(
+            self.hosts,
+            data_centre=searcher.data_centre,
+            searcher_data_centres=places,
+        )
+        return connection_shares.connection_share(
+            cap=self.connection_caps.get(searcher.service, DEFAULT_CONNECTIONS),
+            slots=searcher.slots,
+            hosts=self.hosts,
+            keeping_hosts=keeping_hosts,
+            keeps=self._keeps_connections(searcher, members, places),
+        )
+
+    def _keeps_connections(self, searcher, members, places):
+        if self.data_centre in places:
+            return searcher.data_centre == self.data_centre
+        preferred = connection_shares.preferred_remote(
+            self.host_id, members or [searcher.searcher_id]
+        )
+        return preferred == searcher.searcher_id
+
+    def set_limits(
+        self, *, hosts: HostCounts | None = None, caps: dict[str, int] | None = None
+    ):
+        """Changes what the shares of connections are computed from."""
+        if hosts is not None:
+            self.hosts = hosts
+        if caps is not None:
+            self.connection_caps = caps
+        self.shares.clear()
 
     def _request_limit(self, member):
         """Returns how many requests of this host a searcher may have at a time."""
@@ -148,9 +190,11 @@
         ``on_done`` gets the Call and its CallOutcome exactly once, after this method
         has returned.
         """
+        member = self.members[searcher_id]
+        member.pool.kept = self.share(member).kept
         call = Call(
             fleet=self,
-            member=self.members[searcher_id],
+            member=member,
             request=request,
             request_id=request_id,
             work_s=work_s,
--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -9,6 +9,9 @@
 
 # Opening a connection takes 6 ms plus a round trip between regions.
 CONNECT_TIMEOUT_S = 0.3
+# How long a connection beyond those that are kept may be idle. Requests often come in
+# short succession, and a connection counts at its searcher until it is closed.
+EXTRA_IDLE_S = 0.8
 
 
 class SearcherPool:
@@ -19,6 +22,7 @@
         self.names = names
         self.idle = []  # most recently used last
         self.count = 0  # open connections and those being opened
+        self.kept = 1  # idle connections that are kept until they expire
         self.retired = False
 
     # ---- Queries ------------------------------------------------------------------
@@ -83,6 +87,22 @@
             now = asyncio.get_running_loop().time()
             connection.usable_until = now + reader.idle_limit_s()
         self.idle.append(connection)
+        if len(self.idle) > self.kept:
+            self._expire_early(connection)
+
+    def _expire_early(self, connection):
+        loop = asyncio.get_running_loop()
+        extra_until = loop.time() + EXTRA_IDLE_S
+        if extra_until < connection.usable_until:
+            connection.usable_until = extra_until
+            loop.call_later(EXTRA_IDLE_S, self._close_expired, connection)
+
+    def _close_expired(self, connection):
+        """Closes a connection unless it has been used since it was to expire."""
+        now = asyncio.get_running_loop().time()
+        if connection in self.idle and not self._usable(connection, now):
+            self.idle.remove(connection)
+            connection.close()
 
     def discard(self, connection):
         """Closes a connection."""
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -7,6 +7,7 @@
 from plantainstage._gateway.pool import SearcherPool
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import ServingConfiguration
+from plantainstage._serving.connection_shares import HostCounts
 from plantainstage._serving.retry_budget import RetryBudget, RetryBudgetLimits
 from plantainstage._serving.routes import RouteTable
 from plantainstage._serving.splitting import WeightedRoundRobin
@@ -27,13 +28,16 @@
         budget_limits: RetryBudgetLimits,
         events,
         make_pool=None,
+        host_id: str = "",
     ):
         self.names = names
         self.budget_limits = budget_limits
         self.events = events
         self.metrics = GatewayMetrics()
         make_pool = make_pool or partial(SearcherPool, names=names)
-        self.fleet = Fleet(data_centre=data_centre, make_pool=make_pool)
+        self.fleet = Fleet(
+            data_centre=data_centre, make_pool=make_pool, host_id=host_id
+        )
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
         self.metrics.dropped_lines.set_function(lambda: events.dropped_total)
@@ -55,21 +59,25 @@
             return False
         self.table = RouteTable(configuration=configuration)
         caps = {s.name: s.connections for s in configuration.services}
-        self.fleet.connection_caps = caps
+        self.fleet.set_limits(caps=caps)
         self.round_robins = {}
         return True
 
-    def set_hosts(self, hosts: int):
-        """Divides connection limits and retry budgets among ``hosts`` entry hosts."""
-        self.fleet.hosts = max(1, hosts)
+    def set_hosts(self, hosts: HostCounts):
+        """Divides connection limits and retry budgets among the entry hosts."""
+        if hosts == self.fleet.hosts:
+            return
+        self.fleet.set_limits(hosts=hosts)
         for budget in self.budgets.values():
-            budget.hosts = self.fleet.hosts
+            budget.hosts = hosts.total
 
     def budget(self, service: str) -> RetryBudget:
         """Returns this host's share of the retry budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RetryBudget(limits=self.budget_limits, hosts=self.fleet.hosts)
+            budget = RetryBudget(
+                limits=self.budget_limits, hosts=self.fleet.hosts.total
+            )
             self.budgets[service] = budget
         return budget
 
--- a/src/plantainstage/_serving/control_sources.py
+++ b/src/plantainstage/_serving/control_sources.py
@@ -8,11 +8,13 @@
 replicas.
 """
 
+from collections import Counter
 from dataclasses import dataclass, replace
 
 import xxhash
 
 from plantainstage._messages.serving import SourceReport
+from plantainstage._serving.connection_shares import HostCounts
 
 # A replica is polled directly once no preferred one was in touch with it for this
 # time. It is longer than a poll between replicas with its time-out, and leaves most
@@ -96,14 +98,13 @@
         ]
         return min(replying, key=self._rank, default="")
 
-    def hosts(self, now: float) -> int:
-        """Returns the number of entry hosts that all replicas count together."""
-        counted = sum(
-            source.hosts
-            for source in self.sources.values()
-            if now - source.seen_at < HOST_COUNT_RETENTION_S
-        )
-        return max(1, counted)
+    def hosts(self, now: float) -> HostCounts:
+        """Returns the entry hosts that all replicas count together."""
+        counts = Counter()
+        for source in self.sources.values():
+            if source.hosts and now - source.seen_at < HOST_COUNT_RETENTION_S:
+                counts[source.data_centre] += source.hosts
+        return HostCounts(by_data_centre=counts or {self.data_centre: 1})
 
     def data_centre_of(self, address: str) -> str:
         """Returns the data centre of a replica; empty if it is not known yet."""
