Give each process up to one retry token per service at its start

Cause: the bucket of retry tokens started empty and gains 0.18 of a token per request. Of 191 hosts at the large deployment each one sees a request to all shards in two or three seconds, so that for its first 12 to 18 s no shard could be hedged, while about one in twenty searchers pauses at any time.

Change: a process starts with up to one token a service, at most half of its share of the slack; what a bucket holds at most is reduced by that, so that a restart of all hosts stays within the budget.

New scenarios: restart of all hosts with 6, 70 and 191 hosts; one extra request after the first request (fails before).

--- a/features/behaviour/serving_decisions.feature
+++ b/features/behaviour/serving_decisions.feature
@@ -13,6 +13,25 @@
       | bursts and pauses            | 2    |
       | a load with hosts that restart | 3  |
 
+  Scenario Outline: A restart of all hosts at once stays within the retry budget
+    # Guards against tokens of new processes that add up with what the processes before
+    # them have spent.
+    Given <hosts> entry hosts that share a budget of 0.2 of the requests plus <slack>
+    When they serve a load with one restart of all for 60 s and retry as often as allowed, with seed <seed>
+    Then no window of 10 s has more extra requests than the budget allows
+
+    Examples:
+      | hosts | slack | seed |
+      | 6     | 52    | 1    |
+      | 70    | 180   | 2    |
+      | 191   | 422   | 3    |
+
+  Scenario: A host that sees few requests can hedge the first one
+    # Guards against hosts of a large tier that have no token for a large part of their
+    # life, since each of them sees few requests.
+    Given 191 entry hosts that share a budget of 0.2 of the requests plus 422
+    Then each host may send an extra request after its first request, but not two
+
   Scenario: Scarce retries go to few requests, which can then be completed
     # Guards against a budget that is spread over so many requests that none of them
     # gets all the retries it needs.
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -30,6 +30,7 @@
 
 WINDOW_S = 10.0
 STEP_S = 0.02
+RESTART_AT_S = 30.0  # of all hosts
 NEAR, FAR = "dc-1", "dc-2"
 WORK_S = 0.02
 
@@ -60,6 +61,11 @@
     context.requests, context.extras = [], []
     for number in range(round(seconds / STEP_S)):
         now = number * STEP_S
+        if load.endswith("restart of all") and now == RESTART_AT_S:
+            context.budgets = [
+                RetryBudget(limits=context.limits, hosts=len(context.budgets))
+                for _ in context.budgets
+            ]
         for index, budget in enumerate(context.budgets):
             if load.endswith("restart") and source.random() < 0.002:
                 budget = RetryBudget(limits=context.limits, hosts=len(context.budgets))
@@ -87,6 +93,14 @@
         assert len(window) <= allowed, (at, len(window), allowed)
 
 
+@then("each host may send an extra request after its first request, but not two")
+def step_first_hedge(context):
+    for budget in context.budgets:
+        budget.count_request()
+        assert budget.take()
+        assert not budget.take()
+
+
 @given("a budget with half of its tokens left")
 def step_half_budget(context):
     context.budget = RetryBudget(
