Bound the memory of replies that a host is receiving

Cause: bytes without end from a searcher were bounded for one reply (64 KiB of head, 16 MiB of body) but not for all of them. Twelve shards that send such bodies to one request made a host hold 201 MB, more than a small host has, so that the process would be killed with all its other requests. An unexpected exception while a reply is read left its exchange open until the deadline and its connection counted for good.

Change: replies in progress share 32 MiB; a reply beyond it ends like one that cannot be parsed, and its request is tried elsewhere if that is allowed. An unexpected exception ends the exchange with a log line.

--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -36,6 +36,52 @@
       | resets                          |
       | fails                           |
 
+  Scenario Outline: A searcher that <fault> costs neither memory nor the request
+    # Guards against a host that reads such bytes until its memory is used up, and
+    # against a caller that waits for their end.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And a searcher "s-2" of "cards"
+    And 60 requests to "/read/x" were served before
+    And the searcher "s-1" <fault>
+    When 6 callers send GET "/read/x" one after the other
+    Then each caller gets 200 with the answer of "s-2"
+    And the host has closed each connection to "s-1" that was used for that
+    And it has read at most 24 MiB a reply from "s-1"
+
+    Examples:
+      | fault                             |
+      | sends a line without end          |
+      | sends a head without end          |
+      | sends a body without end          |
+      | sends chunks without end          |
+      | sends a chunk size without end    |
+      | sends interim replies without end |
+      | sends a head slowly without end   |
+
+  Scenario Outline: An at-most-once request to a searcher that <fault> is not sent again
+    # Guards against a second run, since the bytes tell nothing of the first.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And a searcher "s-2" of "cards"
+    And all searchers <fault>
+    When a caller sends POST "/card/x" with body "book"
+    Then the caller gets <status>
+    And 1 searchers got the request
+
+    Examples:
+      | fault                           | status |
+      | sends a line without end        | 502    |
+      | sends a body without end        | 502    |
+      | sends a head slowly without end | 504    |
+
+  Scenario: Replies without end of many searchers together use a bounded amount of memory
+    # Guards against a host whose memory is used up by replies that are each within the
+    # limit.
+    Given a routed tier with one searcher for each of 12 shards
+    And all searchers sends a body without end
+    When a caller sends GET "/all/x"
+    Then the caller gets 502
+    And the host has held at most 48 MiB of replies
+
   Scenario: A reply without a length is complete when its connection closes cleanly
     # Guards against the rejection of replies that are delimited by the connection.
     Given a routed tier with a searcher "s-1" of "cards"
--- a/features/steps/connection_share_steps.py
+++ b/features/steps/connection_share_steps.py
@@ -9,6 +9,7 @@
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.header_names import HeaderNames
 from plantainstage._gateway.pool import SearcherPool
+from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._serving.connection_shares import HostCounts
 from plantainstage._serving.searchers import Searcher
 
@@ -50,7 +51,7 @@
                 host_id=host_id,
                 data_centre=place,
                 make_pool=lambda searcher: SearcherPool(
-                    searcher=searcher, names=HeaderNames()
+                    searcher=searcher, names=HeaderNames(), memory=ReplyMemory()
                 ),
             )
             for number, data_centre in enumerate(context.data_centres[:places]):
@@ -95,7 +96,9 @@
 
 @given("a searcher to which this host keeps {kept:d} connection")
 def step_pool(context, kept):
-    context.pool = SearcherPool(searcher=searcher_in("dc-0", 0), names=HeaderNames())
+    context.pool = SearcherPool(
+        searcher=searcher_in("dc-0", 0), names=HeaderNames(), memory=ReplyMemory()
+    )
     context.pool.kept = kept
 
 
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -12,6 +12,7 @@
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.header_names import HeaderNames
 from plantainstage._gateway.pool import SearcherPool
+from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._serving import placement
 from plantainstage._serving.configuration import (
     OneOf,
@@ -337,7 +338,7 @@
 
 @given('an entry host that knows "{searcher_id}" of "{service}"')
 def step_fleet(context, searcher_id, service):
-    make_pool = partial(SearcherPool, names=HeaderNames())
+    make_pool = partial(SearcherPool, names=HeaderNames(), memory=ReplyMemory())
     context.fleet = Fleet(data_centre=NEAR, make_pool=make_pool)
     known = msgspec.structs.replace(
         announcement("ready", 1, 1), searcher_id=searcher_id, service=service
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import json
 import socket
@@ -24,6 +25,7 @@
 
 HANG_LIMIT_S = 30
 NAMES = HeaderNames()
+FILL = b"f" * 65536
 
 
 @dataclass(kw_only=True)
@@ -93,6 +95,8 @@
         self.connections = 0
         self.writers = []
         self.closed_early = 0
+        self.endless = 0  # replies without end that have begun
+        self.endless_bytes = 0
         self.record = searcher_id.encode().ljust(16, b".")
         self.behave = answer_whole
         self.rejects_early = False  # before the body has been read
@@ -248,7 +252,65 @@
     writer.close()
 
 
+async def send_until_closed(searcher, writer, head, piece):
+    """Sends ``head``, then ``piece`` again and again until the caller closes."""
+    writer.write(head)
+    searcher.endless += 1
+    with contextlib.suppress(ConnectionError):  # the caller has closed
+        while not writer.is_closing():
+            writer.write(piece)
+            searcher.endless_bytes += len(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
+async def send_endless_line(searcher, request, writer):
+    await send_until_closed(searcher, writer, b"HTTP/1.1 200 OK\r\nX-Fill: ", FILL)
+
+
+async def send_endless_head(searcher, request, writer):
+    line = b"X-Fill: " + FILL[:200] + b"\r\n"
+    await send_until_closed(searcher, writer, reply_head(searcher, request), line * 50)
+
+
+async def send_endless_body(searcher, request, writer):
+    head = reply_head(searcher, request) + b"\r\n"
+    await send_until_closed(searcher, writer, head, FILL)
+
+
+async def send_endless_chunks(searcher, request, writer):
+    extra = ["Transfer-Encoding: chunked"]
+    head = reply_head(searcher, request, extra=extra) + b"\r\n"
+    chunk = b"%x\r\n" % len(FILL) + FILL + b"\r\n"
+    await send_until_closed(searcher, writer, head, chunk)
+
+
+async def send_endless_chunk_size(searcher, request, writer):
+    extra = ["Transfer-Encoding: chunked"]
+    head = reply_head(searcher, request, extra=extra) + b"\r\n"
+    await send_until_closed(searcher, writer, head, b"0" * len(FILL))
+
+
+async def send_endless_interim(searcher, request, writer):
+    await send_until_closed(searcher, writer, b"", b"HTTP/1.1 103 Wait\r\n\r\n" * 20)
+
+
+async def send_slow_head(searcher, request, writer):
+    """Sends a byte of a head now and then, without an end."""
+    writer.write(b"HTTP/1.1 200 OK\r\n")
+    while not writer.is_closing():
+        writer.write(b"X")
+        await asyncio.sleep(0.02)
+
+
 BEHAVIOURS = {
+    "sends a line without end": send_endless_line,
+    "sends a head without end": send_endless_head,
+    "sends a body without end": send_endless_body,
+    "sends chunks without end": send_endless_chunks,
+    "sends a chunk size without end": send_endless_chunk_size,
+    "sends interim replies without end": send_endless_interim,
+    "sends a head slowly without end": send_slow_head,
     "answers": answer_whole,
     "never answers": answer_without_end,
     "cuts its answers short": answer_cut_short,
--- a/src/plantainstage/_gateway/connection.py
+++ b/src/plantainstage/_gateway/connection.py
@@ -2,6 +2,8 @@
 
 import re
 
+from tornado.httputil import HTTPInputError
+
 from plantainstage._gateway.messages import LoadReport, SearcherReply
 from plantainstage._transport.http_connection import HttpConnection, ReplyReader
 
@@ -20,10 +22,12 @@
     duplicate reply late, where the reply to the next request is expected.
     """
 
-    def __init__(self, *, names, request_id):
+    def __init__(self, *, names, request_id, memory):
         super().__init__(None)
         self.names = names
         self.request_id = request_id
+        self.memory = memory
+        self.taken_bytes = 0
         self.reason = ""
         self.headers = None
 
@@ -32,6 +36,17 @@
         self.reason = start_line.reason
         self.headers = headers
 
+    def data_received(self, chunk):
+        if not self.memory.take(len(chunk)):
+            raise HTTPInputError("replies use too much memory")
+        self.taken_bytes += len(chunk)
+        super().data_received(chunk)
+
+    def release_memory(self):
+        """Returns the memory of the reply; called once the exchange has ended."""
+        self.memory.release(self.taken_bytes)
+        self.taken_bytes = 0
+
     def is_mismatched(self):
         """Whether the reply echoes the id of another request."""
         echoed = self.headers.get(self.names.request_id)
--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -5,6 +5,7 @@
 from plantainstage._errors import ExchangeError
 from plantainstage._gateway.connection import SearcherConnection, SearcherReplyReader
 from plantainstage._gateway.messages import CallFailure, FailureKind
+from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._serving.searchers import Searcher
 
 # Opening a connection takes 6 ms plus a round trip between regions.
@@ -17,9 +18,10 @@
 class SearcherPool:
     """Idle and busy connections to one start of a searcher."""
 
-    def __init__(self, *, searcher: Searcher, names):
+    def __init__(self, *, searcher: Searcher, names, memory: ReplyMemory):
         self.searcher = searcher
         self.names = names
+        self.memory = memory  # shared by all pools of a host
         self.idle = []  # most recently used last
         self.count = 0  # open connections and those being opened
         self.kept = 1  # idle connections that are kept until they expire
@@ -63,9 +65,12 @@
 
     def exchange(self, connection, *, request, request_id, on_done):
         """Sends a request; ``on_done`` gets a SearcherReply or a CallFailure."""
-        reader = SearcherReplyReader(names=self.names, request_id=request_id)
+        reader = SearcherReplyReader(
+            names=self.names, request_id=request_id, memory=self.memory
+        )
 
         def done(outcome):
+            reader.release_memory()
             if isinstance(outcome, ExchangeError):
                 sent = outcome.bytes_sent
                 kind = FailureKind.BROKEN if sent else FailureKind.UNREACHABLE
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -5,6 +5,7 @@
 
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.pool import SearcherPool
+from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import ServingConfiguration
 from plantainstage._serving.connection_shares import HostCounts
@@ -34,7 +35,10 @@
         self.budget_limits = budget_limits
         self.events = events
         self.metrics = GatewayMetrics()
-        make_pool = make_pool or partial(SearcherPool, names=names)
+        self.reply_memory = ReplyMemory()
+        make_pool = make_pool or partial(
+            SearcherPool, names=names, memory=self.reply_memory
+        )
         self.fleet = Fleet(
             data_centre=data_centre, make_pool=make_pool, host_id=host_id
         )
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -11,6 +11,7 @@
 from functools import lru_cache
 
 import msgspec
+from loguru import logger
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.iostream import StreamClosedError
@@ -254,6 +255,10 @@
             complete = end.value
         except StreamClosedError:
             complete = None
+        except Exception:
+            # The bytes of one searcher must not end more than its own exchange.
+            logger.exception("reply could not be read", address=self.address)
+            complete = False
         self.read_coroutine = None
         if complete is None:
             self._fail(self.close_reason)
