Keep serving after unexpected errors and malformed messages between processes

Cause: each exception in a handler ended one of the 64 workers of a server between processes; after 64 of them it accepted requests and replied to none. An exception while a frame between replicas was handled ended the task that receives all frames. Messages were received up to any size.

Change: such a request gets OutcomeUnknown, not a rejection, since it may have had an effect; the frame is dropped; both are logged with their trace. Messages of more than 24 MiB end their connection.

Result: new scenarios in control_calls.feature: 200 failing requests and a failing frame (both failed before with a timeout), 300 random and 300 altered messages on each kind of socket (passed before too).

--- a/features/behaviour/control_calls.feature
+++ b/features/behaviour/control_calls.feature
@@ -17,3 +17,39 @@
     Given a control replica that is down, and one that leads
     When the first is called with an attempt timeout as long as the timeout of the call
     Then the reply is from the second one
+
+  Scenario: A handler that fails on a request does not end the server
+    # Guards against a server that loses a worker with each unexpected error and in the
+    # end replies to nobody, and against a failed request that is taken as not executed.
+    Given a server whose handler fails on each request but those for version 7
+    When 200 requests fail
+    Then each of them has an unknown outcome
+    And a request for version 7 is answered
+
+  Scenario Outline: Bytes that are no request do not end the server
+    # Guards against a process that one malformed message takes down.
+    Given a server whose handler fails on each request but those for version 7
+    When 300 messages of <kind> are sent to it, with seed <seed>
+    Then a request for version 7 is answered
+
+    Examples:
+      | kind              | seed |
+      | random bytes      | 1    |
+      | altered requests  | 2    |
+
+  Scenario Outline: Bytes that are no frame do not end the link between replicas
+    # Guards against a replica that no longer hears its group after a malformed frame.
+    Given the receiving end of a link between replicas
+    When 300 frames of <kind> are sent to it, with seed <seed>
+    Then a valid frame is received
+
+    Examples:
+      | kind            | seed |
+      | random bytes    | 3    |
+      | altered frames  | 4    |
+
+  Scenario: A frame whose handling fails does not end the link between replicas
+    # Guards against a replica that no longer hears its group after one unexpected error.
+    Given the receiving end of a link between replicas, which fails on the first frame
+    When 1 frames of valid content are sent to it, with seed 5
+    Then a valid frame is received
--- a/src/plantainstage/_control/peer_links.py
+++ b/src/plantainstage/_control/peer_links.py
@@ -203,7 +203,11 @@
             except (pynng.NNGException, msgspec.MsgspecError) as error:
                 logger.warning("invalid peer frame dropped", error=repr(error))
                 continue
-            self._handle_envelope(envelope)
+            try:
+                self._handle_envelope(envelope)
+            except Exception:
+                # Without this task the replica would no longer hear its group.
+                logger.exception("peer frame failed", sender=str(envelope.sender))
 
     def _handle_envelope(self, envelope):
         self._link(envelope.reply_address).record_received(envelope, self.process)
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -30,6 +30,10 @@
 # whose connection was lost is asked again well within a lease of 2 s.
 AVOID_LOST_S = 0.8
 
+# Limits what a peer in trouble can make a process receive; the largest message holds a
+# configuration document.
+MAX_MESSAGE_BYTES = 24 * 1024 * 1024
+
 _encoder = msgspec.msgpack.Encoder()
 CONTROL_REQUEST_DECODER = msgspec.msgpack.Decoder(control.ControlRequest)
 CONTROL_REPLY_DECODER = msgspec.msgpack.Decoder(control.ControlReply)
@@ -45,7 +49,7 @@
 
     ``handler`` takes a request that ``request_decoder`` has decoded and returns a
     reply. A request that cannot be decoded gets ``RequestRejected`` and does not
-    affect other requests.
+    affect other requests, and neither does one whose handler fails.
     """
 
     def __init__(
@@ -67,7 +71,7 @@
 
     def start(self):
         """Listens and starts the workers; raises pynng.AddressInUse."""
-        self.socket = pynng.Rep0()
+        self.socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         try:
             self.socket.listen(nng_url(self.address))
         except pynng.NNGException:
@@ -131,7 +135,12 @@
                 message=f"The request could not be decoded: {error}.",
                 remedy="Use the same release of plantainstage on both sides.",
             )
-        return await self.handler(request)
+        try:
+            return await self.handler(request)
+        except Exception:
+            # One request must not end a worker, which serves many others.
+            logger.exception("request handler failed", request=type(request).__name__)
+            return control.OutcomeUnknown()
 
 
 class RpcClient:
@@ -164,6 +173,7 @@
         if self.socket is None:
             self.socket = socket = pynng.Req0(
                 resend_time=RESEND_TIME_MS,
+                recv_max_size=MAX_MESSAGE_BYTES,
                 reconnect_time_min=RECONNECT_MIN_MS,
                 reconnect_time_max=self.reconnect_max_ms,
             )
