Test that requests which arrive during a stop of an entry host are answered

A stop of an entry host was tested with a running request only. The new scenario also covers a request on a kept connection, one on a new connection and an idle connection. It passes without a change of the program.

--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -161,6 +161,17 @@
     Then the caller gets 200 with the answer of "s-1"
     And the entry host reports that it is not ready, and exits
 
+  Scenario: Requests that arrive during a stop are answered and idle connections closed
+    # Guards against a stop that cuts off requests which were just accepted, on kept and
+    # on new connections, and against one that waits for callers to close.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And 2 callers with a connection that is kept open after an answer
+    When the entry host is stopped
+    Then a request on the first connection and one on a new connection are answered
+    And both answers tell the caller to close the connection
+    And the second connection is closed without an answer
+    And the stop ends
+
   Scenario: An error while searchers are updated does not keep a host at an old version
     # Guards against a host that refuses routes of later versions with 404 permanently:
     # a forged announcement ended the tasks that poll control (hunt-796c-31).
