Repair bench/capacity.py, which lacked a parameter of ControlContext.build

Cause: keep_bytes was added to ControlContext.build without its call in the benchmark, which has ended with a TypeError since. Change: the benchmark passes the default.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -243,6 +243,7 @@
             machine=self.machine,
             clock=time.monotonic,
             wall_ms=lambda: round(time.time() * 1000),
+            keep_bytes=commands.DEFAULT_KEEP_BYTES,
         )
         version = self.machine.state.version
         requests = [
