Write no log lines to a descriptor after its log writer was closed

Cause: LineWriter.close() returns after its timeout although lines are left. Its thread then went on writing to the number of the descriptor, which may belong to another file or connection once the owner has closed it.

Change: the thread ends after the write in progress; lines that are left are lost.

Result: the new scenario fails before (the thread writes to the other pipe) and passes now.

--- a/features/behaviour/logs.feature
+++ b/features/behaviour/logs.feature
@@ -55,3 +55,10 @@
     Given a log writer on a full disk that has lost 3 lines
     When the disk has room again and one more line is logged
     Then the log holds that line after a count of 3 lost lines
+
+  Scenario: A log writer that was closed on a full pipe writes nothing more
+    # Guards against log lines in another file or connection that got the number of the
+    # closed descriptor.
+    Given a log writer on a full pipe
+    When it is closed with lines left, and its descriptor belongs to another pipe
+    Then the other pipe gets no log line
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -183,3 +183,26 @@
         {"event": "log lines lost", "lost": count},
         {"event": "late"},
     ], context.lines
+
+
+@when("it is closed with lines left, and its descriptor belongs to another pipe")
+def close_full_writer(context):
+    line = json.dumps({"event": "filler", "text": "x" * 1000})
+    for _ in range(MAX_PENDING_BYTES // len(line)):
+        context.writer.put(line)
+    context.writer.close(timeout_s=0.01)
+    other_reader, other_writer = os.pipe()
+    os.dup2(other_writer, context.pipe)
+    os.close(other_writer)
+    # Ends the write that blocks on the first pipe.
+    os.close(context.reader)
+    context.writer.thread.join(60)
+    os.close(context.pipe)
+    context.written = os.read(other_reader, 65536)
+    os.close(other_reader)
+
+
+@then("the other pipe gets no log line")
+def check_nothing_written(context):
+    assert not context.writer.thread.is_alive()
+    assert context.written == b"", context.written[:200]
--- a/src/plantainstage/_programs/line_writer.py
+++ b/src/plantainstage/_programs/line_writer.py
@@ -21,6 +21,7 @@
         self.pending_bytes = 0
         self.lost = 0
         self.closing = False
+        self.closed = False  # nothing more may be written
         self.line_incomplete = False
         self.changed = threading.Condition()
         self.thread = threading.Thread(target=self._run, name="log-writer", daemon=True)
@@ -38,11 +39,17 @@
             self.changed.notify()
 
     def close(self, timeout_s=CLOSE_TIMEOUT_S):
-        """Writes the pending lines, for at most ``timeout_s``."""
+        """Writes the pending lines, for at most ``timeout_s``.
+
+        Lines that are left are lost: the owner may close the descriptor now, and its
+        number may then belong to another file.
+        """
         with self.changed:
             self.closing = True
             self.changed.notify()
         self.thread.join(timeout_s)
+        with self.changed:
+            self.closed = True
 
     def _run(self):
         while (data := self._next()) is not None:
@@ -52,7 +59,7 @@
         with self.changed:
             while not self.pending and not self.closing:
                 self.changed.wait()
-            if not self.pending:
+            if self.closed or not self.pending:
                 return None
             data = self.pending.popleft()
             self.pending_bytes -= len(data)
@@ -76,7 +83,7 @@
         if self.line_incomplete:
             # A failed write cut an earlier line; a new line must not be appended to it.
             data = b"\n" + data
-        while data:
+        while data and not self.closed:
             written = os.write(self.descriptor, data)
             self.line_incomplete = written < len(data)
             data = data[written:]
