Record departures at replicas to which the searcher never announced itself

Cause: a replica acknowledged the departure of a searcher that it did not know and did nothing, so that hosts went on sending to it. A searcher may report its departure to another replica than the one that hears it.

Change: the replica looks the searcher up among what the other replicas hear, records the departure for that start and passes it on as usual. A mirror keeps what it last heard of a searcher that has fallen silent, for this.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -70,6 +70,18 @@
     When the polled replica is stopped, and "s-1" announces to another that it drains
     Then the host sends no requests to "s-1"
 
+  Scenario: A departure counts at a replica to which the searcher never announced itself
+    # Guards against an acknowledged departure without effect, after which the searcher
+    # gets requests until it exits.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    And an entry host that polls one replica
+    When a searcher "s-1" announces itself to a replica that the host does not poll
+    Then the host sends requests to "s-1"
+    When "s-1" reports its departure to the replica that the host polls
+    Then the host sends no requests to "s-1"
+    And announcements of the same start do not bring "s-1" back
+
   Scenario: A replica takes a newer configuration that its log does not deliver
     # Guards against an old configuration on the hosts that poll a replica whose own log
     # is behind, for example because its disk stalls.
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from plantainstage._serving.searchers import SearcherState
 from steps.routed_control_steps import addresses, document
 from support.routed_tier import StandInSearcher
 
@@ -89,3 +90,20 @@
 def step_follower_reports(context, version):
     machine = context.follower.machine
     context.tier.wait_for(lambda: machine.newest.version == version, "the version")
+
+
+@when('"{searcher_id}" reports its departure to the replica that the host polls')
+def step_depart(context, searcher_id):
+    path = f"/v1/searchers/{searcher_id}/departure"
+    work = context.tier.call_control(context.polled, "POST", path)
+    assert context.tier.run(work).status == 200
+
+
+@then('announcements of the same start do not bring "{searcher_id}" back')
+def step_not_back(context, searcher_id):
+    for address in addresses(context):
+        work = context.tier.announce(context.searcher, address=address)
+        assert context.tier.run(work).status == 200
+        entry = daemon_at(context, address).register.entries[searcher_id]
+        assert entry.searcher.state is SearcherState.LEFT, entry
+    assert searcher_id not in context.host.router.fleet.members
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -253,7 +253,9 @@
     async def handle_departure(self, searcher_id: str):
         """Records the departure of a searcher and notifies the peers of it."""
         now = asyncio.get_running_loop().time()
-        left = self.register.record_departure(searcher_id, now)
+        left = self.register.record_departure(
+            searcher_id, now, heard_elsewhere=self.relay.find(searcher_id)
+        )
         if left is not None:
             self.events.log_event("searcher_leaves", searcher=searcher_id, state="left")
             await asyncio.gather(self._notify_peers(left), self._write_recent())
--- a/src/plantainstage/_registry/mirror.py
+++ b/src/plantainstage/_registry/mirror.py
@@ -16,11 +16,12 @@
 class MirroredSearcher:
     """A searcher as another replica hears it; ``change`` is on that one's cursor.
 
-    ``searcher`` is None for a silent one: nothing but its silence is passed on.
+    ``searcher`` is None if the replica reported it as silent at first.
     """
 
     searcher: Searcher | None
     change: int
+    silent: bool
 
 
 class SourceMirror:
@@ -58,9 +59,13 @@
         if report.process != self.process:
             self.searchers.clear()
         for searcher in report.searchers:
-            self._note(searcher.searcher_id, searcher, report.cursor)
+            self.searchers[searcher.searcher_id] = MirroredSearcher(
+                searcher=searcher, change=report.cursor, silent=False
+            )
         for searcher_id in report.silent:
-            self._note(searcher_id, None, report.cursor)
+            self.searchers[searcher_id] = MirroredSearcher(
+                searcher=self.find(searcher_id), change=report.cursor, silent=True
+            )
         self.report = msgspec.structs.replace(report, searchers=(), silent=())
         self.updated_at = now
 
@@ -72,16 +77,18 @@
             return None
         since = cursor if process == self.process else 0
         changed = {
-            searcher_id: entry.searcher
+            searcher_id: entry
             for searcher_id, entry in self.searchers.items()
             if entry.change > since
         }
         return msgspec.structs.replace(
             self.report,
             age_ms=round((now - self.updated_at) * 1000),
-            searchers=tuple(s for s in changed.values() if s is not None),
-            silent=tuple(name for name, s in changed.items() if s is None),
+            searchers=tuple(e.searcher for e in changed.values() if not e.silent),
+            silent=tuple(name for name, e in changed.items() if e.silent),
         )
 
-    def _note(self, searcher_id, searcher, change):
-        self.searchers[searcher_id] = MirroredSearcher(searcher=searcher, change=change)
+    def find(self, searcher_id: str) -> Searcher | None:
+        """Returns the newest announcement of a searcher that the replica passed on."""
+        entry = self.searchers.get(searcher_id)
+        return entry.searcher if entry is not None else None
--- a/src/plantainstage/_registry/register.py
+++ b/src/plantainstage/_registry/register.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from plantainstage._serving.searchers import Searcher, SearcherState, differs, newer
 
 # Heartbeat intervals without an announcement after which a searcher counts as silent.
@@ -65,22 +67,22 @@
             entry.change = self._next_change()
         return changed and searcher.state is not SearcherState.READY
 
-    def record_departure(self, searcher_id: str, now: float) -> Searcher | None:
-        """Records that a searcher has left; returns it if that was not yet known."""
+    def record_departure(
+        self, searcher_id: str, now: float, *, heard_elsewhere: Searcher | None
+    ) -> Searcher | None:
+        """Records that a searcher has left; returns it if that was not yet known.
+
+        ``heard_elsewhere`` is its newest announcement to another replica, since a
+        searcher may report its departure to a replica to which it never announced
+        itself.
+        """
         entry = self.entries.get(searcher_id)
-        if entry is None:
+        known = entry.searcher if entry is not None else heard_elsewhere
+        if known is None:
             return None
-        known = entry.searcher
-        left = Searcher(
-            searcher_id=known.searcher_id,
-            service=known.service,
-            address=known.address,
-            data_centre=known.data_centre,
-            slots=known.slots,
-            state=SearcherState.LEFT,
-            sequence=known.sequence,
-            started_at_ms=known.started_at_ms,
-        )
+        if heard_elsewhere is not None:
+            known = newer(known, heard_elsewhere)
+        left = msgspec.structs.replace(known, state=SearcherState.LEFT)
         return left if self.record_announcement(left, now) else None
 
     def expire(self, now: float):
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -14,6 +14,7 @@
 
 from plantainstage._messages import serving
 from plantainstage._registry.mirror import MIRROR_VALIDITY_S, SourceMirror
+from plantainstage._serving.searchers import Searcher, newer
 from plantainstage._supervision import run_supervised
 from plantainstage._transport.rpc import RpcClient
 
@@ -65,6 +66,15 @@
                 reports.append(report)
         return reports
 
+    def find(self, searcher_id: str) -> Searcher | None:
+        """Returns the newest announcement of a searcher that another replica heard."""
+        newest = None
+        for mirror in self.mirrors.values():
+            heard = mirror.find(searcher_id)
+            if heard is not None:
+                newest = newer(newest, heard)
+        return newest
+
     # ---- Commands -----------------------------------------------------------------
 
     async def run(self):
