Count the time to open a connection in the choice of a searcher

Cause: a host chose among searchers as if it were connected to all of them, although a connection takes 6 ms and a round trip, as much as a short request's work. Hosts that see few requests opened one for every fourth request.

Change: the expected latency includes the time to open a connection, measured at each searcher, unless one is idle.

New scenario, fails without the change.

--- a/bench/routed_model/pool.py
+++ b/bench/routed_model/pool.py
@@ -60,6 +60,14 @@
         """Whether a request can be sent with at most ``cap`` connections."""
         return self.count < cap or bool(self.idle)
 
+    def connect_s(self, now):
+        """Returns the time until a request can be sent."""
+        return 0.0 if self.idle else self._open_s
+
+    @property
+    def _open_s(self):
+        return self.model.spec.connect_ms / 1000 + 2 * self.delay_s
+
     # ---- Commands -----------------------------------------------------------------
 
     def take_idle(self, now):
@@ -74,7 +82,7 @@
                 await asyncio.sleep(OPEN_TIMEOUT_S)
                 self.count -= 1
                 return None
-            await asyncio.sleep(self.model.spec.connect_ms / 1000 + 2 * self.delay_s)
+            await asyncio.sleep(self._open_s)
         except asyncio.CancelledError:
             self.count -= 1
             raise
--- a/features/behaviour/serving_decisions.feature
+++ b/features/behaviour/serving_decisions.feature
@@ -128,6 +128,13 @@
     When the near searcher answers in 160 ms, 3 s after its last answer
     Then the far searcher is chosen with 0 requests at the near one
 
+  Scenario: The time to open a connection counts in the choice of a searcher
+    # Guards against hosts of a large tier that open a connection for almost every
+    # request, since all searchers look the same to them.
+    Given a near and a far searcher with 2 slots and a work time of 20 ms
+    Then the far searcher is chosen if opening a connection to the near one takes 40 ms
+    And the near searcher is chosen if opening a connection to each takes 40 ms
+
   Scenario Outline: The connections that hosts keep stay within what a searcher accepts
     # Guards against connections that a searcher resets, since more hosts than it
     # accepts connections each keep one.
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -225,10 +225,30 @@
 def step_chosen(context, expected, count):
     near = context.loads["near"]
     near.sent = {number: context.sent_at for number in range(count)}
-    choice = placement.choose(
-        context.loads.values(), now=context.now, work_s=WORK_S, data_centre=NEAR
+    assert chosen(context).load is context.loads[expected]
+
+
+@then(
+    "the far searcher is chosen if opening a connection to the near one takes {ms:d} ms"
+)
+def step_chosen_connected(context, ms):
+    assert chosen(context, near_connect_s=ms / 1000).load is context.loads["far"]
+
+
+@then("the near searcher is chosen if opening a connection to each takes {ms:d} ms")
+def step_chosen_unconnected(context, ms):
+    choice = chosen(context, near_connect_s=ms / 1000, far_connect_s=ms / 1000)
+    assert choice.load is context.loads["near"], choice
+
+
+def chosen(context, *, near_connect_s=0.0, far_connect_s=0.0):
+    candidates = [
+        placement.Candidate(load=context.loads["near"], connect_s=near_connect_s),
+        placement.Candidate(load=context.loads["far"], connect_s=far_connect_s),
+    ]
+    return placement.choose(
+        candidates, now=context.now, work_s=WORK_S, data_centre=NEAR
     )
-    assert choice.load is context.loads[expected], choice
 
 
 # ---- Gathers --------------------------------------------------------------------------
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -105,15 +105,15 @@
     def choose(self, service: str, *, tried, work_s: float) -> placement.Choice | None:
         """Returns the best untried searcher with room for a request, or None."""
         now = asyncio.get_running_loop().time()
-        loads = [
-            member.load
+        candidates = [
+            placement.Candidate(load=member.load, connect_s=member.pool.connect_s(now))
             for searcher_id, member in self.by_service.get(service, {}).items()
             if searcher_id not in tried
             and member.load.in_flight < self._request_limit(member)
             and member.pool.has_room(self.share(member).limit, now)
         ]
         return placement.choose(
-            loads, now=now, work_s=work_s, data_centre=self.data_centre
+            candidates, now=now, work_s=work_s, data_centre=self.data_centre
         )
 
     def share(self, member) -> ConnectionShare:
--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -10,6 +10,10 @@
 
 # Opening a connection takes 6 ms plus a round trip between regions.
 CONNECT_TIMEOUT_S = 0.3
+# Expected time to open a connection before any was opened, and the weight of each
+# measurement.
+INITIAL_CONNECT_S = 0.006
+CONNECT_TIME_WEIGHT = 0.3
 # How long a connection beyond those that are kept may be idle. Requests often come in
 # short succession, and a connection counts at its searcher until it is closed.
 EXTRA_IDLE_S = 0.8
@@ -24,6 +28,7 @@
         self.memory = memory  # shared by all pools of a host
         self.idle = []  # most recently used last
         self.count = 0  # open connections and those being opened
+        self.open_s = INITIAL_CONNECT_S  # average time to open a connection
         self.kept = 1  # idle connections that are kept until they expire
         self.retired = False
 
@@ -33,6 +38,12 @@
         """Whether a request can be sent without exceeding ``cap`` connections."""
         return self.count < cap or any(self._usable(c, now) for c in self.idle)
 
+    def connect_s(self, now):
+        """Returns the expected time until a request can be sent."""
+        if any(self._usable(c, now) for c in self.idle):
+            return 0.0
+        return self.open_s
+
     def _usable(self, connection, now):
         return connection.reusable and now < connection.usable_until
 
@@ -50,12 +61,17 @@
     async def open(self):
         """Returns a new connection, or None if it is refused or times out."""
         self.count += 1
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
         try:
-            return await SearcherConnection.open(
+            connection = await SearcherConnection.open(
                 address=self.searcher.address,
                 timeout_s=CONNECT_TIMEOUT_S,
                 on_closed=self._closed,
             )
+            elapsed_s = loop.time() - began_at
+            self.open_s += CONNECT_TIME_WEIGHT * (elapsed_s - self.open_s)
+            return connection
         except ExchangeError:
             self.count -= 1
             return None
--- a/src/plantainstage/_serving/placement.py
+++ b/src/plantainstage/_serving/placement.py
@@ -136,6 +136,17 @@
         self.failure_share_at = now
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """A searcher that may get a request, and the time to connect to it first.
+
+    ``connect_s`` is 0 if a connection is idle.
+    """
+
+    load: SearcherLoad
+    connect_s: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class Choice:
     """The selected searcher and its expected latency.
@@ -150,7 +161,7 @@
 
 
 def choose(
-    loads: Iterable[SearcherLoad],
+    candidates: Iterable[Candidate],
     *,
     now: float,
     work_s: float,
@@ -158,12 +169,16 @@
 ) -> Choice | None:
     """Returns the searcher with the least expected latency, or None if there is none.
 
-    Searchers that seem to be paused or are to be avoided rank after all others.
+    Searchers that seem to be paused or are to be avoided rank after all others. The
+    time to open a connection counts, so that a host with few requests stays with the
+    searchers to which it is connected.
     """
     best, best_rank = None, None
-    for load in loads:
+    for candidate in candidates:
+        load = candidate.load
         avoided = now < load.avoided_until or load.seems_paused(now, work_s)
-        rank = (avoided, load.expected_s(now, work_s, data_centre))
+        expected_s = candidate.connect_s + load.expected_s(now, work_s, data_centre)
+        rank = (avoided, expected_s)
         if best_rank is None or rank < best_rank:
             best, best_rank = load, rank
     if best is None:
