--- a/features/behaviour/control_sources.feature
+++ b/features/behaviour/control_sources.feature
@@ -3,7 +3,7 @@
   Scenario: Only the preferred replica is polled while it passes on the others' reports
     # Guards against traffic between data centres that grows with hosts times replicas.
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
-    When "a" replies at 0 s and was in touch with "b, c" 200 ms before
+    When "a" replies at 0 s and was in contact with "b, c" 200 ms before
     Then at 1 s the host polls "a"
     And the host counts itself at "a"
 
@@ -11,21 +11,21 @@
     # Guards against a departure or a version that does not reach a host during a
     # partition between replicas.
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
-    When "a" replies at 0 s and was in touch with "b, c" 0 ms before
-    And "a" replies at 1.5 s and was in touch with "b" 0 ms before
+    When "a" replies at 0 s and was in contact with "b, c" 0 ms before
+    And "a" replies at 1.5 s and was in contact with "b" 0 ms before
     Then at 2 s the host polls "a, c"
 
   Scenario: All replicas are polled once the preferred one stops replying
     # Guards against a host that waits for a replica which has stopped.
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
-    When "a" replies at 0 s and was in touch with "b, c" 0 ms before
+    When "a" replies at 0 s and was in contact with "b, c" 0 ms before
     Then at 2 s the host polls "a, b, c"
 
   Scenario: Without a replica nearby one remote replica is polled
     # Guards against replicas that each count as reported by another, so that none of
     # them is polled.
     Given an entry host in "dc-9" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
-    When each replica replies at 0 s and was in touch with all others 0 ms before
+    When each replica replies at 0 s and was in contact with all others 0 ms before
     Then at 1 s the host polls one replica
     And the host counts itself at the replica that it polls
 
@@ -33,17 +33,17 @@
     # Guards against a searcher that has left and is used again, since a replica passes
     # on what another one reported before that one was restarted.
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
-    When "c" reports process "new" of "b" at 1 s, in touch 100 ms before
-    And "a" reports process "old" of "b" at 1.2 s, in touch 900 ms before
+    When "c" reports process "new" of "b" at 1 s, in contact 100 ms before
+    And "a" reports process "old" of "b" at 1.2 s, in contact 900 ms before
     Then the host holds process "new" of "b"
-    When "a" reports process "new" of "b" at 2 s, in touch 100 ms before
+    When "a" reports process "new" of "b" at 2 s, in contact 100 ms before
     Then the host holds process "new" of "b"
 
   Scenario: A replica that was out of reach reports all its searchers again
     # Guards against the loss of healthy searchers that only this replica hears: they
     # were dropped while it was out of reach, and had not changed when it returned.
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
-    When "b" reports process "p" of "b" at 0 s, in touch 0 ms before
+    When "b" reports process "p" of "b" at 0 s, in contact 0 ms before
     Then at 1 s no replica is lost
     And at 3 s "b" is lost with process "p"
     And the host asks "b" for all searchers
--- a/features/steps/control_source_steps.py
+++ b/features/steps/control_source_steps.py
@@ -49,7 +49,7 @@
 
 
 @when(
-    '"{relay}" replies at {now:g} s and was in touch with "{others}" {age:d} ms before'
+    '"{relay}" replies at {now:g} s and was in contact with "{others}" {age:d} ms before'
 )
 def step_reply(context, relay, now, others, age):
     context.now = now
@@ -57,7 +57,7 @@
 
 
 @when(
-    "each replica replies at {now:g} s and was in touch with all others {age:d} ms before"
+    "each replica replies at {now:g} s and was in contact with all others {age:d} ms before"
 )
 def step_each_replies(context, now, age):
     context.now = now
@@ -90,7 +90,7 @@
 
 @when(
     '"{relay}" reports process "{process}" of "{address}" at {now:g} s, '
-    "in touch {age:d} ms before"
+    "in contact {age:d} ms before"
 )
 def step_reports_process(context, relay, process, address, now, age):
     passed_on = report(context, address, process=process, age_ms=age, cursor=7)
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -29,7 +29,7 @@
 
     ``silent`` lists searchers that have not announced themselves to the replica for a
     while. ``hosts`` is the number of entry hosts that count themselves at the replica.
-    ``age_ms`` is how long ago the replying replica was last in touch with it; 0 for
+    ``age_ms`` is how long ago the replying replica was last in contact with it; 0 for
     its own report.
     """
 
@@ -60,7 +60,7 @@
     """What has changed since the cursors of the poll.
 
     The first of ``sources`` is the replying replica; the others are those that it is
-    in touch with, so that the host need not poll them. ``replicas`` lists the
+    in contact with, so that the host need not poll them. ``replicas`` lists the
     addresses of all replicas.
     """
 
--- a/src/plantainstage/_registry/mirror.py
+++ b/src/plantainstage/_registry/mirror.py
@@ -7,7 +7,7 @@
 from plantainstage._messages import serving
 from plantainstage._serving.searchers import Searcher
 
-# Entry hosts poll a replica themselves when the one that they poll was not in touch
+# Entry hosts poll a replica themselves when the one that they poll was not in contact
 # with it for so long.
 MIRROR_VALIDITY_S = 1.4
 
@@ -47,7 +47,7 @@
         return self.report.cursor if self.report is not None else 0
 
     def is_current(self, now: float) -> bool:
-        """Whether this replica is in touch with the mirrored one."""
+        """Whether the mirrored replica was reachable recently."""
         return self.report is not None and now - self.updated_at <= MIRROR_VALIDITY_S
 
     def record(self, report: serving.SourceReport, now: float):
@@ -72,7 +72,7 @@
     def report_since(
         self, *, process: str, cursor: int, now: float
     ) -> serving.SourceReport | None:
-        """Returns the report for a host with this cursor, or None if out of touch."""
+        """Returns the report for a host with this cursor, or None if unreachable."""
         if not self.is_current(now):
             return None
         since = cursor if process == self.process else 0
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -52,7 +52,7 @@
     def reports(
         self, cursors: tuple[serving.SourceCursor, ...], now: float
     ) -> list[serving.SourceReport]:
-        """Returns the reports of the replicas in touch, for a host with ``cursors``."""
+        """Returns the reports of reachable replicas for a host with ``cursors``."""
         held = {cursor.address: cursor for cursor in cursors}
         reports = []
         for address, mirror in self.mirrors.items():
@@ -151,7 +151,7 @@
         return now if behind_since is None else behind_since
 
     def _note_failure(self, address, mirror, error):
-        """Forgets a replica that stays out of touch, and logs that once."""
+        """Forgets a replica that stays unreachable, and logs that once."""
         now = asyncio.get_running_loop().time()
         if mirror.report is None or now - mirror.updated_at < MIRROR_VALIDITY_S:
             return
--- a/src/plantainstage/_registry/sync.py
+++ b/src/plantainstage/_registry/sync.py
@@ -29,7 +29,7 @@
 
 
 class SyncService:
-    """Reports what this replica and the replicas in touch with it hear.
+    """Reports what this replica and the reachable other ones hear.
 
     ``relay`` holds the reports of the others, ``addresses()`` returns the sync
     addresses of all replicas.
--- a/src/plantainstage/_serving/control_sources.py
+++ b/src/plantainstage/_serving/control_sources.py
@@ -4,7 +4,7 @@
 so that a host has to poll only one, in its own data centre if possible: with polls of
 every replica, the traffic between data centres would grow with the product of hosts
 and replicas. A host polls a further replica itself as soon as no replica that it
-prefers has been in touch with it recently, for example during a partition between
+prefers has been in contact with it recently, for example during a partition between
 replicas.
 """
 
@@ -16,7 +16,7 @@
 from plantainstage._messages.serving import SourceReport
 from plantainstage._serving.connection_shares import HostCounts
 
-# A replica is polled directly once no preferred one was in touch with it for this
+# A replica is polled directly once no preferred one was in contact with it for this
 # time. It is longer than a poll between replicas with its time-out, and leaves most
 # of the 3 s within which a departure must take effect.
 RELAYED_FOR_S = 1.6
@@ -59,7 +59,7 @@
     """All control replicas known to an entry host.
 
     For example, a host in ``dc-1`` that got a reply from replica ``a`` in ``dc-1``
-    does not poll ``b`` in ``dc-2`` while ``a`` is in touch with it::
+    does not poll ``b`` in ``dc-2`` while ``a`` is in contact with it::
 
         sources = ControlSources(host_id="h", data_centre="dc-1")
         sources.record_reply("a", now=0.0)
@@ -71,7 +71,7 @@
         self.host_id = host_id
         self.data_centre = data_centre
         self.sources = {}  # address -> ControlSource
-        self.relayed_at = {}  # (relay, address) -> when the relay was in touch with it
+        self.relayed_at = {}  # (relay, address) -> time of their last contact
 
     # ---- Queries ------------------------------------------------------------------
 
@@ -135,7 +135,7 @@
         """Records a report that ``relay`` passed on, or made on itself.
 
         One on an earlier process of the replica is not current: the relay has not been
-        in touch with the replica since it restarted.
+        in contact with the replica since it restarted.
         """
         source = self._known(report.address)
         seen_at = now - report.age_ms / 1000
