Share the spreading of hosts, the lookup of held cursors and the idle check of pools

Two modules hashed a host and a target in the same way; a poll of a host built the same lookup of its cursors twice, with three conditional defaults; two methods of a pool made the same check. Each stands once now.

--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -36,13 +36,14 @@
 
     def has_room(self, cap, now):
         """Whether a request can be sent without exceeding ``cap`` connections."""
-        return self.count < cap or any(self._usable(c, now) for c in self.idle)
+        return self.count < cap or self._has_idle(now)
 
     def connect_s(self, now):
         """Returns the expected time until a request can be sent."""
-        if any(self._usable(c, now) for c in self.idle):
-            return 0.0
-        return self.open_s
+        return 0.0 if self._has_idle(now) else self.open_s
+
+    def _has_idle(self, now):
+        return any(self._usable(c, now) for c in self.idle)
 
     def _usable(self, connection, now):
         return connection.reusable and now < connection.usable_until
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -24,6 +24,10 @@
     cursor: int
 
 
+# Of a replica from which an entry host has nothing yet.
+NOTHING_HELD = SourceCursor(address="", process="", cursor=0)
+
+
 class SourceReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What one replica hears from searchers, as far as it changed since a cursor.
 
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -50,17 +50,17 @@
     # ---- Queries ------------------------------------------------------------------
 
     def reports(
-        self, cursors: tuple[serving.SourceCursor, ...], now: float
+        self, held: dict[str, serving.SourceCursor], now: float
     ) -> list[serving.SourceReport]:
-        """Returns the reports of reachable replicas for a host with ``cursors``."""
-        held = {cursor.address: cursor for cursor in cursors}
+        """Returns the reports of reachable replicas for a host.
+
+        ``held`` contains what the host has, by the address of the replica.
+        """
         reports = []
         for address, mirror in self.mirrors.items():
-            known = held.get(address)
+            known = held.get(address, serving.NOTHING_HELD)
             report = mirror.report_since(
-                process=known.process if known else "",
-                cursor=known.cursor if known else 0,
-                now=now,
+                process=known.process, cursor=known.cursor, now=now
             )
             if report is not None:
                 reports.append(report)
--- a/src/plantainstage/_registry/sync.py
+++ b/src/plantainstage/_registry/sync.py
@@ -64,14 +64,12 @@
         if request.counts:
             self.hosts[request.host_id] = now
         held = {cursor.address: cursor for cursor in request.cursors}
-        own = held.get(self.own_address)
-        report = self._own_report(
-            process=own.process if own else "", cursor=own.cursor if own else 0
-        )
+        own = held.get(self.own_address, serving.NOTHING_HELD)
+        report = self._own_report(process=own.process, cursor=own.cursor)
         return serving.SyncReply(
             version=self.machine.newest.version,
             document=self._document_above(request.version),
-            sources=(report, *self.relay.reports(request.cursors, now)),
+            sources=(report, *self.relay.reports(held, now)),
             replicas=self.addresses(),
         )
 
--- a/src/plantainstage/_serving/connection_shares.py
+++ b/src/plantainstage/_serving/connection_shares.py
@@ -9,8 +9,9 @@
 
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
+from functools import partial
 
-import xxhash
+from plantainstage._serving.spreading import spread_weight
 
 # The rest is for restarted hosts, whose earlier connections are still open.
 CONNECTION_CAP_SHARE = 0.9
@@ -84,8 +85,4 @@
 
     The hosts are spread evenly over the searchers.
     """
-
-    def spread(searcher_id):
-        return xxhash.xxh32_intdigest(f"{host_id} {searcher_id}".encode())
-
-    return min(searcher_ids, key=spread)
+    return min(searcher_ids, key=partial(spread_weight, host_id))
--- a/src/plantainstage/_serving/control_sources.py
+++ b/src/plantainstage/_serving/control_sources.py
@@ -11,10 +11,9 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
-import xxhash
-
 from plantainstage._messages.serving import SourceReport
 from plantainstage._serving.connection_shares import HostCounts
+from plantainstage._serving.spreading import spread_weight
 
 # A replica is polled directly once no preferred one was in contact with it for this
 # time. It is longer than a poll between replicas with its time-out, and leaves most
@@ -117,8 +116,7 @@
     def _rank(self, address):
         """Returns the sort key of a replica; hosts spread over those that are near."""
         far = self.data_centre_of(address) != self.data_centre
-        spread = xxhash.xxh32_intdigest(f"{self.host_id} {address}".encode())
-        return (far, spread)
+        return (far, spread_weight(self.host_id, address))
 
     def _source(self, address):
         return self.sources.get(address) or ControlSource(address=address)
