Wait for an address that is in use, and run without metrics if their port is taken

Seen by callers: a program whose port was still held ended with a trace and was started again; so did one that lacked only the port of its metrics. Cause: each listen call let OSError pass out of the daemon. Change: addresses that a program needs are tried for 5 s, with a line address_in_use, and then end it with ListenError; metrics are optional, with a line metrics_unavailable.

--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tornado import web
 from tornado.httpserver import HTTPServer
@@ -18,6 +19,7 @@
 )
 from plantainstage._serving.retry_budget import RetryBudgetLimits
 from plantainstage._supervision import run_supervised
+from plantainstage._transport.listening import listen_when_free
 
 # During a planned stop the load balancer notices within two failed probes, which are
 # 1 s apart.
@@ -79,13 +81,18 @@
         return not self.stopping and self.router.table is not None
 
     async def run(self, stop: asyncio.Event):
-        """Serves until ``stop`` is set, then drains for at most ``stop_s``."""
+        """Serves until ``stop`` is set, then drains for at most ``stop_s``.
+
+        Raises ListenError if an address for callers or probes is not available.
+        """
         probes = self._probe_server()
-        self.ingress.listen(self.settings.listen)
+        await self._listen(probes, "ready_listen", self.settings.ready_listen)
+        await self._listen(self.ingress.server, "listen", self.settings.listen)
         if self.settings.metrics_listen:
             serve_metrics(
                 address=self.settings.metrics_listen,
                 registry=self.router.metrics.registry,
+                events=self.events,
             )
         self.link = ControlLink(
             host_id=self.settings.host_id,
@@ -111,10 +118,16 @@
             [(path, _ReadyHandler, {"gateway": self})],
             log_function=lambda handler: None,
         )
-        server = HTTPServer(application)
-        host, _, port = self.settings.ready_listen.rpartition(":")
-        server.listen(int(port), address=host)
-        return server
+        return HTTPServer(application)
+
+    async def _listen(self, server, setting, address):
+        host, _, port = address.rpartition(":")
+        await listen_when_free(
+            partial(server.listen, int(port), address=host),
+            setting=setting,
+            address=address,
+            events=self.events,
+        )
 
     async def _drain(self):
         """Fails readiness probes, answers remaining requests, then closes."""
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -41,11 +41,6 @@
         self.running = set()
         self.stopping = False
 
-    def listen(self, address: str):
-        """Listens on ``IP:port``; raises OSError."""
-        host, _, port = address.rpartition(":")
-        self.server.listen(int(port), address=host)
-
     def set_limits(self, limits):
         """Applies the caller limits of a configuration to new connections."""
         self.server.conn_params.max_header_size = limits.head_bytes
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 import pynng
@@ -20,6 +21,7 @@
 from plantainstage._registry.sync import SyncService
 from plantainstage._serving.searchers import Searcher
 from plantainstage._supervision import load_modules, run_supervised
+from plantainstage._transport.listening import listen_when_free
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
 EXPIRE_INTERVAL_S = 0.3
@@ -100,21 +102,23 @@
         return self.group.replica if self.group is not None else None
 
     async def run(self, stop: asyncio.Event):
-        """Serves until ``stop`` is set; raises OSError when a port is taken."""
+        """Serves until ``stop`` is set; raises ListenError without its ports."""
         self._restore_recent_state()
         sync = RpcServer(
             address=self.settings.own.sync_address,
             handler=self._handle_request,
             request_decoder=serving.REQUEST_DECODER,
         )
-        sync.start()
+        await self._listen(sync.start, "sync_address", self.settings.own.sync_address)
         self.events.log_event("sync_started", address=self.settings.own.sync_address)
         group_replica, http_api, exposition = await load_modules(DEFERRED_MODULES)
         self.group = self._make_group(group_replica.GroupReplica)
         self._serve_metrics(exposition)
         server = http_api.make_server(self)
         host, _, port = self.own_address.rpartition(":")
-        server.listen(int(port), address=host)
+        await self._listen(
+            partial(server.listen, int(port), address=host), "listen", self.own_address
+        )
         self.started.set()
         self.events.log_event("started", address=self.own_address)
         tasks = [
@@ -137,6 +141,11 @@
         self.events.log_event("stopped")
         self.events.flush()
 
+    async def _listen(self, listen, setting, address):
+        await listen_when_free(
+            listen, setting=setting, address=address, events=self.events
+        )
+
     def _make_group(self, group_replica):
         settings = self.settings
         return group_replica(
@@ -157,7 +166,9 @@
         metrics.dropped_lines.set_function(lambda: self.events.dropped_total)
         if self.settings.metrics_listen:
             exposition.serve_metrics(
-                address=self.settings.metrics_listen, registry=metrics.registry
+                address=self.settings.metrics_listen,
+                registry=metrics.registry,
+                events=self.events,
             )
 
     def _leads(self):
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -99,13 +99,18 @@
         self.finish(generate_latest(self.registry))
 
 
-def serve_metrics(*, address: str, registry: CollectorRegistry) -> HTTPServer:
-    """Serves the metrics of a registry on ``IP:port``; raises OSError."""
+def serve_metrics(*, address: str, registry: CollectorRegistry, events):
+    """Serves the metrics of a registry on ``IP:port``.
+
+    A program whose metrics cannot be served goes on without them and logs why.
+    """
     application = web.Application(
         [(METRICS_PATH, _MetricsHandler, {"registry": registry})],
         log_function=lambda handler: None,
     )
     server = HTTPServer(application)
     host, _, port = address.rpartition(":")
-    server.listen(int(port), address=host)
-    return server
+    try:
+        server.listen(int(port), address=host)
+    except OSError as error:
+        events.log_event("metrics_unavailable", address=address, reason=str(error))
