Report why a program cannot start in one typed line, and wait for a readable settings file

Seen by callers: a process ended with a trace if its settings file was empty, cut short or lacked a key, also one of a bound that has a default, and if a dependency was missing. Cause: the first read of the file was not guarded, keys were taken from bare maps, and nothing stood around the imports of platform/front.py and platform/core.py.

--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -44,6 +44,17 @@
         )
 
 
+@dataclass(kw_only=True, eq=False)
+class SettingsFileError(PlantainstageError):
+    """A settings file cannot be used; the program does not start with it."""
+
+    path: str
+    detail: str
+
+    def describe(self):
+        return f"{self.path}: {self.detail}. Correct the file; it is read again."
+
+
 class SettingsError(ExceptionGroup):
     """All errors in the settings of one start, reported together."""
 
--- a/src/plantainstage/_programs/event_logs.py
+++ b/src/plantainstage/_programs/event_logs.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from plantainstage._gateway.events import EventLog
+from plantainstage._programs.failures import reported_failures
 from plantainstage._programs.line_writer import LineWriter
 from plantainstage._programs.logs import exception_fields
 from plantainstage._programs.stop_signals import catch_stop_signals
@@ -48,9 +49,10 @@
     """Runs a daemon until SIGTERM or SIGINT.
 
     It is created as ``daemon_class(settings=..., events=...)``; ``settings`` has a
-    ``host_id``.
+    ``host_id``. A failure is reported as one line, see ``reported_failures``.
     """
-    asyncio.run(_run_until_stopped(daemon_class, program, settings))
+    with reported_failures(program=program):
+        asyncio.run(_run_until_stopped(daemon_class, program, settings))
 
 
 async def _run_until_stopped(daemon_class, program, settings):
