--- a/features/behaviour/control_sources.feature
+++ b/features/behaviour/control_sources.feature
@@ -54,7 +54,14 @@
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
     When the replicas count 4, 3 and 2 hosts at 0 s
     Then at 1 s the host counts 9 hosts
-    And at 9 s the host counts 1 hosts
+
+  Scenario: A host without contact to control does not take the shares of the others
+    # Guards against hosts that each use a whole limit while no replica is reachable.
+    Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
+    When the replicas count 4, 3 and 2 hosts at 0 s
+    Then at 9 s the host counts 9 hosts
+    When the replicas count 2, 1 and 0 hosts at 10 s
+    Then at 11 s the host counts 3 hosts
 
   Scenario Outline: A mirror passes on every change of the mirrored replica
     # Guards against a change that a host misses since it asked at another moment than
