Keep to the rate limits that searchers state, shared equally among all entry hosts

Cause: a limit that replies state is new, and no limit of the tier binds all hosts by rate. Change: each host earns permits at its equal share of the stated rate, by the host counts it already has; every request sent takes one, first calls, hedges and repeats; permits lapse, so that those that many hosts hold stay below what the limit allows. Searchers without a permit are passed over; a request that too many excluded shards make impossible is refused at once, before any shard gets it, with Retry-After from the next permits. A success without the header ends a limit, unless its request was sent before the limit was last stated.

--- a/features/steps/platform_folder_steps.py
+++ b/features/steps/platform_folder_steps.py
@@ -21,6 +21,7 @@
     "Part-Stamps",
     "Missing-Parts",
     "Server-Load",
+    "Server-Limit",
     "Not-Executed",
     "warmupLeftMs",
     "warmup_left",
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -179,6 +179,17 @@
     writer.write(reply_head(searcher, request) + sized(searcher.record))
 
 
+def answer_with_limit(limit):
+    """Returns the behaviour of a searcher that states a rate limit."""
+
+    async def answer(searcher, request, writer):
+        extra = [f"{NAMES.rate_limit}: {limit}"]
+        head = reply_head(searcher, request, extra=extra)
+        writer.write(head + sized(searcher.record))
+
+    return answer
+
+
 async def answer_without_end(searcher, request, writer):
     """Sends nothing while the connection is open."""
     await asyncio.Event().wait()
--- a/src/plantainstage/_gateway/call.py
+++ b/src/plantainstage/_gateway/call.py
@@ -115,6 +115,9 @@
 
     def _update_load_from_reply(self, reply, now):
         load = self.member.load
+        self.fleet.limits.record_reply(
+            self.member.searcher, reply, sent_at=self.sent_at, now=now
+        )
         if reply.load is not None:
             load.reported(
                 running=reply.load.running, waiting=reply.load.waiting, now=now
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from plantainstage._gateway.call import Call
+from plantainstage._gateway.searcher_limits import SearcherLimits
 from plantainstage._serving import connection_shares, placement
 from plantainstage._serving.connection_shares import ConnectionShare, HostCounts
 from plantainstage._serving.searchers import Searcher, SearcherState
@@ -18,6 +19,10 @@
 MIN_REQUEST_LIMIT = 2
 
 
+def _log_nothing(event, **fields):
+    """Replaces the event log, for tests and simulations."""
+
+
 def _same_endpoint(one, other):
     return (one.address, one.service) == (other.address, other.service)
 
@@ -40,10 +45,18 @@
     """All known searchers, by id and by service.
 
     ``make_pool(searcher=...)`` returns the connection pool for a searcher. ``host_id``
-    spreads the hosts without a near searcher over the remote ones.
+    spreads the hosts without a near searcher over the remote ones. ``log_event`` gets
+    the changes of the rate limits that searchers state.
     """
 
-    def __init__(self, *, data_centre: str, make_pool: Callable, host_id: str = ""):
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        make_pool: Callable,
+        host_id: str = "",
+        log_event: Callable = _log_nothing,
+    ):
         self.host_id = host_id
         self.data_centre = data_centre
         self.make_pool = make_pool
@@ -54,6 +67,7 @@
         self.order = itertools.count()
         self.hosts = HostCounts(by_data_centre={data_centre: 1})  # share the caps
         self.shares = {}  # searcher id -> ConnectionShare
+        self.limits = SearcherLimits(host_id=host_id, log_event=log_event)
 
     # ---- Known searchers ----------------------------------------------------------
 
@@ -76,6 +90,7 @@
         member = Member(searcher=searcher, pool=pool, now=now)
         self.members[searcher.searcher_id] = member
         self.by_service[searcher.service][searcher.searcher_id] = member
+        self.limits.searcher_added(searcher)
         self.shares.clear()
         self.retry_waiting(searcher.service)
 
@@ -86,6 +101,8 @@
             del self.by_service[member.searcher.service][searcher_id]
             member.usable = False
             member.pool.retire()
+            now = asyncio.get_running_loop().time()
+            self.limits.searcher_removed(member.searcher, now)
             self.shares.clear()
 
     def _remove_earlier_at_address(self, searcher):
@@ -103,7 +120,10 @@
     # ---- Selection ----------------------------------------------------------------
 
     def choose(self, service: str, *, tried, work_s: float) -> placement.Choice | None:
-        """Returns the best untried searcher with room for a request, or None."""
+        """Returns the best untried searcher that may get a request, or None.
+
+        It has room for the request, and its rate limit, if it states one, allows it.
+        """
         now = asyncio.get_running_loop().time()
         candidates = [
             placement.Candidate(load=member.load, connect_s=member.pool.connect_s(now))
@@ -111,11 +131,24 @@
             if searcher_id not in tried
             and member.load.in_flight < self._request_limit(member)
             and member.pool.has_room(self.share(member).limit, now)
+            and not self.limits.wait_s(member.searcher, now)
         ]
         return placement.choose(
             candidates, now=now, work_s=work_s, data_centre=self.data_centre
         )
 
+    def permit_wait_s(self, service: str) -> float:
+        """Returns how long the rate limits of all searchers exclude the service.
+
+        It is 0 if a searcher of the service may get a request now.
+        """
+        if not self.limits.permits:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        members = self.by_service.get(service, {}).values()
+        waits = (self.limits.wait_s(member.searcher, now) for member in members)
+        return min(waits, default=0.0)
+
     def share(self, member) -> ConnectionShare:
         """Returns this host's share of a searcher's connections."""
         searcher = member.searcher
@@ -155,6 +188,7 @@
         """Changes what the shares of connections are computed from."""
         if hosts is not None:
             self.hosts = hosts
+            self.limits.hosts = hosts.total
         if caps is not None:
             self.connection_caps = caps
         self.shares.clear()
@@ -192,6 +226,7 @@
         """
         member = self.members[searcher_id]
         member.pool.kept = self.share(member).kept
+        self.limits.take(member.searcher, asyncio.get_running_loop().time())
         call = Call(
             fleet=self,
             member=member,
--- a/src/plantainstage/_gateway/header_names.py
+++ b/src/plantainstage/_gateway/header_names.py
@@ -11,7 +11,8 @@
     carries the id of the only searcher that may run a request; any other rejects it
     with 421. ``signature`` marks a reply as written by a searcher, ``not_executed``
     one that states that the request did not run. ``load`` carries the numbers of
-    running requests, waiting requests and slots.
+    running requests, waiting requests and slots. ``rate_limit`` carries the requests a
+    second that a searcher accepts from all hosts together, as long as it states them.
     """
 
     request_id: str = "X-Request-Id"
@@ -21,6 +22,7 @@
     part_signatures: str = "X-Part-Signatures"
     missing_parts: str = "X-Missing-Parts"
     load: str = "X-Load"
+    rate_limit: str = "X-Rate-Limit"
     not_executed: str = "X-Not-Executed"
 
 
--- a/src/plantainstage/_gateway/messages.py
+++ b/src/plantainstage/_gateway/messages.py
@@ -6,6 +6,7 @@
 from tornado import httputil
 
 from plantainstage._gateway.header_names import HOP_BY_HOP, HeaderNames
+from plantainstage._serving.rate_limits import StatedRate
 
 STATUS_MISDIRECTED = 421
 MAX_DEADLINE_MS = 3_600_000
@@ -72,6 +73,7 @@
     signature: str
     not_executed: bool
     load: LoadReport | None
+    rate_limit: StatedRate | None = None
 
     @property
     def is_success(self):
@@ -146,7 +148,7 @@
 def reply_headers(reply: SearcherReply, names: HeaderNames) -> httputil.HTTPHeaders:
     """Returns the headers of a searcher's reply that are forwarded to the caller."""
     dropped = HOP_BY_HOP | _named_by_connection(reply.headers)
-    dropped |= {"Content-Length", names.load}
+    dropped |= {"Content-Length", names.load, names.rate_limit}
     kept = httputil.HTTPHeaders()
     for name, value in reply.headers.get_all():
         if name not in dropped:
--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -204,13 +204,18 @@
         elif outcome.reply is not None:
             self._finish(self._forward_reply(outcome.reply, outcome.reason))
         elif outcome.not_run:
-            known = self.router.fleet.count(part.service)
-            retry_s = answers.RETRY_BUSY_S if known else answers.RETRY_NO_SEARCHER_S
+            retry_s = self._retry_after_s(part, outcome)
             refusal = answers.refusal(reason=outcome.reason, retry_after_s=retry_s)
             self._finish(refusal)
         else:
             self._finish(answers.failed(reason=outcome.reason))
 
+    def _retry_after_s(self, part, outcome):
+        if outcome.retry_after_s is not None:
+            return max(answers.RETRY_BUSY_S, outcome.retry_after_s)
+        known = self.router.fleet.count(part.service)
+        return answers.RETRY_BUSY_S if known else answers.RETRY_NO_SEARCHER_S
+
     def _forward_reply(self, reply, reason):
         if 200 <= reply.status < 300 and not reply.signature:
             return answers.failed(reason="unsigned_success")
@@ -258,26 +263,50 @@
                 )
             )
             return
+        limited = self._limited_waits()
+        allowed = self.limits.shards - self.limits.needed
+        if len(limited) > allowed:
+            self._refuse_limited(limited, allowed)
+            return
         self.parts = [self._service_request(service) for service in target.shards]
-        for part in self._late_parts():
+        for part in self._late_parts(limited, allowed - len(limited)):
             part.leave_out()
         for part in self.parts:
             if not part.over:
                 part.start()
         self._step()
 
-    def _late_parts(self):
+    def _limited_waits(self):
+        """Returns the wait for a permit by shard, where rate limits exclude it now."""
+        fleet = self.router.fleet
+        waits = {name: fleet.permit_wait_s(name) for name in self.route.target.shards}
+        return {name: wait_s for name, wait_s in waits.items() if wait_s}
+
+    def _refuse_limited(self, limited, allowed):
+        """Refuses the request before any shard gets it, as too many are excluded."""
+        self.router.metrics.limited.inc(len(limited))
+        enough_s = sorted(limited.values())[-allowed - 1]
+        self._finish(
+            answers.refusal(
+                reason="searchers_limited",
+                retry_after_s=max(answers.RETRY_BUSY_S, enough_s),
+            )
+        )
+
+    def _late_parts(self, limited, allowed):
         """Returns the shards to skip, since they are not expected to answer in time.
 
         A shard whose searchers are all overloaded or slow would delay every request
         until a partial answer may be sent, and its queue would never shrink. The
-        slowest shards are skipped, as many as the minimum coverage allows.
+        slowest shards are skipped, as many as ``allowed``, besides those that rate
+        limits exclude.
         """
         work_s = self.router.work_time(self.route).median.value
         remaining_s = self.limits.partial_answer_at - self.loop.time()
-        allowed = self.limits.shards - self.limits.needed
         late = []
         for part in self.parts:
+            if part.service in limited:
+                continue
             choice = part.best_choice()
             expected_s = (
                 choice.expected_s if choice is not None else work_s + remaining_s
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -40,7 +40,10 @@
             SearcherPool, names=names, memory=self.reply_memory
         )
         self.fleet = Fleet(
-            data_centre=data_centre, make_pool=make_pool, host_id=host_id
+            data_centre=data_centre,
+            make_pool=make_pool,
+            host_id=host_id,
+            log_event=events.log_event,
         )
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -28,12 +28,14 @@
     """Outcome of a request that did not succeed at a service.
 
     ``reply`` is a searcher's failure reply, if there is one to forward. ``not_run``
-    guarantees that no searcher has run the request or will run it.
+    guarantees that no searcher has run the request or will run it. ``retry_after_s``
+    is when the rate limits of the searchers allow a request again, if they excluded it.
     """
 
     reason: str
     not_run: bool
     reply: SearcherReply | None = None
+    retry_after_s: float | None = None
 
 
 def _outcome_label(outcome):
@@ -198,6 +200,10 @@
             self._add_decision("given_up", outcome="no searcher is known")
             self._end(reason="no searcher is known")
             return True
+        wait_s = self.router.fleet.permit_wait_s(self.service)
+        if wait_s:
+            self._turn_away(wait_s)
+            return True
         if not self.waiting:
             self.waiting = True
             self._add_decision("wait", outcome="no searcher has room")
@@ -206,6 +212,12 @@
             )
         return False
 
+    def _turn_away(self, wait_s):
+        """Ends the request at once, since the searchers' rate limits exclude it."""
+        self.router.metrics.limited.inc()
+        self._add_decision("given_up", outcome="rate limits of all searchers")
+        self._end(reason="searchers_limited", retry_after_s=wait_s)
+
     def _send(self, step):
         choice = self.best_choice()
         remaining_s = self._remaining_s()
@@ -295,7 +307,12 @@
             return False
         return self.may_run_again
 
-    def _end(self, *, reason):
+    def _end(self, *, reason, retry_after_s=None):
         self.over = True
-        failure = Failure(reason=reason, not_run=self.runs == 0, reply=self.last_reply)
+        failure = Failure(
+            reason=reason,
+            not_run=self.runs == 0,
+            reply=self.last_reply,
+            retry_after_s=retry_after_s,
+        )
         self.on_done(self, failure)
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -36,6 +36,11 @@
         self.missing_parts = Counter(
             "missing_parts", "Shards left out of answers", **shared
         )
+        self.limited = Counter(
+            "limited_parts",
+            "Shards and single requests that rate limits of searchers excluded",
+            **shared,
+        )
         self.calls = Counter(
             "calls", "Calls to searchers finished", ["outcome"], **shared
         )
