Keep priority among requests that need the permits of limited searchers

Change: a request uses permits only while its priority has been served no more often than each more urgent one; without permits it may still be served by other searchers, or with the shards left out that its coverage allows. The model under bench/ plays searchers that state limits (scenarios limited, all-limited).

--- a/bench/routed_load.py
+++ b/bench/routed_load.py
@@ -33,7 +33,9 @@
 
 def print_table(results):
     """Prints a row for each deployment and scenario."""
-    print("deployment   scenario        credit  least   late failed missing  extra")
+    print(
+        "deployment   scenario        credit  least   late failed missing  extra  limit"
+    )
     groups = {}
     for item in results:
         groups.setdefault((item.deployment, item.scenario), []).append(item)
@@ -41,7 +43,7 @@
         credits = [item.credit for item in items]
         means = [
             statistics.fmean(getattr(item, name) for item in items)
-            for name in ("late", "failed", "missing", "extra")
+            for name in ("late", "failed", "missing", "extra", "limit_use")
         ]
         print(
             f"{deployment:<12} {scenario:<15} {statistics.fmean(credits):.3f}  "
--- a/bench/routed_model/pool.py
+++ b/bench/routed_model/pool.py
@@ -12,6 +12,7 @@
     LoadReport,
     SearcherReply,
 )
+from plantainstage._serving.rate_limits import StatedRate
 
 from .searchers import Job
 
@@ -130,9 +131,14 @@
                 signature=searcher_id if executed else "",
                 not_executed=not executed,
                 load=load,
+                rate_limit=self._stated_rate(),
             )
         )
 
+    def _stated_rate(self):
+        limit = self.model.rate_limit
+        return None if limit is None else StatedRate(text=str(limit), per_s=limit)
+
     def put_back(self, connection, reader):
         """Keeps a connection for the next request."""
         if not connection.closed:
--- a/bench/routed_model/scenarios.py
+++ b/bench/routed_model/scenarios.py
@@ -3,11 +3,13 @@
 import asyncio
 from dataclasses import dataclass
 
+from .spans import allowed_in_span, most_in_span
 from .tier import RoutedTier
 from .virtual_loop import VirtualTimeLoop
 
 WARM_UP_S = 3.0
 SETTLE_S = 3.0  # after the last request was sent
+LIMIT_SETTLE_S = 4.0  # after a limit is stated first
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -20,6 +22,9 @@
     shed_share: float = 0.0  # share of the searchers that shed requests
     shed_rate: float = 0.6  # share of the requests that these shed
     unresponsive_share: float = 0.0
+    limited_shards: float = 0.0  # share of the shards whose searchers state limits
+    limited_searchers: int = 0  # of each of these shards
+    limit_share: float = 0.5  # of the requests that a searcher usually gets
 
 
 SCENARIOS = {
@@ -28,6 +33,8 @@
     "slow-and-fewer": Fault(slow_share=0.15, remove_share=0.15),
     "shedding": Fault(shed_share=0.8),
     "dark": Fault(unresponsive_share=0.1),
+    "limited": Fault(limited_shards=0.3, limited_searchers=2),
+    "all-limited": Fault(limited_shards=0.3, limited_searchers=3),
 }
 
 
@@ -35,10 +42,11 @@
 class Measures:
     """Results of the requests that callers sent after the fault began.
 
-    ``credit`` and ``by_kind`` are shares of the possible credit, ``late`` and
-    ``failed`` shares of the requests; ``missing`` is the mean share of the shards
-    that answers lack. ``extra`` is the number of arrivals at searchers of shards
-    beyond the first of each request, as a share of these.
+    ``credit`` and ``by_kind`` are shares of the possible credit; ``answered_by_kind``,
+    ``late`` and ``failed`` shares of the requests. ``missing`` is the mean share of the
+    shards that answers lack. ``extra`` is the number of arrivals at searchers of shards
+    beyond the first of each request, as a share of these. ``limit_use`` is the largest
+    number of arrivals at a searcher within a span, as a share of what its limit allows.
     """
 
     scenario: str
@@ -46,11 +54,13 @@
     seed: int
     credit: float
     by_kind: dict[str, float]
+    answered_by_kind: dict[str, float]
     late: float
     failed: float
     missing: float
     extra: float
     p99_ms: dict[str, float]
+    limit_use: float
 
 
 def run_scenario(
@@ -104,6 +114,20 @@
         model.unresponsive = True
     for model in draw(fault.shed_share):
         model.shed_share = fault.shed_rate
+    _limit(tier, fault)
+
+
+def _limit(tier, fault):
+    """Makes searchers of a share of the shards state a limit."""
+    deployment = tier.deployment
+    gathers_per_s = sum(
+        kind.requests_per_s for kind in deployment.kinds if kind.required_coverage
+    )
+    usual_per_s = tier.load * gathers_per_s / deployment.shard.searchers
+    count = round(fault.limited_shards * len(tier.shards))
+    for shard in tier.random.sample(tier.shards, count):
+        for model in tier.models[shard][: fault.limited_searchers]:
+            model.rate_limit = fault.limit_share * usual_per_s
 
 
 def _measure(tier, name, seed, extra):
@@ -114,13 +138,14 @@
         r for r in answered if r.latency_s + caller_round_trip_s > r.kind.aim_ms / 1000
     ]
     gathered = [r for r in answered if r.kind.required_coverage]
-    by_kind, p99_ms = {}, {}
+    by_kind, answered_by_kind, p99_ms = {}, {}, {}
     for kind in tier.deployment.kinds:
         own = [r for r in records if r.kind is kind]
         by_kind[kind.name] = sum(r.credit(caller_round_trip_s) for r in own) / (
             max(1, len(own)) * kind.full_credit
         )
         times = sorted(r.latency_s for r in own if r.answered_at is not None)
+        answered_by_kind[kind.name] = len(times) / max(1, len(own))
         p99_ms[kind.name] = 1000 * times[int(0.99 * len(times))] if times else 0.0
     possible_credit = sum(r.kind.full_credit for r in records)
     return Measures(
@@ -129,9 +154,26 @@
         seed=seed,
         credit=sum(r.credit(caller_round_trip_s) for r in records) / possible_credit,
         by_kind=by_kind,
+        answered_by_kind=answered_by_kind,
         late=len(late) / len(records),
         failed=1 - len(answered) / len(records),
         missing=sum(1 - r.coverage for r in gathered) / max(1, len(gathered)),
         extra=extra,
         p99_ms=p99_ms,
+        limit_use=_limit_use(tier),
+    )
+
+
+def _limit_use(tier):
+    """Returns the use of the worst searcher, once its limit is known for a while."""
+    settled_at = WARM_UP_S + LIMIT_SETTLE_S
+    return max(
+        (
+            most_in_span([at for at in model.limited_arrivals if at >= settled_at])
+            / allowed_in_span(model.rate_limit)
+            for models in tier.models.values()
+            for model in models
+            if model.rate_limit is not None
+        ),
+        default=0.0,
     )
--- a/bench/routed_model/searchers.py
+++ b/bench/routed_model/searchers.py
@@ -25,7 +25,7 @@
 
 @dataclass(kw_only=True)
 class SearcherModel:
-    """One searcher; faults set ``slowdown``, ``shed_share`` and ``unresponsive``."""
+    """One searcher; faults set ``slowdown``, ``shed_share`` and the like."""
 
     searcher: Searcher
     spec: object
@@ -37,6 +37,8 @@
     connections: int = 0
     running: int = 0
     arrivals: int = 0
+    rate_limit: float | None = None  # requests a second, stated in replies
+    limited_arrivals: list = field(default_factory=list)  # times, while limited
     paused: bool = False
     queue: deque = field(default_factory=deque)
 
@@ -58,6 +60,8 @@
         if self.unresponsive:
             return
         self.arrivals += 1
+        if self.rate_limit is not None:
+            self.limited_arrivals.append(asyncio.get_running_loop().time())
         full = len(self.queue) >= self.spec.queue
         if full or self.random.random() < self.shed_share:
             job.reply(False)
--- a/features/behaviour/rate_limits.feature
+++ b/features/behaviour/rate_limits.feature
@@ -127,3 +127,9 @@
     When 5 callers send GET "/all/x" one after the other
     Then each caller is refused with 503 before its deadline and told to wait for a permit
     And each shard has got 1 request
+
+  Scenario: Less urgent requests do not use the permits that more urgent ones need
+    # Guards against priority that is lost since a less urgent route may leave out more
+    # shards, and against a less urgent route that gets nothing.
+    When requests of priorities 1 and 2 want permits, of which there are too few
+    Then as large a share of priority 1 as of priority 2 is served, and some of both
--- a/features/behaviour/routed_load.feature
+++ b/features/behaviour/routed_load.feature
@@ -29,3 +29,24 @@
       | deployment  | fault    |
       | kogi-basin  | shedding |
       | etain-grave | dark     |
+
+  Scenario Outline: Searchers that state a limit get what it allows and callers are served
+    # Guards against requests beyond a limit, and against refusals while other searchers
+    # of the shard have room.
+    Given the deployment "<deployment>" with its usual load
+    When it runs for 10 s of virtual time with seed 3 and the fault scenario "limited"
+    Then every limited searcher stays within what its limit allows
+    And callers get at least 0.95 of the possible credit
+
+    Examples:
+      | deployment        |
+      | kogi-basin        |
+      | etain-grave       |
+      | etain-grave-grown |
+
+  Scenario: Searchers of a shard that all state limits get what these allow
+    # Guards against requests beyond the limits when no other searcher is left.
+    Given the deployment "etain-grave" with its usual load
+    When it runs for 10 s of virtual time with seed 4 and the fault scenario "all-limited"
+    Then every limited searcher stays within what its limit allows
+    And more urgent requests are served as often as less urgent ones
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -1,10 +1,14 @@
 """Steps for searchers that state how many requests a second they accept."""
 
+import random
+from collections import Counter
+
 from behave import given, then, when
 from tornado import httputil
 
 from plantainstage._gateway.messages import STATUS_MISDIRECTED, SearcherReply
 from plantainstage._gateway.searcher_limits import SearcherLimits
+from plantainstage._serving.permit_priority import PermitPriority
 from plantainstage._serving.rate_limits import StatedRate
 from plantainstage._serving.searchers import Searcher
 from support.rate_limit_run import Phase, RateLimitRun
@@ -17,6 +21,7 @@
 REPLIED_AT = 10.2
 # A single host that uses a limit of 0 earns a permit each 10 s.
 LONGEST_WAIT_S = 10.0
+SHARE_TOLERANCE = 0.05  # by which a less urgent kind may be served more often
 
 
 def searcher(searcher_id, started_at_ms=1):
@@ -274,3 +279,27 @@
 def step_without_limit(context):
     assert context.reply.status == 200, context.reply
     assert NAMES.rate_limit.lower() not in context.reply.headers
+
+
+# ---- Priority -------------------------------------------------------------------------
+
+
+@when("requests of priorities 1 and 2 want permits, of which there are too few")
+def step_want_permits(context):
+    """A request of priority 1 finds permits in 1 of 4 cases, one of 2 in 3 of 4."""
+    permits = PermitPriority()
+    draws = random.Random(13)
+    context.wanted, context.served = Counter(), Counter()
+    for number in range(4000):
+        priority = draws.choice((1, 2))
+        found = draws.random() < (0.25 if priority == 1 else 0.75)
+        served = found and permits.may_use(priority)
+        permits.record(priority, served=served, now=number / 100)
+        context.wanted[priority] += 1
+        context.served[priority] += served
+
+
+@then("as large a share of priority 1 as of priority 2 is served, and some of both")
+def step_shares(context):
+    one, two = (context.served[p] / context.wanted[p] for p in (1, 2))
+    assert 0 < two <= one + SHARE_TOLERANCE, (one, two)
--- a/features/steps/routed_load_steps.py
+++ b/features/steps/routed_load_steps.py
@@ -11,6 +11,8 @@
 from routed_model.scenarios import run_scenario  # noqa: E402
 
 BUDGET_WINDOW_S = 10.0
+# By the users' rules a less urgent kind may be served more often by 5 in 100.
+PRIORITY_TOLERANCE = 0.05
 
 
 @given('the deployment "{name}" with its usual load')
@@ -54,3 +56,16 @@
     assert context.seconds <= BUDGET_WINDOW_S
     allowed = deployment.retry_ratio + slack
     assert context.measures.extra <= allowed, (context.measures, allowed)
+
+
+@then("every limited searcher stays within what its limit allows")
+def step_limits(context):
+    assert 0 < context.measures.limit_use <= 1, context.measures
+
+
+@then("more urgent requests are served as often as less urgent ones")
+def step_priority(context):
+    kinds = [k for k in context.deployment.kinds if k.required_coverage]
+    urgent, other = sorted(kinds, key=lambda kind: kind.priority)
+    shares = context.measures.answered_by_kind
+    assert shares[urgent.name] >= shares[other.name] - PRIORITY_TOLERANCE, shares
--- a/features/support/rate_limit_run.py
+++ b/features/support/rate_limit_run.py
@@ -8,8 +8,10 @@
 import heapq
 import itertools
 import random
+import sys
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from tornado import httputil
 
@@ -18,12 +20,11 @@
 from plantainstage._serving.rate_limits import StatedRate
 from plantainstage._serving.searchers import Searcher
 
-# The bound of the users: in any span of 4 s at most one and a half times what the limit
-# allows and 5 requests, from the hosts that know the limit for half a second.
-SPAN_S = 4.0
-EXCESS = 1.5
-SLACK = 5
-KNOWN_S = 0.5
+sys.path.append(str(Path(__file__).resolve().parents[2] / "bench"))
+
+from routed_model.spans import allowed_in_span, most_in_span  # noqa: E402
+
+KNOWN_S = 0.5  # a host counts from then on after its first reply with a limit
 SETTLE_S = 4.0  # after a change of a limit, or a restart of a host
 
 LOST_REPLIES = 0.05
@@ -180,7 +181,7 @@
         began_at = 0.0
         for phase in self.phases:
             if phase.limit is not None:
-                bound = EXCESS * phase.limit * SPAN_S + SLACK
+                bound = allowed_in_span(phase.limit)
                 for name, arrivals in self.arrivals.items():
                     counted = [
                         arrival.at
@@ -189,7 +190,7 @@
                         and arrival.at - arrival.told_at >= KNOWN_S
                         and not 0 <= arrival.at - arrival.host.restarted_at < SETTLE_S
                     ]
-                    most = most_within(counted, SPAN_S)
+                    most = most_in_span(counted)
                     if most > bound:
                         found.append((name, began_at, most, bound))
             began_at = phase.until_s
@@ -206,13 +207,3 @@
         )
         allowed = phase.limit * len(self.searchers) * (phase.until_s - began_at)
         return served / allowed
-
-
-def most_within(times, span_s):
-    """Returns the largest number of sorted times within any span."""
-    most, first = 0, 0
-    for last, time in enumerate(times):
-        while time - times[first] > span_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -119,10 +119,13 @@
 
     # ---- Selection ----------------------------------------------------------------
 
-    def choose(self, service: str, *, tried, work_s: float) -> placement.Choice | None:
+    def choose(
+        self, service: str, *, tried, work_s: float, uses_permits: bool = True
+    ) -> placement.Choice | None:
         """Returns the best untried searcher that may get a request, or None.
 
         It has room for the request, and its rate limit, if it states one, allows it.
+        Without ``uses_permits`` searchers that state a limit are passed over.
         """
         now = asyncio.get_running_loop().time()
         candidates = [
@@ -131,23 +134,29 @@
             if searcher_id not in tried
             and member.load.in_flight < self._request_limit(member)
             and member.pool.has_room(self.share(member).limit, now)
-            and not self.limits.wait_s(member.searcher, now)
+            and self.limits.allows(member.searcher, now, uses_permits)
         ]
         return placement.choose(
             candidates, now=now, work_s=work_s, data_centre=self.data_centre
         )
 
+    def needs_permits(self, service: str) -> bool:
+        """Whether all searchers of a service state a rate limit."""
+        members = self.by_service.get(service)
+        if not members or not self.limits.permits:
+            return False
+        return all(self.limits.is_limited(m.searcher) for m in members.values())
+
     def permit_wait_s(self, service: str) -> float:
         """Returns how long the rate limits of all searchers exclude the service.
 
         It is 0 if a searcher of the service may get a request now.
         """
-        if not self.limits.permits:
+        if not self.needs_permits(service):
             return 0.0
         now = asyncio.get_running_loop().time()
-        members = self.by_service.get(service, {}).values()
-        waits = (self.limits.wait_s(member.searcher, now) for member in members)
-        return min(waits, default=0.0)
+        members = self.by_service[service].values()
+        return min(self.limits.wait_s(member.searcher, now) for member in members)
 
     def share(self, member) -> ConnectionShare:
         """Returns this host's share of a searcher's connections."""
--- a/src/plantainstage/_gateway/requests.py
+++ b/src/plantainstage/_gateway/requests.py
@@ -52,6 +52,8 @@
         self.head = request_head(request, router.names)
         self.rank = self._budget_rank()
         self.parts = []
+        self.uses_permits = True
+        self.is_limited = False  # whether it needs permits of limited searchers
         self.timer = None
         self.over = False
 
@@ -65,6 +67,19 @@
     def _budget_rank(self):
         return 0.0
 
+    def _may_use_permits(self, services):
+        """Whether the request may use permits, if one of the services needs them."""
+        if not any(map(self.router.fleet.needs_permits, services)):
+            return True
+        self.is_limited = True
+        return self.router.permit_priority.may_use(self.route.priority)
+
+    def _record_permits(self, *, served):
+        if self.is_limited:
+            self.router.permit_priority.record(
+                self.route.priority, served=served, now=self.loop.time()
+            )
+
     def _service_request(self, service):
         return ServiceRequest(
             router=self.router,
@@ -75,6 +90,7 @@
             end_at=self.end_at,
             rank=self.rank,
             on_done=self._part_done,
+            uses_permits=self.uses_permits,
         )
 
     def _finish(self, answer):
@@ -174,8 +190,11 @@
 
     def start(self):
         """Sends the request to the next service of the route."""
-        part = self._service_request(self.router.next_service(self.route))
+        service = self.router.next_service(self.route)
+        self.uses_permits = self._may_use_permits([service])
+        part = self._service_request(service)
         self.parts = [part]
+        self._record_permits(served=not part.permit_wait_s())
         part.start()
         self._schedule()
 
@@ -263,12 +282,14 @@
                 )
             )
             return
+        self.uses_permits = self._may_use_permits(target.shards)
+        self.parts = [self._service_request(service) for service in target.shards]
         limited = self._limited_waits()
         allowed = self.limits.shards - self.limits.needed
+        self._record_permits(served=len(limited) <= allowed)
         if len(limited) > allowed:
             self._refuse_limited(limited, allowed)
             return
-        self.parts = [self._service_request(service) for service in target.shards]
         for part in self._late_parts(limited, allowed - len(limited)):
             part.leave_out()
         for part in self.parts:
@@ -278,8 +299,9 @@
 
     def _limited_waits(self):
         """Returns the wait for a permit by shard, where rate limits exclude it now."""
-        fleet = self.router.fleet
-        waits = {name: fleet.permit_wait_s(name) for name in self.route.target.shards}
+        if not self.is_limited:
+            return {}
+        waits = {part.service: part.permit_wait_s() for part in self.parts}
         return {name: wait_s for name, wait_s in waits.items() if wait_s}
 
     def _refuse_limited(self, limited, allowed):
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -9,6 +9,7 @@
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import ServingConfiguration
 from plantainstage._serving.connection_shares import HostCounts
+from plantainstage._serving.permit_priority import PermitPriority
 from plantainstage._serving.retry_budget import RetryBudget, RetryBudgetLimits
 from plantainstage._serving.routes import RouteTable
 from plantainstage._serving.splitting import WeightedRoundRobin
@@ -52,6 +53,7 @@
         self.budgets = {}
         self.work_times = {}
         self.round_robins = {}
+        self.permit_priority = PermitPriority()
         self.longest_deadline_ms = {}
         self.random = random.Random()
 
--- a/src/plantainstage/_gateway/searcher_limits.py
+++ b/src/plantainstage/_gateway/searcher_limits.py
@@ -33,6 +33,17 @@
 
     # ---- Queries ------------------------------------------------------------------
 
+    def is_limited(self, searcher: Searcher) -> bool:
+        """Whether the searcher states a limit."""
+        return _key(searcher) in self.permits
+
+    def allows(self, searcher: Searcher, now: float, uses_permits: bool) -> bool:
+        """Whether a request, which may use permits or not, may go to the searcher."""
+        permits = self.permits.get(_key(searcher))
+        if permits is None:
+            return True
+        return uses_permits and not permits.wait_s(now, self.hosts)
+
     def wait_s(self, searcher: Searcher, now: float) -> float:
         """Returns how long no request may be sent to the searcher, 0 if one may."""
         permits = self.permits.get(_key(searcher))
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from plantainstage._gateway.answers import RETRY_BUSY_S
 from plantainstage._gateway.decisions import Decision
 from plantainstage._gateway.messages import (
     CallerRequest,
@@ -78,6 +79,7 @@
         end_at: float,
         rank: float,
         on_done: Callable,
+        uses_permits: bool = True,
     ):
         self.router = router
         self.route = route
@@ -87,6 +89,7 @@
         self.end_at = end_at
         self.rank = rank  # for the retry budget
         self.on_done = on_done
+        self.uses_permits = uses_permits  # of searchers that state a rate limit
         self.calls = []  # in progress
         self.tried = set()
         self.runs = 0  # ended calls whose searcher may have run it
@@ -140,7 +143,19 @@
     def best_choice(self):
         """Returns the Choice of a searcher for the next call, or None."""
         work_s = self.router.work_time(self.route).median.value
-        return self.router.fleet.choose(self.service, tried=self.tried, work_s=work_s)
+        return self.router.fleet.choose(
+            self.service,
+            tried=self.tried,
+            work_s=work_s,
+            uses_permits=self.uses_permits,
+        )
+
+    def permit_wait_s(self) -> float:
+        """Returns how long rate limits exclude the request at the service, or 0."""
+        fleet = self.router.fleet
+        if self.uses_permits:
+            return fleet.permit_wait_s(self.service)
+        return RETRY_BUSY_S if fleet.needs_permits(self.service) else 0.0
 
     def leave_out(self):
         """Ends the request without sending it."""
@@ -200,7 +215,7 @@
             self._add_decision("given_up", outcome="no searcher is known")
             self._end(reason="no searcher is known")
             return True
-        wait_s = self.router.fleet.permit_wait_s(self.service)
+        wait_s = self.permit_wait_s()
         if wait_s:
             self._turn_away(wait_s)
             return True
