--- /dev/null
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -0,0 +1,175 @@
+"""What both kinds of routed requests have in common."""
+
+import asyncio
+from collections.abc import Callable
+
+from plantainstage._gateway.messages import (
+    CallerRequest,
+    request_head,
+)
+from plantainstage._gateway.service_request import ServiceRequest
+from plantainstage._serving import gathering
+from plantainstage._serving.configuration import Route
+
+# Calls that are still running when the answer is sent may end within this time, so
+# that their connections can be reused.
+UNFINISHED_CALL_GRACE_S = 0.25
+# The decisions for a service that took at least this share of the time of a late or
+# failed request are logged.
+SLOW_SERVICE_SHARE = 0.5
+DISCONNECT_GRACE_S = 0.05  # for running calls once the caller has disconnected
+
+
+class RoutedRequest:
+    """Base class of both kinds; ``reply`` is called once with the Answer.
+
+    It is not called if the caller disconnects first.
+    """
+
+    kind = ""  # label in metrics
+
+    def __init__(
+        self, *, router, route: Route, request: CallerRequest, reply: Callable
+    ):
+        self.router = router
+        self.route = route
+        self.request = request
+        self.reply = reply
+        self.loop = asyncio.get_running_loop()
+        timeout_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms)
+        self.end_at = request.received_at + timeout_ms / 1000
+        self.version = router.version
+        self.head = request_head(request, router.names)
+        self.rank = self._budget_rank()
+        self.parts = []
+        self.uses_permits = True
+        self.is_limited = False  # whether it needs permits of limited searchers
+        self.timer = None
+        self.over = False
+
+    def caller_disconnected(self):
+        """Ends the request, since the caller has closed its connection."""
+        if self.over:
+            return
+        self._close(DISCONNECT_GRACE_S)
+        self._log("caller_left", status=0)
+
+    def _budget_rank(self):
+        return 0.0
+
+    def _may_use_permits(self, services):
+        """Whether the request may use permits, if one of the services needs them."""
+        if not any(map(self.router.fleet.needs_permits, services)):
+            return True
+        self.is_limited = True
+        return self.router.permit_priority.may_use(self.route.priority)
+
+    def _record_permits(self, *, served):
+        if self.is_limited:
+            self.router.permit_priority.record(
+                self.route.priority, served=served, now=self.loop.time()
+            )
+
+    def _service_request(self, service):
+        return ServiceRequest(
+            router=self.router,
+            route=self.route,
+            service=service,
+            request=self.request,
+            head=self.head,
+            end_at=self.end_at,
+            rank=self.rank,
+            on_done=self._part_done,
+            uses_permits=self.uses_permits,
+        )
+
+    def _finish(self, answer):
+        if self.over:
+            return
+        self._close(UNFINISHED_CALL_GRACE_S)
+        self.reply(answer)
+        self._log(answer.reason or "answered", status=answer.status)
+
+    def _close(self, grace_s):
+        self.over = True
+        if self.timer is not None:
+            self.timer.cancel()
+        running = [part for part in self.parts if part.calls]
+        for part in self.parts:
+            part.over = True
+            part.abandon_overloaded()
+        if running:
+            self.loop.call_later(grace_s, _abandon_all, running)
+
+    def _log(self, outcome, *, status):
+        elapsed_s = self.loop.time() - self.request.received_at
+        elapsed_ms = elapsed_s * 1000
+        self._count(status, elapsed_s)
+        fields = {
+            "request_id": self.request.request_id,
+            "route": self.route.name,
+            "version": self.version,
+            "outcome": outcome,
+            "status": status,
+            "elapsed_ms": round(elapsed_ms, 1),
+            "hedges": sum(part.hedged for part in self.parts),
+            "rejections": sum(part.rejections for part in self.parts),
+            **self._log_fields(),
+        }
+        if status == 200 and elapsed_ms <= self.route.aim_ms:
+            self.router.events.log_ordinary("request", **fields)
+        else:
+            self.router.events.log_event("request", **fields)
+            self._log_decisions(elapsed_s)
+
+    def _log_decisions(self, elapsed_s):
+        """Logs the decisions for services that failed, retried or were slow."""
+        for part in self.parts:
+            if (
+                part.succeeded_at_once
+                and part.duration_s < SLOW_SERVICE_SHARE * elapsed_s
+            ):
+                continue
+            for decision in part.decisions:
+                self.router.events.log_event(
+                    "decision",
+                    request_id=self.request.request_id,
+                    service=part.service,
+                    **decision.fields(self.request.received_at),
+                )
+
+    def _count(self, status, elapsed_s):
+        metrics = self.router.metrics
+        metrics.requests.labels(self.kind, status).inc()
+        metrics.request_seconds.labels(self.kind).observe(elapsed_s)
+
+    def _log_fields(self):
+        return {}
+
+    def _next_hedge(self, now):
+        """Sends the hedges that are due; returns when the next is due, or None."""
+        after_s = gathering.hedge_after_s(
+            aim_s=self.route.aim_ms / 1000,
+            p90_work_s=self.router.work_time(self.route).p90.value,
+        )
+        soonest = None
+        for part in self.parts:
+            if part.over or part.hedged or part.sent_at is None:
+                continue
+            due_at = part.sent_at + after_s
+            if due_at <= now:
+                part.hedge(useful_until=self._hedges_useful_until())
+            elif soonest is None or due_at < soonest:
+                soonest = due_at
+        return soonest
+
+    def _hedges_useful_until(self):
+        """Returns the time by which a hedge must be answered to be useful."""
+        return self.end_at
+
+
+def _abandon_all(parts):
+    for part in parts:
+        part.abandon()
--- /dev/null
+++ b/src/plantainstage/_gateway/single_request.py
@@ -0,0 +1,72 @@
+"""A routed request to one service."""
+
+from plantainstage._gateway import answers
+from plantainstage._gateway.messages import SearcherReply, reply_headers
+from plantainstage._gateway.routed_request import RoutedRequest
+
+
+class SingleRequest(RoutedRequest):
+    """A request that is answered by one searcher of one service."""
+
+    kind = "single"
+
+    def start(self):
+        """Sends the request to the next service of the route."""
+        service = self.router.next_service(self.route)
+        self.uses_permits = self._may_use_permits([service])
+        part = self._service_request(service)
+        self.parts = [part]
+        self._record_permits(served=not part.permit_wait_s())
+        part.start()
+        self._schedule()
+
+    def _schedule(self):
+        if self.over:
+            return
+        now = self.loop.time()
+        if now >= self.end_at:
+            self._time_out()
+            return
+        wake_at = self.end_at
+        if self.parts[0].is_idempotent:
+            wake_at = min(wake_at, self._next_hedge(now) or wake_at)
+        self.timer = self.loop.call_at(wake_at, self._schedule)
+
+    def _time_out(self):
+        part = self.parts[0]
+        if part.runs or part.calls:
+            self._finish(answers.timed_out())
+        else:
+            self._finish(answers.refusal(reason="no_room_in_time"))
+
+    def _part_done(self, part, outcome):
+        if isinstance(outcome, SearcherReply):
+            self._finish(self._forward_reply(outcome, ""))
+        elif outcome.reply is not None:
+            self._finish(self._forward_reply(outcome.reply, outcome.reason))
+        elif outcome.not_run:
+            retry_s = self._retry_after_s(part, outcome)
+            refusal = answers.refusal(reason=outcome.reason, retry_after_s=retry_s)
+            self._finish(refusal)
+        else:
+            self._finish(answers.failed(reason=outcome.reason))
+
+    def _retry_after_s(self, part, outcome):
+        if outcome.retry_after_s is not None:
+            return max(answers.RETRY_BUSY_S, outcome.retry_after_s)
+        known = self.router.fleet.count(part.service)
+        return answers.RETRY_BUSY_S if known else answers.RETRY_NO_SEARCHER_S
+
+    def _forward_reply(self, reply, reason):
+        if 200 <= reply.status < 300 and not reply.signature:
+            return answers.failed(reason="unsigned_success")
+        return answers.Answer(
+            status=reply.status,
+            body=reply.body,
+            headers=reply_headers(reply, self.router.names),
+            reason=reason,
+        )
+
+    def _log_fields(self):
+        part = self.parts[0]
+        return {"service": part.service, "searchers": sorted(part.tried)}
