Follow the leader that a replica names when another one asks to join

Cause: a replica with an empty folder asks the seeds to join. A replica that does not lead names the leader in its answer, which was thrown away. If the leader joined after the group was founded, the lost voter was never replaced, and the next lost disk took the majority. Change: the leader that an answer names is asked next, each address once a round.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -43,6 +43,14 @@
     When another replica is stopped permanently
     Then configuration 9 is acknowledged and read back from a running replica
 
+  Scenario: A replica that lost its folder finds a leader that its settings do not name
+    # Guards against a group that stays without a replaced replica, and loses its majority
+    # with the next one, since the leader joined after the group was founded.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    When a follower loses its folder and starts again with settings without the leader
+    Then the group has 3 voters again
+
   Scenario: All replicas restart and serve hosts before they have a leader
     # Guards against callers that wait for an election after a power loss.
     Given a control group of 3 replicas for routed requests
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -144,6 +144,15 @@
     context.tier.start_registry(peer, seeds=context.peers, bootstrap=False)
 
 
+@when("a follower loses its folder and starts again with settings without the leader")
+def step_lose_folder_and_leader(context):
+    leader = context.tier.leader()
+    context.lost = next(a for a in addresses(context) if a != leader.own_address)
+    peer, _ = context.tier.stop_registry(context.lost)
+    seeds = [p for p in context.peers if p.client_address != leader.own_address]
+    context.tier.start_registry(peer, seeds=seeds, bootstrap=False)
+
+
 @then("the group has {count:d} voters again")
 def step_repaired(context, count):
     def is_repaired():
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -154,6 +154,7 @@
             bootstrap_peers=settings.founders,
             machine=self.machine,
             addresses=self._sync_addresses,
+            sync_address_of=settings.sync_address_of,
             events=self.events,
         )
 
--- a/src/plantainstage/_registry/group_maintainer.py
+++ b/src/plantainstage/_registry/group_maintainer.py
@@ -1,6 +1,7 @@
 """The task that joins this replica to its group and maintains the membership."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 import pynng
@@ -20,13 +21,23 @@
 class GroupMaintainer:
     """Asks to join while this is needed; as leader commits membership changes.
 
-    ``addresses()`` returns the replicas to ask, which may change at any time.
+    ``addresses()`` returns the replicas to ask, which may change at any time, and
+    ``sync_address_of`` derives an address to ask from a leader's client address.
     """
 
-    def __init__(self, *, replica: Replica, own_address: str, addresses, events):
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        own_address: str,
+        addresses: Callable[[], tuple[str, ...]],
+        sync_address_of: Callable[[str], str],
+        events,
+    ):
         self.replica = replica
         self.own_address = own_address
         self.addresses = addresses
+        self.sync_address_of = sync_address_of
         self.events = events
         self.join_requests = {}  # replica id -> Member that asked to join
         self.leader_seen_at = asyncio.get_running_loop().time()
@@ -88,11 +99,26 @@
             await asyncio.sleep(JOIN_INTERVAL_S)
             if not self.needs_to_join:
                 continue
-            for address in self.addresses():
-                if address != self.own_address and self.needs_to_join:
-                    await self._request_join(address)
+            await self._ask_to_join()
+
+    async def _ask_to_join(self):
+        """Asks each known replica, and each leader that one of them names.
+
+        The leader may have joined after the settings of this replica were written.
+        """
+        asked = {self.own_address}
+        waiting = list(self.addresses())
+        while waiting and self.needs_to_join:
+            address = waiting.pop(0)
+            if address in asked:
+                continue
+            asked.add(address)
+            leader = await self._request_join(address)
+            if leader:
+                waiting.insert(0, self.sync_address_of(leader))
 
-    async def _request_join(self, address):
+    async def _request_join(self, address) -> str:
+        """Asks one replica; returns the client address of the leader that it names."""
         settings = self.replica.settings
         request = serving.JoinRequest(
             member=Member(
@@ -104,9 +130,18 @@
         )
         client = RpcClient(address=address, reply_decoder=serving.REPLY_DECODER)
         try:
-            await client.call(request, timeout_s=JOIN_TIMEOUT_S)
+            reply = await client.call(request, timeout_s=JOIN_TIMEOUT_S)
         except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
             reason = type(error).__name__
             self.events.log_event("join_not_asked", asked=address, reason=reason)
+            return ""
         finally:
             client.close()
+        match reply:
+            case serving.JoinReply(leader=leader):
+                return leader
+            case _:
+                self.events.log_event(
+                    "join_not_asked", asked=address, reason=type(reply).__name__
+                )
+                return ""
--- a/src/plantainstage/_registry/group_replica.py
+++ b/src/plantainstage/_registry/group_replica.py
@@ -41,6 +41,7 @@
         bootstrap_peers: tuple[Peer, ...],
         machine: ConfigurationMachine,
         addresses: Callable[[], tuple[str, ...]],
+        sync_address_of: Callable[[str], str],
         events,
     ):
         self.own = own
@@ -48,6 +49,7 @@
         self.bootstrap_peers = bootstrap_peers
         self.machine = machine
         self.addresses = addresses
+        self.sync_address_of = sync_address_of
         self.events = events
         self.replica = None
         self.maintainer = None
@@ -73,6 +75,7 @@
             replica=replica,
             own_address=self.own.sync_address,
             addresses=self.addresses,
+            sync_address_of=self.sync_address_of,
             events=self.events,
         )
         self.replica = replica
