--- a/src/plantainstage/_gateway/gather_request.py
+++ b/src/plantainstage/_gateway/gather_request.py
@@ -17,34 +17,22 @@
     kind = "gather"
 
     def start(self):
-        """Sends the request to all shards except those skipped as too slow."""
-        target = self.route.target
+        """Sends the request to all shards that are expected to answer in time.
+
+        It is refused at once if too few shards are known, or if rate limits of their
+        searchers exclude more of them than the answer may lack.
+        """
+        shards = self.route.target.shards
         self.answered = {}  # service -> SearcherReply
         self.failures = []
-        used_s = self.router.used_by_earlier_attempts_s(
-            self.route, self.request.deadline_ms
-        )
-        self.limits = GatherLimits(
-            shards=len(target.shards),
-            needed=target.needed,
-            partial_answer_at=gathering.partial_answer_time(
-                received_at=self.request.received_at,
-                aim_s=self.route.aim_ms / 1000,
-                used_s=used_s,
-            ),
-            end_at=self.end_at,
-        )
-        known = sum(1 for s in target.shards if self.router.fleet.count(s))
-        if known < target.needed:
-            self._finish(
-                answers.refusal(
-                    reason="too_few_shards_known",
-                    retry_after_s=answers.RETRY_NO_SEARCHER_S,
-                )
-            )
+        self.excluded = []  # shards, if rate limits are why the request is refused
+        self.limits = self._gather_limits()
+        known = sum(1 for shard in shards if self.router.fleet.count(shard))
+        if known < self.limits.needed:
+            self._refuse("too_few_shards_known", answers.RETRY_NO_SEARCHER_S)
             return
-        self.uses_permits = self._may_use_permits(target.shards)
-        self.parts = [self._service_request(service) for service in target.shards]
+        self.uses_permits = self._may_use_permits(shards)
+        self.parts = [self._service_request(shard) for shard in shards]
         limited = self._limited_waits()
         allowed = self.limits.shards - self.limits.needed
         self._record_permits(served=len(limited) <= allowed)
@@ -58,6 +46,25 @@
                 part.start()
         self._step()
 
+    def _gather_limits(self):
+        target = self.route.target
+        used_s = self.router.used_by_earlier_attempts_s(
+            self.route, self.request.deadline_ms
+        )
+        return GatherLimits(
+            shards=len(target.shards),
+            needed=target.needed,
+            partial_answer_at=gathering.partial_answer_time(
+                received_at=self.request.received_at,
+                aim_s=self.route.aim_ms / 1000,
+                used_s=used_s,
+            ),
+            end_at=self.end_at,
+        )
+
+    def _refuse(self, reason, retry_after_s):
+        self._finish(answers.refusal(reason=reason, retry_after_s=retry_after_s))
+
     def _limited_waits(self):
         """Returns the wait for a permit by shard, where rate limits exclude it now."""
         if not self.is_limited:
@@ -68,13 +75,9 @@
     def _refuse_limited(self, limited, allowed):
         """Refuses the request before any shard gets it, as too many are excluded."""
         self.router.metrics.limited.inc(len(limited))
+        self.excluded = sorted(limited)
         enough_s = sorted(limited.values())[-allowed - 1]
-        self._finish(
-            answers.refusal(
-                reason="searchers_limited",
-                retry_after_s=max(answers.RETRY_BUSY_S, enough_s),
-            )
-        )
+        self._refuse("searchers_limited", max(answers.RETRY_BUSY_S, enough_s))
 
     def _late_parts(self, limited, allowed):
         """Returns the shards to skip, since they are not expected to answer in time.
@@ -169,4 +172,7 @@
 
     def _log_fields(self):
         missing = [p.service for p in self.parts if p.service not in self.answered]
-        return {"parts": len(self.answered), "missing": missing}
+        fields = {"parts": len(self.answered), "missing": missing}
+        if self.excluded:
+            fields["excluded"] = self.excluded
+        return fields
