--- a/deploy/install_dependencies.py
+++ b/deploy/install_dependencies.py
@@ -94,12 +94,15 @@
 
 def main() -> int:
     """Installs the dependencies unless they are whole; returns the exit code."""
+    if is_whole(FOLDER):
+        # Needs no write access: the checkout may be another user's, or read-only.
+        return 0
     os.umask(FILE_MODE_MASK)
     FOLDER.parent.mkdir(exist_ok=True)
     with BUILD_LOCK.open("w") as build_lock:
         fcntl.flock(build_lock, fcntl.LOCK_EX)
         if is_whole(FOLDER):
-            return 0
+            return 0  # by the build that held the lock
         remove(NEW_FOLDER)
         remove(OLD_FOLDER)
         exit_code = install(NEW_FOLDER)
--- a/features/failures/deployment_build.feature
+++ b/features/failures/deployment_build.feature
@@ -42,6 +42,12 @@
     When the checkout is built without an installer
     Then its programs can load their dependencies
 
+  Scenario: A build of whole dependencies writes nothing
+    # Guards against a build that fails in a checkout which its user may only read.
+    Given a built checkout whose build lock cannot be opened
+    When the checkout is built without an installer
+    Then its programs can load their dependencies
+
   Scenario: Other users can read a dependency folder
     # Guards against programs that run as another user than the build.
     Given a new checkout
--- a/features/steps/deployment_build_steps.py
+++ b/features/steps/deployment_build_steps.py
@@ -48,6 +48,14 @@
     built_checkout(context)
 
 
+@given("a built checkout whose build lock cannot be opened")
+def step_locked(context):
+    checkout = built_checkout(context)
+    build_lock = checkout.folder / "target" / "deps.lock"
+    build_lock.unlink()
+    build_lock.mkdir()
+
+
 @given("a checkout whose dependency folder {state}")
 def step_folder(context, state):
     match state:
