Hold the count of entry hosts while restarted replicas count only a few of them

Cause, by reading: a control replica that has restarted counts the hosts that have polled it since. For a moment each host then counted few others and used more than its share of every shared limit: rates, connections, retry budgets. A count of 0 was held already, a low one not. Change: a higher count holds at once, a lower one after 4 s in which all reports gave it; a gap in the reports starts the 4 s anew. The count is a decision of its own now.

--- a/features/behaviour/control_sources.feature
+++ b/features/behaviour/control_sources.feature
@@ -60,8 +60,23 @@
     Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
     When the replicas count 4, 3 and 2 hosts at 0 s
     Then at 9 s the host counts 9 hosts
-    When the replicas count 2, 1 and 0 hosts at 10 s
-    Then at 11 s the host counts 3 hosts
+
+  Scenario: Replicas that have restarted do not make a host take the shares of the others
+    # Guards against a host that uses more than its share until all others have polled
+    # the replicas again.
+    Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
+    When the replicas count 4, 3 and 2 hosts at 0 s
+    And the replicas count 1, 0 and 0 hosts at 9 s
+    Then at 9.1 s the host counts 9 hosts
+    When the replicas count 4, 3 and 2 hosts at 10 s
+    Then at 10.1 s the host counts 9 hosts
+
+  Scenario: A lower count of hosts holds once it has lasted
+    # Guards against shares of hosts that are gone for good.
+    Given an entry host in "dc-1" and replicas "a" in "dc-1", "b" in "dc-2", "c" in "dc-3"
+    When the replicas count 4, 3 and 2 hosts at 0 s
+    And the replicas count 2, 1 and 0 hosts each second from 10 s to 15 s
+    Then at 15 s the host counts 3 hosts
 
   Scenario Outline: A mirror passes on every change of the mirrored replica
     # Guards against a change that a host misses since it asked at another moment than
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -83,7 +83,7 @@
         for searcher_id in self.merged_searchers.expire(now):
             self.events.log_event("searcher_lost", searcher=searcher_id)
             self.router.fleet.remove_searcher(searcher_id)
-        self.router.set_hosts(self.sources.hosts(now))
+        self.router.set_hosts(self.sources.hosts)
 
     def _start_pollers(self, addresses):
         for address in addresses:
