Make HTTP servers listen on an address through one function

Three places split IP:port and passed it to tornado's listen in the same way. Behaviour is unchanged; program_addresses, program_start, routed_control and metrics pass.

--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -19,7 +19,7 @@
 )
 from plantainstage._serving.retry_budget import RetryBudgetLimits
 from plantainstage._supervision import run_supervised
-from plantainstage._transport.listening import listen_when_free
+from plantainstage._transport.listening import listen_on, listen_when_free
 
 # During a planned stop the load balancer notices within two failed probes, which are
 # 1 s apart.
@@ -121,9 +121,8 @@
         return HTTPServer(application)
 
     async def _listen(self, server, setting, address):
-        host, _, port = address.rpartition(":")
         await listen_when_free(
-            partial(server.listen, int(port), address=host),
+            partial(listen_on, server, address),
             setting=setting,
             address=address,
             events=self.events,
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -21,7 +21,7 @@
 from plantainstage._registry.sync import SyncService
 from plantainstage._serving.searchers import Searcher
 from plantainstage._supervision import load_modules, run_supervised
-from plantainstage._transport.listening import listen_when_free
+from plantainstage._transport.listening import listen_on, listen_when_free
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
 EXPIRE_INTERVAL_S = 0.3
@@ -115,9 +115,8 @@
         self.group = self._make_group(group_replica.GroupReplica)
         self._serve_metrics(exposition)
         server = http_api.make_server(self)
-        host, _, port = self.own_address.rpartition(":")
         await self._listen(
-            partial(server.listen, int(port), address=host), "listen", self.own_address
+            partial(listen_on, server, self.own_address), "listen", self.own_address
         )
         self.started.set()
         self.events.log_event("started", address=self.own_address)
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -5,6 +5,8 @@
 from tornado import web
 from tornado.httpserver import HTTPServer
 
+from plantainstage._transport.listening import listen_on
+
 PREFIX = "plantainstage"
 METRICS_PATH = "/metrics"
 # Covers the latency aims of the current routes, 50 to 700 ms, and their deadlines.
@@ -114,8 +116,7 @@
         log_function=lambda handler: None,
     )
     server = HTTPServer(application)
-    host, _, port = address.rpartition(":")
     try:
-        server.listen(int(port), address=host)
+        listen_on(server, address)
     except OSError as error:
         events.log_event("metrics_unavailable", address=address, reason=str(error))
--- a/src/plantainstage/_transport/listening.py
+++ b/src/plantainstage/_transport/listening.py
@@ -1,9 +1,10 @@
-"""Starts to listen on an address that an earlier process may still hold."""
+"""Starts to listen on addresses, also on one that an earlier process still holds."""
 
 import asyncio
 from collections.abc import Callable
 
 import pynng
+from tornado.httpserver import HTTPServer
 
 from plantainstage._errors import ListenError
 
@@ -11,6 +12,12 @@
 LISTEN_INTERVAL_S = 0.1
 
 
+def listen_on(server: HTTPServer, address: str):
+    """Makes an HTTP server listen on ``IP:port``; raises OSError."""
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), address=host)
+
+
 async def listen_when_free(
     listen: Callable[[], None],
     *,
