Forget an unreadable rate limit with its searcher, compute the phase of a host once

The text of an unreadable limit was kept for good if the searcher had stated no readable one. The phase is the same for all searchers and was hashed again for each. rate_limits passes.

--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -3,10 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from plantainstage._gateway.messages import (
-    CallerRequest,
-    request_head,
-)
+from plantainstage._gateway.messages import CallerRequest, request_head
 from plantainstage._gateway.service_request import ServiceRequest
 from plantainstage._serving import gathering
 from plantainstage._serving.configuration import Route
--- a/src/plantainstage/_gateway/searcher_limits.py
+++ b/src/plantainstage/_gateway/searcher_limits.py
@@ -24,7 +24,8 @@
     """
 
     def __init__(self, *, host_id: str, log_event: Callable):
-        self.host_id = host_id
+        # The same for all searchers, so that a request to many of them finds permits.
+        self.phase = spread_weight(host_id, "rate limits") / _WEIGHTS
         self.log_event = log_event
         self.hosts = 1
         self.permits = {}  # (searcher id, start) -> RatePermits
@@ -84,20 +85,19 @@
 
     def searcher_removed(self, searcher: Searcher, now: float):
         """Forgets the limit of a searcher after a while, unless it is known again."""
+        self.unreadable.pop(_key(searcher), None)
         if _key(searcher) in self.permits:
             self.removed_at[_key(searcher)] = now
         for key, removed_at in list(self.removed_at.items()):
             if now - removed_at > RETENTION_S:
                 del self.removed_at[key]
                 self.permits.pop(key, None)
-                self.unreadable.pop(key, None)
 
     def _learn(self, searcher, rate, now):
         permits = self.permits.get(_key(searcher))
         before = None if permits is None else permits.rate
         if permits is None:
-            phase = spread_weight(self.host_id, "rate limits") / _WEIGHTS
-            permits = RatePermits(rate=rate, phase=phase, now=now)
+            permits = RatePermits(rate=rate, phase=self.phase, now=now)
             self.permits[_key(searcher)] = permits
         else:
             permits.state(rate, now, self.hosts)
