--- a/bench/routed_model/deployment.py
+++ b/bench/routed_model/deployment.py
@@ -62,6 +62,11 @@
     retry_ratio: float = 0.2
     retry_slack: float = 57.0
 
+    @property
+    def gathers_per_s(self):
+        """Requests a second, at the usual load, that go to all shards."""
+        return sum(k.requests_per_s for k in self.kinds if k.required_coverage)
+
 
 KOGI_BASIN = Deployment(
     name="kogi-basin",
--- a/bench/routed_model/scenarios.py
+++ b/bench/routed_model/scenarios.py
@@ -120,10 +120,7 @@
 def _limit(tier, fault):
     """Makes searchers of a share of the shards state a limit."""
     deployment = tier.deployment
-    gathers_per_s = sum(
-        kind.requests_per_s for kind in deployment.kinds if kind.required_coverage
-    )
-    usual_per_s = tier.load * gathers_per_s / deployment.shard.searchers
+    usual_per_s = tier.load * deployment.gathers_per_s / deployment.shard.searchers
     count = round(fault.limited_shards * len(tier.shards))
     for shard in tier.random.sample(tier.shards, count):
         for model in tier.models[shard][: fault.limited_searchers]:
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -4,14 +4,12 @@
 from collections import Counter
 
 from behave import given, then, when
-from tornado import httputil
 
-from plantainstage._gateway.messages import STATUS_MISDIRECTED, SearcherReply
+from plantainstage._gateway.messages import STATUS_MISDIRECTED
 from plantainstage._gateway.searcher_limits import SearcherLimits
 from plantainstage._serving.permit_priority import PermitPriority
 from plantainstage._serving.rate_limits import StatedRate
-from plantainstage._serving.searchers import Searcher
-from support.rate_limit_run import Phase, RateLimitRun
+from support.rate_limit_run import Phase, RateLimitRun, reply_with, searcher_named
 from support.routed_tier import NAMES, answer_with_limit
 
 RUN_S = 120.0
@@ -24,28 +22,9 @@
 SHARE_TOLERANCE = 0.05  # by which a less urgent kind may be served more often
 
 
-def searcher(searcher_id, started_at_ms=1):
-    return Searcher(
-        searcher_id=searcher_id,
-        service="cards",
-        address="",
-        data_centre="dc-1",
-        slots=2,
-        started_at_ms=started_at_ms,
-    )
-
-
 def reply_of(status=200, text=None, not_executed=False):
-    return SearcherReply(
-        status=status,
-        reason="",
-        headers=httputil.HTTPHeaders(),
-        body=b"",
-        signature="s",
-        not_executed=not_executed,
-        load=None,
-        rate_limit=None if text is None else StatedRate.parse(text),
-    )
+    stated = None if text is None else StatedRate.parse(text)
+    return reply_with(rate_limit=stated, status=status, not_executed=not_executed)
 
 
 # ---- Randomised runs ------------------------------------------------------------------
@@ -140,14 +119,17 @@
 def step_learnt(context, limit, searcher_id):
     step_no_limits(context)
     context.limits.record_reply(
-        searcher(searcher_id), reply_of(text=f"{limit}"), sent_at=0.0, now=LEARNT_AT
+        searcher_named(searcher_id),
+        reply_of(text=f"{limit}"),
+        sent_at=0.0,
+        now=LEARNT_AT,
     )
 
 
 @when('"{searcher_id}" answers a request sent later without a limit')
 def step_ended(context, searcher_id):
     context.limits.record_reply(
-        searcher(searcher_id), reply_of(), sent_at=SENT_AFTER, now=REPLIED_AT
+        searcher_named(searcher_id), reply_of(), sent_at=SENT_AFTER, now=REPLIED_AT
     )
 
 
@@ -166,7 +148,7 @@
         case "a misdirected reply with another limit":
             answer = reply_of(status=STATUS_MISDIRECTED, text="9")
     context.limits.record_reply(
-        searcher(searcher_id), answer, sent_at=sent_at, now=REPLIED_AT
+        searcher_named(searcher_id), answer, sent_at=sent_at, now=REPLIED_AT
     )
 
 
@@ -174,21 +156,21 @@
 def step_rejection(context, searcher_id, limit):
     answer = reply_of(status=503, text=f"{limit}", not_executed=True)
     context.limits.record_reply(
-        searcher(searcher_id), answer, sent_at=SENT_AFTER, now=REPLIED_AT
+        searcher_named(searcher_id), answer, sent_at=SENT_AFTER, now=REPLIED_AT
     )
 
 
 @when('"{searcher_id}" is lost and found again')
 def step_lost_and_found(context, searcher_id):
-    context.limits.searcher_removed(searcher(searcher_id), REPLIED_AT)
-    context.limits.searcher_added(searcher(searcher_id))
+    context.limits.searcher_removed(searcher_named(searcher_id), REPLIED_AT)
+    context.limits.searcher_added(searcher_named(searcher_id))
 
 
 @when('"{searcher_id}" starts again')
 def step_starts_again(context, searcher_id):
     context.started_at_ms = 2
-    context.limits.searcher_removed(searcher(searcher_id), REPLIED_AT)
-    context.limits.searcher_added(searcher(searcher_id, started_at_ms=2))
+    context.limits.searcher_removed(searcher_named(searcher_id), REPLIED_AT)
+    context.limits.searcher_added(searcher_named(searcher_id, started_at_ms=2))
 
 
 def known_permits(context, searcher_id):
--- a/features/steps/routed_load_steps.py
+++ b/features/steps/routed_load_steps.py
@@ -48,11 +48,8 @@
 @then("extra arrivals stay within the budget of the deployment")
 def step_budget(context):
     deployment = context.deployment
-    gathers_per_s = sum(
-        kind.requests_per_s for kind in deployment.kinds if kind.required_coverage
-    )
     # The slack is granted once for each window; this run lies within one window.
-    slack = deployment.retry_slack / (gathers_per_s * context.seconds)
+    slack = deployment.retry_slack / (deployment.gathers_per_s * context.seconds)
     assert context.seconds <= BUDGET_WINDOW_S
     allowed = deployment.retry_ratio + slack
     assert context.measures.extra <= allowed, (context.measures, allowed)
--- a/features/support/platform_programs.py
+++ b/features/support/platform_programs.py
@@ -1,6 +1,5 @@
 """Starts programs of the platform's folder with settings files of a scenario."""
 
-import os
 import tempfile
 from pathlib import Path
 
@@ -75,15 +74,12 @@
 
 def start(context, program, path):
     """Starts a program of the folder with its log in a file."""
-    os.environ[PATH_VARIABLE] = str(path)
-    try:
-        context.program = Program(
-            module=[f"platform/{program}.py"],
-            arguments=[],
-            log_path=Path(context.folder) / "log",
-        )
-    finally:
-        del os.environ[PATH_VARIABLE]
+    context.program = Program(
+        module=[f"platform/{program}.py"],
+        arguments=[],
+        log_path=Path(context.folder) / "log",
+        variables={PATH_VARIABLE: str(path)},
+    )
     context.add_cleanup(context.program.close)
 
 
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -94,8 +94,9 @@
 class Program:
     """A started program that logs to a file."""
 
-    def __init__(self, *, module, arguments, log_path):
-        environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+    def __init__(self, *, module, arguments, log_path, variables=None):
+        source = {"PYTHONPATH": str(ROOT / "src")}
+        environment = os.environ | source | (variables or {})
         self.log_path = Path(log_path)
         with open(log_path, "ab") as log:
             self.log_start = log.tell()
--- a/features/support/rate_limit_run.py
+++ b/features/support/rate_limit_run.py
@@ -35,6 +35,32 @@
 RESTARTS = 0.0005  # of a host, per request
 
 
+def searcher_named(searcher_id, started_at_ms=1):
+    """Returns the announcement of a searcher."""
+    return Searcher(
+        searcher_id=searcher_id,
+        service="cards",
+        address="",
+        data_centre="dc-1",
+        slots=2,
+        started_at_ms=started_at_ms,
+    )
+
+
+def reply_with(*, rate_limit, status=200, not_executed=False):
+    """Returns a searcher's reply that states a rate limit, or none."""
+    return SearcherReply(
+        status=status,
+        reason="",
+        headers=httputil.HTTPHeaders(),
+        body=b"",
+        signature="s",
+        not_executed=not_executed,
+        load=None,
+        rate_limit=rate_limit,
+    )
+
+
 @dataclass(frozen=True, kw_only=True)
 class Phase:
     """A time during which a searcher states one limit, or none."""
@@ -70,22 +96,12 @@
         self.random = random.Random(seed)
         self.requests_per_s = requests_per_s
         self.phases = phases
-        self.searchers = [
-            Searcher(
-                searcher_id=f"s-{number}",
-                service="cards",
-                address="",
-                data_centre="dc-1",
-                slots=2,
-            )
-            for number in range(searchers)
-        ]
+        self.searchers = [searcher_named(f"s-{number}") for number in range(searchers)]
         self.events = Counter()
         self.hosts = [Host(limits=self._new_limits(n, hosts)) for n in range(hosts)]
         # Traffic is uneven over the hosts.
         self.weights = [self.random.random() + 0.2 for _ in self.hosts]
         self.arrivals = {s.searcher_id: [] for s in self.searchers}
-        self.turned_away = 0
         self.pauses = True  # whether requests pause, so that hosts collect permits
         self.queue = []
         self.order = itertools.count()
@@ -118,7 +134,6 @@
         host = self.random.choices(self.hosts, self.weights)[0]
         free = [s for s in self.searchers if not host.limits.wait_s(s, now)]
         if not free:
-            self.turned_away += 1
             return
         searcher = self.random.choice(free)
         host.limits.take(searcher, now)
@@ -139,16 +154,7 @@
     def _reply(self, now):
         limit = self._limit_at(now)
         stated = None if limit is None else StatedRate(text="", per_s=limit)
-        return SearcherReply(
-            status=200,
-            reason="",
-            headers=httputil.HTTPHeaders(),
-            body=b"",
-            signature="s",
-            not_executed=False,
-            load=None,
-            rate_limit=stated,
-        )
+        return reply_with(rate_limit=stated)
 
     def _limit_at(self, now):
         for phase in self.phases:
