--- /dev/null
+++ b/features/failures/crashing_requests.feature
@@ -0,0 +1,20 @@
+Feature: A request that ends the searchers that run it is soon sent to none
+
+  Background:
+    Given 3 entry hosts and 3 replicas of control
+
+  Scenario: Repeats of a request that ends searchers of a service stop at all hosts
+    # Guards against a caller that takes down one searcher after the other.
+    Given 4 searchers of each service of a single route that a request to its path "x" ends
+    When a caller sends that request 60 times within 6 s, to the hosts in turn
+    Then 3 searchers have ended at least
+    And at most 3 arrivals of it are later than 4 s after the third end
+    And no host has answered it with a 4xx status
+
+  Scenario: Repeats of a request that ends searchers of all shards stop at all hosts
+    # Guards against repeats by shard, each of which has its own attempts.
+    Given 4 searchers of each service of a gathered route that a request to its path "x" ends
+    When a caller sends that request 60 times within 6 s, to the hosts in turn
+    Then 3 searchers have ended at least
+    And at most 3 arrivals of it are later than 4 s after the third end
+    And no host has answered it with a 4xx status
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -101,11 +101,30 @@
         self.behave = answer_whole
         self.rejects_early = False  # before the body has been read
         self.server = None
+        self.is_down = False
+        self.crashes = []  # times on the event loop's clock
+        self.arrivals = []  # (time, target) of all requests
 
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
+    def crash(self):
+        """Closes the listener and all connections, as the end of a process does."""
+        self.is_down = True
+        self.crashes.append(asyncio.get_running_loop().time())
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    async def restart(self):
+        """Starts again at the same address, as a new process."""
+        self.started_at_ms += 1
+        self.sequence = 0
+        await self.start(port=int(self.address.rpartition(":")[2]))
+        self.is_down = False
+
     async def _serve(self, reader, writer):
         self.connections += 1
         self.writers.append(writer)
@@ -118,6 +137,7 @@
                     method=method, target=target, headers=headers, body=body
                 )
                 self.received.append(request)
+                self.arrivals.append((asyncio.get_running_loop().time(), target))
                 if self.rejects_early:
                     continue
                 working = asyncio.ensure_future(self.behave(self, request, writer))
@@ -257,6 +277,24 @@
     writer.write(head + sized(b"broken"))
 
 
+def end_on(target, *, runs_s=0.02, down_s=0.5):
+    """Returns the behaviour of a searcher that a request to ``target`` ends.
+
+    It is back after ``down_s``; other requests are answered after a while.
+    """
+
+    async def answer_or_end(searcher, request, writer):
+        await asyncio.sleep(runs_s)
+        if request.target != target:
+            await answer_whole(searcher, request, writer)
+        elif not searcher.is_down:
+            searcher.crash()
+            await_restart = asyncio.get_running_loop().call_later
+            await_restart(down_s, lambda: asyncio.ensure_future(searcher.restart()))
+
+    return answer_or_end
+
+
 async def answer_garbage(searcher, request, writer):
     writer.write(b"this is no answer\r\n\r\n")
     await writer.drain()
@@ -484,6 +522,8 @@
     async def _announce(self):
         while True:
             for searcher in list(self.searchers.values()):
+                if searcher.is_down:
+                    continue
                 try:
                     await self.announce(searcher)
                 except (OSError, asyncio.IncompleteReadError):
