Quarantine routed requests that end the searchers that run them

Callers saw up to a third of all answers fail while one caller repeated one request. Cause: nothing remembered what came of the last try; repeats, hedges and resends each went to the next searcher (docs/guarantees.md: no quarantine on routed requests).

A break of a connection is now evidence only once the searcher has ended: none of its connections is left and it refuses new ones while this host has others, or a new start or silence follows. Hosts report ends by fingerprint (host, method, path, caller, body) in their polls, replicas of control add them up and pass them on. Three ends that are not of one moment quarantine a request at all hosts for 600 s: 503 with the time left where it has not run, 502 where it has. An answer or an operator's order ends that.

--- a/bench/routed_model/pool.py
+++ b/bench/routed_model/pool.py
@@ -69,6 +69,11 @@
     def _open_s(self):
         return self.model.spec.connect_ms / 1000 + 2 * self.delay_s
 
+    @property
+    def is_connected(self):
+        """Whether a connection is open."""
+        return self.count > 0
+
     # ---- Commands -----------------------------------------------------------------
 
     def take_idle(self, now):
@@ -93,6 +98,14 @@
         self.model.connections += 1
         return ModelConnection(self)
 
+    async def probe(self):
+        """Opens a connection; returns why that failed, or None."""
+        connection = await self.open()
+        if connection is None:
+            return "connection_timed_out"
+        self.put_back(connection, None)
+        return None
+
     def exchange(self, connection, *, request, request_id, on_done):
         """Sends a request; calls ``on_done`` with a SearcherReply or a CallFailure."""
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/features/behaviour/crash_evidence.feature
@@ -0,0 +1,48 @@
+Feature: A request is quarantined only for searchers that have ended under it
+
+  Scenario: Three ends quarantine a request, and an answer ends that
+    # Guards against a quarantine that no evidence can end.
+    Given a host without evidence
+    When "s-1" ends under the request at 1 s
+    And "s-2" ends under the request at 2 s
+    Then the request is clear and may not be repeated
+    When "s-3" ends under the request at 3 s
+    Then the request is quarantined
+    When a searcher answers the request at 4 s
+    Then the request is clear and may be repeated
+
+  Scenario: Connections that break at a searcher which lives on prove nothing
+    # Guards against refusals while searchers reset connections or cut answers short.
+    Given a host without evidence
+    When a connection to each of 20 searchers breaks under the request, and they live on
+    Then the request is clear and may be repeated
+
+  Scenario: Many ends in one moment put a request on trial
+    # Guards against refusals of harmless requests to all shards, beside one that is not.
+    Given a host without evidence
+    When 10 searchers end under the request within 0.1 s
+    Then the request is on trial
+    When "s-99" ends under the request at 5 s
+    Then the request is quarantined
+
+  Scenario: A replica that has restarted lifts no quarantine
+    # Guards against state of control that is lost, as after a restart of all replicas.
+    Given a host without evidence
+    When control says that 3 searchers have ended under the request
+    And control says nothing of the request
+    Then the request is quarantined
+
+  Scenario: Requests that change each time use bounded memory and lift no quarantine
+    # Guards against a caller that fills the records, and one that empties them so.
+    Given a host without evidence
+    When control says that 3 searchers have ended under the request
+    And 3 searchers end under each of 5000 other requests
+    Then the request is quarantined
+    And the host keeps at most 1000 requests
+
+  Scenario: A report that an answer has overtaken does not count
+    # Guards against a late report that quarantines a harmless request again.
+    Given a replica of control
+    When it hears at 9 s that a searcher has answered the request
+    And it hears at 10 s of 3 ends under the request that are 2 s old
+    Then it reports no end of a searcher under the request
--- a/features/failures/crashing_requests.feature
+++ b/features/failures/crashing_requests.feature
@@ -18,3 +18,25 @@
     Then 3 searchers have ended at least
     And at most 3 arrivals of it are later than 4 s after the third end
     And no host has answered it with a 4xx status
+
+  Scenario: An operator finds the request and has it sent again
+    # Guards against a quarantine that only time can end.
+    Given 4 searchers of each service of a single route that a request to its path "x" ends
+    When a caller sends that request to the hosts in turn until each one has refused it
+    Then each replica lists it as quarantined
+    When the searchers are mended and an operator lifts the quarantine
+    Then each host answers the request with 200
+
+  Scenario: A host that starts anew refuses a quarantined request
+    # Guards against a restart after which one host sends the request again.
+    Given 4 searchers of each service of a single route that a request to its path "x" ends
+    When a caller sends that request to the hosts in turn until each one has refused it
+    And another host starts
+    Then it refuses the request and no searcher gets it
+
+  Scenario: Harmless requests beside it are answered
+    # Guards against a quarantine of requests that ran on the searchers when they ended.
+    Given 4 searchers of each service of a gathered route that a request to its path "x" ends
+    When a caller sends that request to the hosts in turn until each one has refused it
+    And the searchers are up again
+    Then 50 other requests to the hosts are answered with 200
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import itertools
+import json
 
 from behave import given, then, when
-from routed_request_steps import configuration
 
-from support.routed_tier import RoutedTier, StandInSearcher, end_on
+from steps.routed_request_steps import configuration
+from support.routed_tier import RoutedTier, StandInSearcher, answer_whole, end_on
 
 PREFIXES = {"single": "/read/", "gathered": "/all/"}
+MINUTE_S = 60.0  # a refusal that names a longer time is a quarantine
 SHARDS = ("shard-1", "shard-2", "shard-3", "shard-4")
 
 
@@ -87,3 +89,114 @@
 def step_no_denial(context):
     statuses = {reply.status for reply in context.replies}
     assert statuses <= {200, 502, 503, 504}, statuses
+
+
+# ---- Operators, restarts and harmless requests --------------------------------------
+
+
+def call_host(context, host, target=None):
+    call = context.tier.call(host.settings.listen, target=target or context.target)
+    return context.tier.run(call)
+
+
+@when("a caller sends that request to the hosts in turn until each one has refused it")
+def step_until_refused(context):
+    refused = set()
+    for host in itertools.cycle(context.hosts):
+        reply = call_host(context, host)
+        if reply.status == 503 and float(reply.headers["retry-after"]) > MINUTE_S:
+            refused.add(host.settings.listen)
+        if len(refused) == len(context.hosts):
+            return
+        context.tier.run(asyncio.sleep(0.05))
+
+
+def quarantined_at(context, address):
+    call = context.tier.call_control(address, "GET", "/v1/quarantined-requests")
+    rows = json.loads(context.tier.run(call).body)
+    return [row["fingerprint"] for row in rows if row["quarantined"]]
+
+
+@then("each replica lists it as quarantined")
+def step_listed(context):
+    for address in context.tier.registries:
+        context.tier.wait_for(
+            lambda address=address: len(quarantined_at(context, address)) == 1,
+            "the quarantine at each replica",
+        )
+
+
+def wait_until_up(context):
+    context.tier.wait_for(
+        lambda: not any(searcher.is_down for searcher in context.searchers),
+        "the searchers",
+    )
+    starts = {searcher.started_at_ms for searcher in context.searchers}
+    assert starts != {1}, "no searcher has started again"
+    for host in context.hosts:
+        context.tier.wait_for(lambda host=host: knows_starts(context, host), "starts")
+
+
+def knows_starts(context, host):
+    members = host.router.fleet.members
+    return all(
+        searcher.searcher_id in members
+        and members[searcher.searcher_id].searcher.started_at_ms
+        == searcher.started_at_ms
+        for searcher in context.searchers
+    )
+
+
+@when("the searchers are up again")
+def step_up(context):
+    wait_until_up(context)
+
+
+@when("the searchers are mended and an operator lifts the quarantine")
+def step_lift(context):
+    wait_until_up(context)
+    for searcher in context.searchers:
+        searcher.behave = answer_whole
+    address = next(iter(context.tier.registries))
+    (fingerprint,) = quarantined_at(context, address)
+    path = f"/v1/quarantined-requests/{fingerprint}/lift"
+    reply = context.tier.run(context.tier.call_control(address, "POST", path))
+    assert reply.status == 200, reply
+
+
+@then("each host answers the request with 200")
+def step_answered(context):
+    for host in context.hosts:
+        context.tier.wait_for(
+            lambda host=host: call_host(context, host).status == 200, "an answer"
+        )
+
+
+@when("another host starts")
+def step_new_host(context):
+    peers = context.hosts[0].settings.control_addresses
+    context.new_host = context.tier.start_gateway(
+        [daemon.settings.own for daemon, *_ in context.tier.registries.values()]
+    )
+    assert context.new_host.settings.control_addresses() == peers()
+    context.tier.wait_for(
+        lambda: context.new_host.router.table is not None, "a configuration"
+    )
+
+
+@then("it refuses the request and no searcher gets it")
+def step_refused_by_new(context):
+    before = sum(len(searcher.arrivals) for searcher in context.searchers)
+    assert call_host(context, context.new_host).status == 503
+    after = sum(len(searcher.arrivals) for searcher in context.searchers)
+    assert after == before
+
+
+@then("{count:d} other requests to the hosts are answered with {status:d}")
+def step_harmless(context, count, status):
+    hosts = itertools.islice(itertools.cycle(context.hosts), count)
+    statuses = [
+        call_host(context, host, f"{context.target}-{number % 5}").status
+        for number, host in enumerate(hosts)
+    ]
+    assert statuses == [status] * count, statuses
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from plantainstage._limits.quarantine import QuarantineTable, fingerprint_of
+from plantainstage._limits.quarantine import QuarantineTable
+from plantainstage._limits.quarantine_times import fingerprint_of
 from plantainstage._membership import commands
 from plantainstage._membership.machine import MembershipMachine
 from plantainstage._membership.quarantines import next_expiry_ms
@@ -11,7 +12,7 @@
 from support.control_processes import ControlProcesses
 from support.processes import wait_until
 
-FINGERPRINT = fingerprint_of("ditch-turns", b'"whose turn"')
+FINGERPRINT = fingerprint_of(b"ditch-turns", b'"whose turn"')
 
 
 @given("an empty quarantine table")
--- a/src/plantainstage/_gateway/call.py
+++ b/src/plantainstage/_gateway/call.py
@@ -18,13 +18,16 @@
     ``on_done(call, outcome)`` is called exactly once, also if the call is abandoned.
     """
 
-    def __init__(self, *, fleet, member, request, request_id, work_s, on_done):
+    def __init__(
+        self, *, fleet, member, request, request_id, work_s, on_done, may_send
+    ):
         self.fleet = fleet
         self.member = member
         self.request = request
         self.request_id = request_id
         self.work_s = work_s
         self.on_done = on_done
+        self.may_send = may_send
         self.connection = None
         self.task = None
         self.timer = None
@@ -71,6 +74,11 @@
             failure = CallFailure(kind=FailureKind.UNREACHABLE, reason="no connection")
             self._finish(failure)
             return
+        if not self.may_send():
+            self.member.pool.put_back(connection, None)
+            failure = CallFailure(kind=FailureKind.UNREACHABLE, reason="not to be sent")
+            self._finish(failure)
+            return
         self._send(connection)
 
     def _send(self, connection):
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -9,9 +9,10 @@
 from plantainstage._errors import InvalidConfigurationError
 from plantainstage._messages import serving
 from plantainstage._serving.control_sources import ControlSources
+from plantainstage._serving.crash_reports import suspicion_digest
 from plantainstage._serving.merged_searchers import MergedSearchers
 from plantainstage._serving.searchers import SearcherState
-from plantainstage._supervision import run_supervised
+from plantainstage._supervision import ChangeSignal, run_supervised
 from plantainstage._transport.rpc import RECONNECT_MAX_MS, RpcClient
 
 POLL_INTERVAL_S = 0.35
@@ -61,6 +62,10 @@
             host_id=host_id, data_centre=router.fleet.data_centre
         )
         self.pollers = {}
+        self.suspicion_digests = {}  # address -> of what the replica last reported
+        self.confirmed = {}  # address -> (process, number of its last crash report)
+        self.observed = ChangeSignal()
+        router.end_checks.on_observation = self.observed.notify
 
     # ---- Tasks --------------------------------------------------------------------
 
@@ -82,7 +87,8 @@
             self.events.log_event("control_lost", replica=source.address)
         for searcher_id in self.merged_searchers.expire(now):
             self.events.log_event("searcher_lost", searcher=searcher_id)
-            self.router.fleet.remove_searcher(searcher_id)
+            self.router.fleet.remove_silent(searcher_id)
+        self.router.evidence.expire(now)
         self.router.set_hosts(self.sources.hosts)
 
     def _start_pollers(self, addresses):
@@ -112,15 +118,15 @@
                 await self._wait_while_relayed(address)
                 continue
             try:
-                reply = await client.call(
-                    self._request(address), timeout_s=POLL_TIMEOUT_S
-                )
+                request, crash_number = self._request(address)
+                reply = await client.call(request, timeout_s=POLL_TIMEOUT_S)
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
                 self.router.metrics.failed_polls.labels(type(error).__name__).inc()
             else:
                 client.reconnect_max_ms = RECONNECT_MAX_MS
                 self._apply_reply(address, reply)
-            await asyncio.sleep(self._poll_interval_s(address))
+                self._confirm_reports(address, reply, crash_number)
+            await self.observed.wait(self._poll_interval_s(address))
 
     async def _wait_while_relayed(self, address):
         now = asyncio.get_running_loop().time()
@@ -138,8 +144,11 @@
         )
 
     def _request(self, address):
+        """Returns a poll, and the number of the last crash report in it."""
         now = asyncio.get_running_loop().time()
-        return serving.SyncRequest(
+        _, confirmed = self.confirmed.get(address, ("", 0))
+        reports, crash_number = self.router.evidence.reports_after(confirmed, now)
+        request = serving.SyncRequest(
             host_id=self.host_id,
             version=self.router.version,
             counts=self.sources.counting_replica(now) == address,
@@ -151,7 +160,10 @@
                 )
                 for source in self.sources.held()
             ),
+            suspicion_digest=self.suspicion_digests.get(address, 0),
+            crash_reports=reports,
         )
+        return request, crash_number
 
     # ---- Replies ------------------------------------------------------------------
 
@@ -165,6 +177,16 @@
         self._start_pollers(reply.replicas)
         for report in reply.sources:
             self._apply_report(address, report, now)
+        if reply.suspected is not None:
+            self.suspicion_digests[address] = suspicion_digest(reply.suspected)
+            rulings = self.router.evidence.apply_suspected(reply.suspected, now)
+            self.router.end_checks.apply(rulings)
+
+    def _confirm_reports(self, address, reply, crash_number):
+        """Records which crash reports a replica has; one that restarted has none."""
+        process = reply.sources[0].process if reply.sources else ""
+        known, _ = self.confirmed.get(address, (process, 0))
+        self.confirmed[address] = (process, crash_number if process == known else 0)
 
     def _apply_report(self, relay, report, now):
         recorded = self.sources.record_report(relay, report, now)
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -23,6 +23,10 @@
     """Replaces the event log, for tests and simulations."""
 
 
+def _ignore(searcher):
+    """Replaces ``on_start_gone`` until it is set."""
+
+
 def _same_endpoint(one, other):
     return (one.address, one.service) == (other.address, other.service)
 
@@ -68,13 +72,16 @@
         self.hosts = HostCounts(by_data_centre={data_centre: 1})  # share the caps
         self.shares = {}  # searcher id -> ConnectionShare
         self.limits = SearcherLimits(host_id=host_id, log_event=log_event)
+        # Called with a start that was replaced or that is announced no longer.
+        self.on_start_gone = _ignore
 
     # ---- Known searchers ----------------------------------------------------------
 
     def update_searcher(self, searcher: Searcher):
         """Adds, updates or removes a searcher after a change of its announcement."""
         known = self.members.get(searcher.searcher_id)
-        if known and known.searcher.started_at_ms != searcher.started_at_ms:
+        if known and known.searcher.start != searcher.start:
+            self.on_start_gone(known.searcher)
             self.remove_searcher(searcher.searcher_id)
             known = None
         if searcher.state is not SearcherState.READY:
@@ -111,8 +118,21 @@
             other = member.searcher
             earlier = other.started_at_ms <= searcher.started_at_ms
             if other.address == searcher.address and earlier:
+                self.on_start_gone(other)
                 self.remove_searcher(other.searcher_id)
 
+    def remove_silent(self, searcher_id: str):
+        """Stops sending requests to a searcher that announces itself no longer."""
+        member = self.members.get(searcher_id)
+        if member is not None:
+            self.on_start_gone(member.searcher)
+            self.remove_searcher(searcher_id)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection to any searcher is open."""
+        return any(member.pool.is_connected for member in self.members.values())
+
     def count(self, service: str) -> int:
         """Returns the number of known searchers of a service."""
         return len(self.by_service.get(service, ()))
@@ -227,11 +247,22 @@
 
     # ---- Calls --------------------------------------------------------------------
 
-    def send(self, searcher_id, *, request, request_id, remaining_s, work_s, on_done):
+    def send(
+        self,
+        searcher_id,
+        *,
+        request,
+        request_id,
+        remaining_s,
+        work_s,
+        on_done,
+        may_send: Callable,
+    ):
         """Sends a formatted request to a searcher; returns its Call.
 
         ``on_done`` gets the Call and its CallOutcome exactly once, after this method
-        has returned.
+        has returned. ``may_send()`` tells after a wait for a connection whether the
+        request is still to be sent.
         """
         member = self.members[searcher_id]
         member.pool.kept = self.share(member).kept
@@ -243,6 +274,7 @@
             request_id=request_id,
             work_s=work_s,
             on_done=on_done,
+            may_send=may_send,
         )
         call.start(remaining_s)
         return call
--- a/src/plantainstage/_gateway/gather_request.py
+++ b/src/plantainstage/_gateway/gather_request.py
@@ -6,6 +6,7 @@
 from plantainstage._gateway import answers
 from plantainstage._gateway.messages import SearcherReply
 from plantainstage._gateway.routed_request import RoutedRequest
+from plantainstage._gateway.service_request import QUARANTINED
 from plantainstage._serving import gathering
 from plantainstage._serving.gathering import GatherLimits, Progress, Step
 from plantainstage._serving.records import greatest_records
@@ -19,14 +20,20 @@
     def start(self):
         """Sends the request to all shards that are expected to answer in time.
 
-        It is refused at once if too few shards are known, or if rate limits of their
-        searchers exclude more of them than the answer may lack.
+        It is refused at once if it is quarantined, if too few shards are known, or if
+        rate limits of their searchers exclude more of them than the answer may lack.
         """
         shards = self.route.target.shards
         self.answered = {}  # service -> SearcherReply
         self.failures = []
+        self.unstarted = []  # parts that wait for the first one to be answered
         self.excluded = []  # shards, if rate limits are why the request is refused
         self.limits = self._gather_limits()
+        remaining_s = self.router.end_checks.remaining_s(self.request)
+        if remaining_s:
+            self.router.metrics.quarantine_refusals.inc()
+            self._refuse(QUARANTINED, remaining_s)
+            return
         known = sum(1 for shard in shards if self.router.fleet.count(shard))
         if known < self.limits.needed:
             self._refuse("too_few_shards_known", answers.RETRY_NO_SEARCHER_S)
@@ -41,11 +48,16 @@
             return
         for part in self._late_parts(limited, allowed - len(limited)):
             part.leave_out()
-        for part in self.parts:
-            if not part.over:
-                part.start()
+        self.unstarted = [part for part in self.parts if not part.over]
+        on_trial = self.router.end_checks.is_on_trial(self.request)
+        self._start_parts(1 if on_trial else len(self.unstarted))
         self._step()
 
+    def _start_parts(self, count):
+        starting, self.unstarted = self.unstarted[:count], self.unstarted[count:]
+        for part in starting:
+            part.start()
+
     def _gather_limits(self):
         target = self.route.target
         used_s = self.router.used_by_earlier_attempts_s(
@@ -111,11 +123,19 @@
             return
         if isinstance(outcome, SearcherReply):
             self.answered[part.service] = outcome
+            self._start_parts(len(self.unstarted))
         else:
             self.failures.append(outcome)
+            self._skip_unstarted()
         if self.timer is not None:
             self._step()
 
+    def _skip_unstarted(self):
+        """Ends the shards that wait for a trial which has failed."""
+        unstarted, self.unstarted = self.unstarted, []
+        for part in unstarted:
+            part.leave_out()
+
     def _step(self):
         if self.over:
             return
--- a/src/plantainstage/_gateway/messages.py
+++ b/src/plantainstage/_gateway/messages.py
@@ -2,13 +2,16 @@
 
 import enum
 from dataclasses import dataclass
+from functools import cached_property
 
 from tornado import httputil
 
 from plantainstage._gateway.header_names import HOP_BY_HOP, HeaderNames
+from plantainstage._limits.quarantine_times import fingerprint_of
 from plantainstage._serving.rate_limits import StatedRate
 
 STATUS_MISDIRECTED = 421
+STATUS_SERVER_ERROR = 500  # and above
 MAX_DEADLINE_MS = 3_600_000
 
 
@@ -37,6 +40,20 @@
             received_at=received_at,
         )
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """A hash of host, method, path, caller and body, the same for a resend.
+
+        The caller is whom the request authorises, as far as it names anybody.
+        """
+        named = [
+            self.headers.get("Host", "").lower(),
+            self.method,
+            self.target,
+            self.headers.get("Authorization", ""),
+        ]
+        return fingerprint_of(*(part.encode() for part in named), self.body)
+
 
 def _deadline_of(text):
     if not text.isascii() or not text.isdigit():
@@ -85,6 +102,11 @@
         """Whether the searcher guarantees that it did not run the request."""
         return self.not_executed or self.status == STATUS_MISDIRECTED
 
+    @property
+    def shows_run(self):
+        """Whether the searcher has run the request and lives on."""
+        return not self.not_run and self.status < STATUS_SERVER_ERROR
+
 
 class FailureKind(enum.Enum):
     """Why a request got no complete reply from a searcher."""
--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -28,12 +28,18 @@
         self.memory = memory  # shared by all pools of a host
         self.idle = []  # most recently used last
         self.count = 0  # open connections and those being opened
+        self.opening = 0
         self.open_s = INITIAL_CONNECT_S  # average time to open a connection
         self.kept = 1  # idle connections that are kept until they expire
         self.retired = False
 
     # ---- Queries ------------------------------------------------------------------
 
+    @property
+    def is_connected(self):
+        """Whether a connection to the searcher is open."""
+        return self.count > self.opening
+
     def has_room(self, cap, now):
         """Whether a request can be sent without exceeding ``cap`` connections."""
         return self.count < cap or self._has_idle(now)
@@ -61,7 +67,22 @@
 
     async def open(self):
         """Returns a new connection, or None if it is refused or times out."""
+        try:
+            return await self._connect()
+        except ExchangeError:
+            return None
+
+    async def probe(self) -> str | None:
+        """Opens a connection; returns why that failed, or None if it is open now."""
+        try:
+            self.put_back(await self._connect(), None)
+        except ExchangeError as error:
+            return error.reason
+        return None
+
+    async def _connect(self):
         self.count += 1
+        self.opening += 1
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         try:
@@ -70,15 +91,14 @@
                 timeout_s=CONNECT_TIMEOUT_S,
                 on_closed=self._closed,
             )
-            elapsed_s = loop.time() - began_at
-            self.open_s += CONNECT_TIME_WEIGHT * (elapsed_s - self.open_s)
-            return connection
-        except ExchangeError:
-            self.count -= 1
-            return None
-        except asyncio.CancelledError:
+        except (ExchangeError, asyncio.CancelledError):
             self.count -= 1
             raise
+        finally:
+            self.opening -= 1
+        elapsed_s = loop.time() - began_at
+        self.open_s += CONNECT_TIME_WEIGHT * (elapsed_s - self.open_s)
+        return connection
 
     def exchange(self, connection, *, request, request_id, on_done):
         """Sends a request; ``on_done`` gets a SearcherReply or a CallFailure."""
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 
 from plantainstage._gateway.messages import CallerRequest, request_head
-from plantainstage._gateway.service_request import ServiceRequest
+from plantainstage._gateway.service_request import (
+    QUARANTINED,
+    RequestProgress,
+    ServiceRequest,
+)
 from plantainstage._serving import gathering
 from plantainstage._serving.configuration import Route
 
@@ -41,6 +45,7 @@
         self.head = request_head(request, router.names)
         self.rank = self._budget_rank()
         self.parts = []
+        self.progress = RequestProgress()
         self.uses_permits = True
         self.is_limited = False  # whether it needs permits of limited searchers
         self.timer = None
@@ -80,6 +85,7 @@
             rank=self.rank,
             on_done=self._part_done,
             uses_permits=self.uses_permits,
+            progress=self.progress,
         )
 
     def _finish(self, answer):
@@ -115,6 +121,8 @@
             "rejections": sum(part.rejections for part in self.parts),
             **self._log_fields(),
         }
+        if outcome == QUARANTINED:
+            fields["fingerprint"] = self.request.fingerprint
         if status == 200 and elapsed_ms <= self.route.aim_ms:
             self.router.events.log_ordinary("request", **fields)
         else:
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -3,12 +3,14 @@
 import random
 from functools import partial
 
+from plantainstage._gateway.end_checks import EndChecks
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.pool import SearcherPool
 from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import ServingConfiguration
 from plantainstage._serving.connection_shares import HostCounts
+from plantainstage._serving.crash_evidence import CrashEvidence
 from plantainstage._serving.permit_priority import PermitPriority
 from plantainstage._serving.retry_budget import RetryBudget, RetryBudgetLimits
 from plantainstage._serving.routes import RouteTable
@@ -46,6 +48,13 @@
             host_id=host_id,
             log_event=events.log_event,
         )
+        self.evidence = CrashEvidence()
+        self.end_checks = EndChecks(
+            fleet=self.fleet,
+            evidence=self.evidence,
+            events=events,
+            metrics=self.metrics,
+        )
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
         self.metrics.dropped_lines.set_function(lambda: events.dropped_total)
--- a/src/plantainstage/_gateway/searcher_limits.py
+++ b/src/plantainstage/_gateway/searcher_limits.py
@@ -12,10 +12,6 @@
 _WEIGHTS = 2**32
 
 
-def _key(searcher):
-    return (searcher.searcher_id, searcher.started_at_ms)
-
-
 class SearcherLimits:
     """Permits for each searcher that states a limit.
 
@@ -36,25 +32,25 @@
 
     def is_limited(self, searcher: Searcher) -> bool:
         """Whether the searcher states a limit."""
-        return _key(searcher) in self.permits
+        return searcher.start in self.permits
 
     def allows(self, searcher: Searcher, now: float, uses_permits: bool) -> bool:
         """Whether a request, which may use permits or not, may go to the searcher."""
-        permits = self.permits.get(_key(searcher))
+        permits = self.permits.get(searcher.start)
         if permits is None:
             return True
         return uses_permits and not permits.wait_s(now, self.hosts)
 
     def wait_s(self, searcher: Searcher, now: float) -> float:
         """Returns how long no request may be sent to the searcher, 0 if one may."""
-        permits = self.permits.get(_key(searcher))
+        permits = self.permits.get(searcher.start)
         return 0.0 if permits is None else permits.wait_s(now, self.hosts)
 
     # ---- Commands -----------------------------------------------------------------
 
     def take(self, searcher: Searcher, now: float):
         """Uses a permit for a request to the searcher, if it states a limit."""
-        permits = self.permits.get(_key(searcher))
+        permits = self.permits.get(searcher.start)
         if permits is not None:
             permits.take(now, self.hosts)
 
@@ -71,7 +67,7 @@
             return
         stated = reply.rate_limit
         if stated is None:
-            permits = self.permits.get(_key(searcher))
+            permits = self.permits.get(searcher.start)
             if permits and reply.is_success and sent_at > permits.stated_at:
                 self._end(searcher)
         elif stated.per_s is None:
@@ -81,24 +77,24 @@
 
     def searcher_added(self, searcher: Searcher):
         """Keeps the limit of a searcher that is known again."""
-        self.removed_at.pop(_key(searcher), None)
+        self.removed_at.pop(searcher.start, None)
 
     def searcher_removed(self, searcher: Searcher, now: float):
         """Forgets the limit of a searcher after a while, unless it is known again."""
-        self.unreadable.pop(_key(searcher), None)
-        if _key(searcher) in self.permits:
-            self.removed_at[_key(searcher)] = now
+        self.unreadable.pop(searcher.start, None)
+        if searcher.start in self.permits:
+            self.removed_at[searcher.start] = now
         for key, removed_at in list(self.removed_at.items()):
             if now - removed_at > RETENTION_S:
                 del self.removed_at[key]
                 self.permits.pop(key, None)
 
     def _learn(self, searcher, rate, now):
-        permits = self.permits.get(_key(searcher))
+        permits = self.permits.get(searcher.start)
         before = None if permits is None else permits.rate
         if permits is None:
             permits = RatePermits(rate=rate, phase=self.phase, now=now)
-            self.permits[_key(searcher)] = permits
+            self.permits[searcher.start] = permits
         else:
             permits.state(rate, now, self.hosts)
         if rate != before:
@@ -112,13 +108,13 @@
             )
 
     def _end(self, searcher):
-        permits = self.permits.pop(_key(searcher))
-        self.unreadable.pop(_key(searcher), None)
+        permits = self.permits.pop(searcher.start)
+        self.unreadable.pop(searcher.start, None)
         self._log("searcher_limit_ended", searcher, limit_before=permits.rate)
 
     def _refuse(self, searcher, text):
-        if self.unreadable.get(_key(searcher)) != text:
-            self.unreadable[_key(searcher)] = text
+        if self.unreadable.get(searcher.start) != text:
+            self.unreadable[searcher.start] = text
             self._log("searcher_limit_unreadable", searcher, value=text[:40])
 
     def _log(self, event, searcher, **fields):
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -15,6 +15,7 @@
 )
 from plantainstage._serving.configuration import Route, RouteKind
 
+QUARANTINED = "request_quarantined"
 # A request that is rejected more often than this is not retried.
 MAX_REJECTIONS = 3
 # A searcher with more requests than this multiple of its slots has a queue, in which
@@ -61,6 +62,13 @@
             return str(status)
 
 
+@dataclass(kw_only=True)
+class RequestProgress:
+    """What the services of one request share: whether a searcher has answered it."""
+
+    answered: bool = False
+
+
 class ServiceRequest:
     """Obtains one answer to a request from the searchers of one service.
 
@@ -80,6 +88,7 @@
         rank: float,
         on_done: Callable,
         uses_permits: bool = True,
+        progress: "RequestProgress | None" = None,
     ):
         self.router = router
         self.route = route
@@ -90,6 +99,7 @@
         self.rank = rank  # for the retry budget
         self.on_done = on_done
         self.uses_permits = uses_permits  # of searchers that state a rate limit
+        self.progress = progress or RequestProgress()
         self.calls = []  # in progress
         self.tried = set()
         self.runs = 0  # ended calls whose searcher may have run it
@@ -171,6 +181,9 @@
         self.hedged = True
         if not (self.is_idempotent and self.may_run_again):
             return False
+        if not self._may_repeat():
+            self._add_decision("no_hedge", outcome="searchers ended")
+            return False
         choice = self.best_choice()
         now = asyncio.get_running_loop().time()
         if choice is None or choice.avoided or now + choice.expected_s > useful_until:
@@ -209,6 +222,8 @@
             self._add_decision("given_up", outcome="deadline_passed")
             self._end(reason="deadline_passed")
             return True
+        if self._is_quarantined():
+            return True
         if self._send("send"):
             return True
         if not self.router.fleet.count(self.service):
@@ -227,6 +242,22 @@
             )
         return False
 
+    def _is_quarantined(self):
+        """Ends the request at once if it is quarantined; returns whether it is."""
+        remaining_s = self.router.end_checks.remaining_s(self.request)
+        if not remaining_s:
+            return False
+        self.router.metrics.quarantine_refusals.inc()
+        self._add_decision("given_up", outcome=QUARANTINED)
+        self._end(reason=QUARANTINED, retry_after_s=remaining_s)
+        return True
+
+    def _may_repeat(self):
+        return self.router.end_checks.may_repeat(self.request)
+
+    def _may_send(self):
+        return self.router.end_checks.may_send(self.request)
+
     def _turn_away(self, wait_s):
         """Ends the request at once, since the searchers' rate limits exclude it."""
         self.router.metrics.limited.inc()
@@ -257,6 +288,7 @@
             remaining_s=remaining_s,
             work_s=self.router.work_time(self.route).median.value,
             on_done=self._call_done,
+            may_send=self._may_send,
         )
         self.calls.append(call)
         return True
@@ -279,6 +311,7 @@
         )
         if not outcome.not_run:
             self.runs += 1
+        self._record_evidence(call, outcome)
         if self.over:
             return
         match outcome:
@@ -300,6 +333,16 @@
                 self.last_reason = reason
                 self._try_again(arrived=kind is not FailureKind.UNREACHABLE)
 
+    def _record_evidence(self, call, outcome):
+        """Records what the outcome says about an end of the searcher."""
+        checks = self.router.end_checks
+        match outcome:
+            case SearcherReply(shows_run=True):
+                self.progress.answered = True
+                checks.call_answered(self.request, call.member)
+            case CallFailure(kind=FailureKind.BROKEN) if not self.progress.answered:
+                checks.call_broken(self.request, call.member)
+
     def _try_again(self, *, arrived):
         """Retries at another searcher, or ends the request.
 
@@ -320,6 +363,9 @@
     def _may_try_again(self):
         if self._remaining_s() < MIN_REMAINING_S or self.rejections > MAX_REJECTIONS:
             return False
+        if not self._may_repeat():
+            self._add_decision("no_repeat", outcome="searchers ended")
+            return False
         return self.may_run_again
 
     def _end(self, *, reason, retry_after_s=None):
--- a/src/plantainstage/_limits/quarantine.py
+++ b/src/plantainstage/_limits/quarantine.py
@@ -2,23 +2,13 @@
 
 from dataclasses import dataclass, field
 
-import xxhash
+from plantainstage._limits.quarantine_times import QUARANTINE_S, QuarantineTimes
 
-QUARANTINE_S = 600.0
 CRASHES_TO_QUARANTINE = 2
 CRASHES_AFTER_LIFT = 1  # the fingerprint has crashed searchers before
 SAME_CRASH_S = 1.0  # connections of a lost searcher reset sooner than it restarts
 
 
-def fingerprint_of(index, query):
-    """Returns a hash of the index and the query body.
-
-    The profile and the request id are excluded, so that a resend with another id
-    or profile has the same fingerprint.
-    """
-    return xxhash.xxh3_128_hexdigest(index.encode() + b"\0" + query)
-
-
 @dataclass(kw_only=True)
 class _Crashes:
     """Crashes of one searcher while it was running one fingerprint."""
@@ -74,20 +64,14 @@
 
     def __init__(self, *, duration_s: float = QUARANTINE_S):
         self.duration_s = duration_s
-        self.until = {}
+        self.times = QuarantineTimes()
         self.lifts = {}  # fingerprint -> version of the newest lift applied
         self.strict_until = {}  # fingerprint -> time until which one crash is enough
         self.resets = {}  # fingerprint -> _Resets, ordered by last reset
 
     def is_quarantined(self, fingerprint, now):
         """Whether sub-requests of this fingerprint must not be sent."""
-        until = self.until.get(fingerprint)
-        if until is None:
-            return False
-        if now < until:
-            return True
-        del self.until[fingerprint]
-        return False
+        return self.times.is_quarantined(fingerprint, now)
 
     def has_reset(self, fingerprint, now):
         """Whether a reset of this fingerprint was recorded and has not expired."""
@@ -118,7 +102,7 @@
 
     def quarantine(self, fingerprint, until):
         """Quarantines the fingerprint until a time on the monotonic clock."""
-        self.until[fingerprint] = max(until, self.until.get(fingerprint, until))
+        self.times.quarantine(fingerprint, until)
 
     def apply_notice(self, notice, now):
         """Applies a ``QuarantineNotice`` from another entry host."""
@@ -140,7 +124,7 @@
         for item in lifted:
             name = item.fingerprint
             if self.lifts.get(name, 0) < item.version:
-                self.until.pop(name, None)
+                self.times.end(name)
                 self.resets.pop(name, None)
                 self.strict_until[name] = now + self.duration_s
         self.lifts = {item.fingerprint: item.version for item in lifted}
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from plantainstage._messages.agreement import Member
+from plantainstage._serving.crash_reports import CrashReport, SuspectedRequest
 from plantainstage._serving.searchers import Searcher
 
 
@@ -52,12 +53,16 @@
 
     ``version`` is that of the configuration in force on the host. ``counts`` tells
     that the replica should count the host; a host asks this of one replica at a time.
+    ``crash_reports`` has what the replica has not confirmed yet, ``suspicion_digest``
+    the digest of the suspected requests that it last reported.
     """
 
     host_id: str
     version: int = -1
     counts: bool = True
     cursors: tuple[SourceCursor, ...] = ()
+    suspicion_digest: int = 0
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
@@ -65,13 +70,14 @@
 
     The first of ``sources`` is the replying replica; the others are those that it is
     in contact with, so that the host need not poll them. ``replicas`` lists the
-    addresses of all replicas.
+    addresses of all replicas. ``suspected`` is None if it has not changed.
     """
 
     version: int
     document: bytes | None = None
     sources: tuple[SourceReport, ...] = ()
     replicas: tuple[str, ...] = ()
+    suspected: tuple[SuspectedRequest, ...] | None = None
 
 
 class PeerSyncRequest(
@@ -80,13 +86,15 @@
     """A poll by another replica, which passes the reply on to its entry hosts.
 
     It is answered once something has changed since the cursor, or after ``wait_ms``.
-    The document is sent only if its version is above ``version``.
+    The document is sent only if its version is above ``version``. ``crash_number``
+    numbers the last crash report that the sender has got.
     """
 
     process: str = ""
     cursor: int = 0
     version: int = -1
     wait_ms: int = 0
+    crash_number: int = 0
 
 
 class PeerSyncReply(
@@ -97,6 +105,8 @@
     version: int
     report: SourceReport
     document: bytes | None = None
+    crash_number: int = 0
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 class SearcherNotice(
--- a/src/plantainstage/_operator/routing.py
+++ b/src/plantainstage/_operator/routing.py
@@ -50,6 +50,23 @@
     return response.body
 
 
+async def quarantined_requests(*, addresses, timeout_s: float) -> bytes:
+    """Returns the suspected and quarantined requests of one replica, as JSON.
+
+    Raises ControlUnavailableError.
+    """
+    response = await _call_any_replica(
+        PATHS.list_quarantines, "GET", None, addresses, timeout_s
+    )
+    return response.body
+
+
+async def lift_quarantine(fingerprint: str, *, addresses, timeout_s: float):
+    """Ends the quarantine of a request; raises ControlUnavailableError."""
+    path = PATHS.list_quarantines + f"/{fingerprint}/lift"
+    await _call_any_replica(path, "POST", b"", addresses, timeout_s)
+
+
 async def _call_any_replica(path, method, body, addresses, timeout_s) -> HTTPResponse:
     """Calls the replicas in turn until one returns a success or a refusal."""
     client = SimpleAsyncHTTPClient(force_instance=True)
--- a/src/plantainstage/_programs/ctl_routes.py
+++ b/src/plantainstage/_programs/ctl_routes.py
@@ -1,6 +1,7 @@
 """``plantainstage-ctl routes``: publish and show the serving configuration."""
 
 import asyncio
+import re
 
 import click
 import msgspec
@@ -16,6 +17,8 @@
 from plantainstage._serving.configuration import decode_configuration
 from plantainstage._settings.base import SettingsCheck, build_settings
 
+_FINGERPRINT = re.compile("[0-9a-f]{32}")
+
 
 @click.group("routes")
 def routes_group():
@@ -61,6 +64,41 @@
     print_and_exit(msgspec.Raw(document), [document.decode()], as_json=as_json)
 
 
+@routes_group.command("quarantined")
+@operator_command
+def quarantined(control, timeout, as_json):
+    """List the requests under which searchers have ended, as one replica knows them."""
+    timeout_s = _checked_timeout(control, timeout)
+    call = routing.quarantined_requests(addresses=control, timeout_s=timeout_s)
+    try:
+        rows = asyncio.run(call)
+    except ControlUnavailableError as error:
+        _exit_with_error("unavailable", error, as_json, ExitCode.UNAVAILABLE)
+    print_and_exit(msgspec.Raw(rows), [rows.decode()], as_json=as_json)
+
+
+@routes_group.command("lift")
+@click.argument("fingerprint")
+@operator_command
+def lift(fingerprint, control, timeout, as_json):
+    """Send the requests with FINGERPRINT to searchers again."""
+    timeout_s = _checked_timeout(control, timeout)
+    if not _FINGERPRINT.fullmatch(fingerprint):
+        raise click.BadParameter(
+            f"{fingerprint!r} is not a fingerprint (32 hexadecimal digits); "
+            "`routes quarantined` lists them.",
+            param_hint="FINGERPRINT",
+        )
+    call = routing.lift_quarantine(fingerprint, addresses=control, timeout_s=timeout_s)
+    try:
+        asyncio.run(call)
+    except ControlUnavailableError as error:
+        _exit_with_error("unavailable", error, as_json, ExitCode.UNAVAILABLE)
+    body = {"outcome": "acknowledged", "fingerprint": fingerprint}
+    text = f"{fingerprint} is sent to searchers again once the hosts have polled"
+    print_and_exit(body, [text], as_json=as_json)
+
+
 def _checked_timeout(control, timeout):
     def build():
         check = SettingsCheck()
--- a/src/plantainstage/_registry/control_format.py
+++ b/src/plantainstage/_registry/control_format.py
@@ -33,12 +33,15 @@
 class ControlFormat:
     """Paths and body formats; the defaults are the project's own.
 
-    The ``*_searcher`` paths are regular expressions whose group is the searcher's id.
+    The ``*_searcher`` paths are regular expressions whose group is the searcher's id,
+    and ``lift_quarantine`` is one whose group is the fingerprint of the request.
     """
 
     put_configuration: str = "/v1/configuration"
     get_configuration: str = "/v1/configuration/newest"
     announce_searcher: str = "/v1/searchers/([^/]+)/announcement"
     remove_searcher: str = "/v1/searchers/([^/]+)/departure"
+    list_quarantines: str = "/v1/quarantined-requests"
+    lift_quarantine: str = "/v1/quarantined-requests/([0-9a-f]{32})/lift"
     decode_configuration: ConfigurationDecoder = decode_configuration
     decode_announcement: Callable[[str, bytes], Searcher] = decode_announcement
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -13,6 +13,7 @@
 from plantainstage._errors import NotLeaderError
 from plantainstage._messages import serving
 from plantainstage._registry.control_format import ControlFormat
+from plantainstage._registry.crash_register import CrashRegister
 from plantainstage._registry.machine import ConfigurationMachine
 from plantainstage._registry.peers import Peer
 from plantainstage._registry.recent import RecentFile, RecentState
@@ -71,6 +72,7 @@
         self.process = secrets.token_hex(6)
         self.machine = ConfigurationMachine()
         self.register = SearcherRegister(heartbeat_s=settings.heartbeat_s)
+        self.crashes = CrashRegister()
         self.group = None  # GroupReplica, once its module is loaded
         self.metrics = None  # RegistryMetrics, once its module is loaded
         self.started = asyncio.Event()  # set once all interfaces listen
@@ -82,6 +84,7 @@
             own_address=settings.own.sync_address,
             addresses=self._sync_addresses,
             machine=self.machine,
+            crashes=self.crashes,
             events=events,
         )
         self.sync = SyncService(
@@ -90,6 +93,7 @@
             data_centre=settings.data_centre,
             machine=self.machine,
             register=self.register,
+            crashes=self.crashes,
             relay=self.relay,
             addresses=self._sync_addresses,
         )
@@ -180,6 +184,7 @@
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             now = loop.time()
             self.register.expire(now)
+            self.crashes.expire(now)
             self.sync.expire(now)
 
     # ---- State from before a restart ----------------------------------------------
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -116,6 +116,31 @@
         self._reply(200)
 
 
+class _ListQuarantines(_Handler):
+    async def get(self):
+        now = asyncio.get_running_loop().time()
+        suspected = self.control.crashes.suspected(now)
+        rows = [
+            {
+                "fingerprint": entry.fingerprint,
+                "ended_searchers": entry.ends,
+                "quarantined": entry.proven,
+                "age_ms": entry.age_ms,
+            }
+            for entry in suspected
+            if entry.ends
+        ]
+        self._reply(200, msgspec.json.encode(rows))
+
+
+class _LiftQuarantine(_Handler):
+    async def post(self, fingerprint):
+        now = asyncio.get_running_loop().time()
+        self.control.crashes.lift(fingerprint, now)
+        self.control.events.log_event("quarantine_lifted", fingerprint=fingerprint)
+        self._reply(200)
+
+
 def make_server(control) -> HTTPServer:
     """Returns the server; the caller makes it listen."""
     paths = control.format
@@ -125,6 +150,8 @@
         (paths.get_configuration, _GetConfiguration, arguments),
         (paths.announce_searcher, _AnnounceSearcher, arguments),
         (paths.remove_searcher, _RemoveSearcher, arguments),
+        (paths.list_quarantines, _ListQuarantines, arguments),
+        (paths.lift_quarantine, _LiftQuarantine, arguments),
     ]
     application = web.Application(routes, log_function=lambda handler: None)
     return HTTPServer(application, max_body_size=MAX_DOCUMENT_BYTES)
--- a/src/plantainstage/_registry/mirror.py
+++ b/src/plantainstage/_registry/mirror.py
@@ -35,6 +35,7 @@
         self.report = None  # the newest SourceReport, without its searchers
         self.searchers = {}  # searcher id -> MirroredSearcher
         self.updated_at = float("-inf")
+        self.crash_number = 0  # of the last crash report that was fetched
 
     @property
     def process(self):
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -36,13 +36,17 @@
     """Keeps a mirror of each other replica, each with a task of its own.
 
     ``addresses()`` returns the sync addresses of all known replicas. ``machine`` gets
-    a newer committed configuration if the log does not deliver it in time.
+    a newer committed configuration if the log does not deliver it in time, and
+    ``crashes`` what hosts have reported to the others of requests that end searchers.
     """
 
-    def __init__(self, *, own_address: str, addresses: Callable, machine, events):
+    def __init__(
+        self, *, own_address: str, addresses: Callable, machine, crashes, events
+    ):
         self.own_address = own_address
         self.addresses = addresses
         self.machine = machine
+        self.crashes = crashes  # CrashRegister
         self.events = events
         self.mirrors = {}  # address -> SourceMirror
         self.tasks = {}
@@ -120,6 +124,7 @@
                 cursor=mirror.cursor,
                 version=self._asked_version(behind_since, loop.time()),
                 wait_ms=round(PEER_WAIT_S * 1000),
+                crash_number=mirror.crash_number,
             )
             try:
                 reply = await client.call(request, timeout_s=PEER_TIMEOUT_S)
@@ -128,6 +133,8 @@
             else:
                 last_reply_at = loop.time()
                 mirror.record(reply.report, last_reply_at)
+                mirror.crash_number = reply.crash_number
+                self.crashes.record_from_replica(reply.crash_reports, last_reply_at)
                 behind_since = self._note_version(reply, behind_since, last_reply_at)
             await asyncio.sleep(PEER_PAUSE_S)
 
--- a/src/plantainstage/_registry/sync.py
+++ b/src/plantainstage/_registry/sync.py
@@ -1,33 +1,15 @@
 """Answers the polls of entry hosts and of other replicas."""
 
 import asyncio
-import contextlib
 
 from plantainstage._messages import serving
+from plantainstage._supervision import ChangeSignal
 
 # An entry host polls several times a second. One that stopped is still counted for
 # this time, since its connections outlast it.
 HOST_RETENTION_S = 4.0
 
 
-class ChangeSignal:
-    """Wakes up tasks that wait for the next change."""
-
-    def __init__(self):
-        self.next_change = asyncio.Event()
-
-    def notify(self):
-        """Wakes up all tasks that wait now."""
-        self.next_change.set()
-        self.next_change = asyncio.Event()
-
-    async def wait(self, timeout_s: float):
-        """Returns after the next change, at the latest after ``timeout_s``."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await self.next_change.wait()
-
-
 class SyncService:
     """Reports what this replica and the reachable other ones hear.
 
@@ -36,18 +18,29 @@
     """
 
     def __init__(
-        self, *, own_address, process, data_centre, machine, register, relay, addresses
+        self,
+        *,
+        own_address,
+        process,
+        data_centre,
+        machine,
+        register,
+        crashes,
+        relay,
+        addresses,
     ):
         self.own_address = own_address
         self.process = process
         self.data_centre = data_centre
         self.machine = machine
         self.register = register
+        self.crashes = crashes
         self.relay = relay
         self.addresses = addresses
         self.hosts = {}  # host id -> time of its last poll
         self.changes = ChangeSignal()
         register.on_change = self.changes.notify
+        crashes.on_change = self.changes.notify
 
     # ---- Commands -----------------------------------------------------------------
 
@@ -63,6 +56,7 @@
         """Returns the reply to a poll of an entry host."""
         if request.counts:
             self.hosts[request.host_id] = now
+        self.crashes.record_from_host(request.crash_reports, now)
         held = {cursor.address: cursor for cursor in request.cursors}
         own = held.get(self.own_address, serving.NOTHING_HELD)
         report = self._own_report(process=own.process, cursor=own.cursor)
@@ -71,17 +65,23 @@
             document=self._document_above(request.version),
             sources=(report, *self.relay.reports(held, now)),
             replicas=self.addresses(),
+            suspected=self.crashes.suspected_unless(request.suspicion_digest, now),
         )
 
     async def reply_to_peer(self, request: serving.PeerSyncRequest):
         """Returns the reply to another replica, once there is something to report."""
-        known = (self.process, self.register.cursor)
-        if (request.process, request.cursor) == known:
+        known = (self.process, self.register.cursor, self.crashes.last_number)
+        if (request.process, request.cursor, request.crash_number) == known:
             await self.changes.wait(request.wait_ms / 1000)
+        number = request.crash_number if request.process == self.process else 0
+        now = asyncio.get_running_loop().time()
+        crash_reports, crash_number = self.crashes.reports_after(number, now)
         return serving.PeerSyncReply(
             version=self.machine.newest.version,
             report=self._own_report(process=request.process, cursor=request.cursor),
             document=self._document_above(request.version),
+            crash_number=crash_number,
+            crash_reports=crash_reports,
         )
 
     def _own_report(self, *, process, cursor):
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -54,6 +54,19 @@
         )
         self.hedges = Counter("hedges", "Hedged calls to a second searcher", **shared)
         self.repeats = Counter("repeats", "Calls repeated after a failure", **shared)
+        self.ended_searchers = Counter(
+            "ended_searchers",
+            "Searchers that ended while they ran requests of this host",
+            **shared,
+        )
+        self.quarantined = Counter(
+            "quarantined_requests",
+            "Requests quarantined since they end searchers, by fingerprint",
+            **shared,
+        )
+        self.quarantine_refusals = Counter(
+            "quarantine_refusals", "Calls not sent since of a quarantine", **shared
+        )
         self.failed_polls = Counter(
             "failed_polls", "Polls of control that got no reply", ["error"], **shared
         )
--- a/src/plantainstage/_routing/gather.py
+++ b/src/plantainstage/_routing/gather.py
@@ -7,7 +7,7 @@
 import heapq
 
 from plantainstage._errors import check_invariant
-from plantainstage._limits.quarantine import fingerprint_of
+from plantainstage._limits.quarantine_times import fingerprint_of
 from plantainstage._limits.queue_items import BUSY
 from plantainstage._messages.callers import RunState
 from plantainstage._messages.forward import SubOutcome, SubRequest
@@ -95,7 +95,8 @@
         self.arrived_at = now
         self.finish_at = now + profile.deadline_ms / 1000 - FINISH_MARGIN_S
         self.query = bytes(body.query)
-        self.fingerprint = fingerprint_of(profile.index, self.query)
+        # Without the profile and the id: a resend may have others.
+        self.fingerprint = fingerprint_of(profile.index.encode(), self.query)
         self.snapshot = None
         self.parts = ()
         self.attempts = {}
--- a/src/plantainstage/_serving/searchers.py
+++ b/src/plantainstage/_serving/searchers.py
@@ -36,6 +36,11 @@
     sequence: int = 0
     started_at_ms: int = 0
 
+    @property
+    def start(self):
+        """Key of this start of the searcher: its id and the time of its start."""
+        return (self.searcher_id, self.started_at_ms)
+
     @property
     def recency(self):
         """Sort key of the announcements with one id; a greater one is newer."""
--- a/src/plantainstage/_supervision.py
+++ b/src/plantainstage/_supervision.py
@@ -1,6 +1,7 @@
-"""Starting and supervising the tasks of a daemon."""
+"""Starting, supervising and waking the tasks of a daemon."""
 
 import asyncio
+import contextlib
 import importlib
 import traceback
 from collections.abc import Awaitable, Callable
@@ -39,3 +40,21 @@
         await loop.run_in_executor(None, importlib.import_module, name)
         for name in names
     ]
+
+
+class ChangeSignal:
+    """Wakes up tasks that wait for the next change."""
+
+    def __init__(self):
+        self.next_change = asyncio.Event()
+
+    def notify(self):
+        """Wakes up all tasks that wait now."""
+        self.next_change.set()
+        self.next_change = asyncio.Event()
+
+    async def wait(self, timeout_s: float):
+        """Returns after the next change, at the latest after ``timeout_s``."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.next_change.wait()
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -119,6 +119,16 @@
     return recorder.head
 
 
+def _reason_of(error):
+    match error:
+        case TimeoutError():
+            return "connection_timed_out"
+        case ConnectionRefusedError():
+            return "connection_refused"
+        case _:
+            return "connection_failed"
+
+
 class HttpConnection:
     """A connection to ``address`` (``IP:port``).
 
@@ -161,7 +171,7 @@
                 )
         except (OSError, TimeoutError) as error:
             raise ExchangeError(
-                address=address, reason="connection_refused", bytes_sent=False
+                address=address, reason=_reason_of(error), bytes_sent=False
             ) from error
         return cls(address=address, stream=stream, on_closed=on_closed)
 
