--- /dev/null
+++ b/features/behaviour/reachability.feature
@@ -0,0 +1,50 @@
+Feature: An entry host tells a cut from searchers that are down
+
+  Scenario: Several searchers without any reply between them are a cut
+    # Guards against callers that fail until each searcher has been tried.
+    Given a host that got a reply 1 s ago
+    When calls to 2 searchers fail
+    Then the host is not cut off
+    When a call to a third searcher fails
+    Then the host is cut off
+    When a searcher replies
+    Then the host is not cut off and reaches every service
+
+  Scenario: Failures between replies of others are no cut
+    # Guards against a host that passes on requests while some searchers are down.
+    Given a host that got a reply 1 s ago
+    When 40 calls fail, and after each second one another searcher replies
+    Then the host is not cut off
+
+  Scenario: Refused connections beside replies on open ones are no cut
+    # Guards against a host that gives up connections that work.
+    Given a host that got a reply 0.01 s ago
+    When calls to 5 searchers fail
+    Then the host is not cut off
+
+  Scenario: A service is out of reach only while all of its searchers fail
+    # Guards against a request that is passed on although a searcher here could run it.
+    Given a host that got a reply 0.01 s ago
+    When calls to 2 searchers fail
+    Then a service of these 2 is out of reach
+    And a service of these 2 and another one is in reach
+    When 2 s pass
+    Then a service of these 2 is in reach
+
+  Scenario Outline: Random cuts are found and their ends too, seed <seed>
+    # Guards against evidence that adds up to a cut which is none, and the reverse.
+    When 4000 calls go to 30 searchers with crashes, slow replies and cuts, seed <seed>
+    Then each cut that lasted 2 s was found, and no host was cut off without one
+    And the host was found to reach searchers after each cut
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: Hosts that are cut off spread over their helpers
+    # Guards against one host that helps all others.
+    Given 200 hosts of which 120 are cut off
+    Then each helper is named by at most 12 of them as its first, and each of them names 3
+    And no host is named that is cut off
--- a/features/steps/connection_share_steps.py
+++ b/features/steps/connection_share_steps.py
@@ -50,9 +50,7 @@
             fleet = Fleet(
                 host_id=host_id,
                 data_centre=place,
-                make_pool=lambda searcher: SearcherPool(
-                    searcher=searcher, names=HeaderNames(), memory=ReplyMemory()
-                ),
+                make_pool=pool_of,
             )
             for number, data_centre in enumerate(context.data_centres[:places]):
                 fleet.update_searcher(searcher_in(data_centre, number))
@@ -94,11 +92,15 @@
         self.closed = True
 
 
+def pool_of(searcher):
+    return SearcherPool(
+        address=searcher.address, names=HeaderNames(), memory=ReplyMemory()
+    )
+
+
 @given("a searcher to which this host keeps {kept:d} connection")
 def step_pool(context, kept):
-    context.pool = SearcherPool(
-        searcher=searcher_in("dc-0", 0), names=HeaderNames(), memory=ReplyMemory()
-    )
+    context.pool = pool_of(searcher_in("dc-0", 0))
     context.pool.kept = kept
 
 
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections import deque
-from functools import partial
 
 import msgspec
 from behave import given, then, when
@@ -356,10 +355,16 @@
     asyncio.run(run())
 
 
+def new_pool(searcher):
+    """Returns the connection pool for a searcher."""
+    return SearcherPool(
+        address=searcher.address, names=HeaderNames(), memory=ReplyMemory()
+    )
+
+
 @given('an entry host that knows "{searcher_id}" of "{service}"')
 def step_fleet(context, searcher_id, service):
-    make_pool = partial(SearcherPool, names=HeaderNames(), memory=ReplyMemory())
-    context.fleet = Fleet(data_centre=NEAR, make_pool=make_pool)
+    context.fleet = Fleet(data_centre=NEAR, make_pool=new_pool)
     known = msgspec.structs.replace(
         announcement("ready", 1, 1), searcher_id=searcher_id, service=service
     )
--- a/features/support/proxy.py
+++ b/features/support/proxy.py
@@ -52,6 +52,15 @@
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def _refuse(self):
+        self.server.close()
+
+    async def _listen_again(self):
+        if self.server.is_serving():
+            return
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self._accept, host, int(port))
+
     async def close(self):
         self.server.close()
         self._reset_all()
@@ -62,8 +71,9 @@
         self.network.call(self._set, "held", True)
 
     def release(self):
-        """Ends ``hold``, ``drop`` and ``delay``; held bytes are delivered."""
+        """Ends ``hold``, ``drop``, ``delay`` and ``refuse``; held bytes are delivered."""
         self.network.call(self._release)
+        self.network.run(self._listen_again())
 
     def silence_existing(self):
         """Permanently stops delivery on the existing connections; new ones work."""
@@ -77,6 +87,10 @@
         """Delays each chunk by ``seconds``, in both directions."""
         self.network.call(self._set, "delay_s", seconds)
 
+    def refuse(self):
+        """Refuses new connections until ``release``."""
+        self.network.call(self._refuse)
+
     def reset(self):
         """Resets the existing connections; new ones work."""
         self.network.call(self._reset_all)
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -486,14 +486,18 @@
 
     # ---- Entry hosts, searchers, callers ------------------------------------------
 
-    def start_gateway(self, seeds, budget=None):
+    def start_gateway(self, seeds, budget=None, *, relays=False):
+        """Starts an entry host; with ``relays`` it helps others that are cut off."""
+
         async def start():
-            events = EventLog(program="gateway", host_id="g", put=self._take_lines)
+            host_id = f"gateway-{len(self.gateways)}"
+            events = EventLog(program="gateway", host_id=host_id, put=self._take_lines)
             settings = GatewaySettings(
-                host_id=f"gateway-{len(self.gateways)}",
+                host_id=host_id,
                 data_centre="dc-1",
                 listen=free_address(),
                 ready_listen=free_address(),
+                relay_listen=free_address() if relays else "",
                 control_addresses=lambda: tuple(p.sync_address for p in seeds),
                 budget=budget or RetryBudgetLimits(ratio=0.2, slack=1000),
                 stop_s=3.0,
--- a/src/plantainstage/_gateway/answers.py
+++ b/src/plantainstage/_gateway/answers.py
@@ -4,6 +4,8 @@
 
 from tornado import httputil
 
+from plantainstage._gateway.relay_headers import RELAY_REFUSED
+
 # Retry-After when searchers are busy: several times the usual work time.
 RETRY_BUSY_S = 0.15
 # A host that has just started needs this time until a control replica is up and
@@ -13,14 +15,22 @@
 RETRY_NO_SEARCHER_S = 0.8
 
 
+# A host that is cut off probes the searchers several times a second.
+RETRY_CUT_OFF_S = 0.3
+
+
 @dataclass(frozen=True, kw_only=True)
 class Answer:
-    """The answer to a caller; ``reason`` is only logged."""
+    """The answer to a caller; ``reason`` is only logged.
+
+    ``is_of_searcher`` tells that a searcher wrote it, and not this tier.
+    """
 
     status: int
     body: bytes = b""
     headers: httputil.HTTPHeaders = field(default_factory=httputil.HTTPHeaders)
     reason: str = ""
+    is_of_searcher: bool = False
 
 
 def refusal(*, reason: str, retry_after_s: float = RETRY_BUSY_S) -> Answer:
@@ -29,6 +39,18 @@
     return Answer(status=503, headers=headers, reason=reason)
 
 
+def relay_refusal(*, reason: str) -> Answer:
+    """Returns a 503 for the host that passed a request on; another may take it."""
+    answer = refusal(reason=reason)
+    answer.headers[RELAY_REFUSED] = reason
+    return answer
+
+
+def malformed_relay() -> Answer:
+    """Returns a 400 for a request without the headers of the host that passed it on."""
+    return Answer(status=400, reason="malformed_relay")
+
+
 def no_configuration(*, up_s: float) -> Answer:
     """Returns a 503 for a host without a configuration, up for ``up_s`` seconds."""
     remaining_s = max(RETRY_BUSY_S, RETRY_START_UP_S - up_s)
--- a/src/plantainstage/_gateway/call.py
+++ b/src/plantainstage/_gateway/call.py
@@ -7,9 +7,13 @@
     CallFailure,
     FailureKind,
 )
+from plantainstage._serving.reachability import silent_after_s
 
 # Other searchers are preferred for this time after a failed connection attempt.
 UNREACHABLE_RETRY_S = 1.0
+NO_CONNECTION = "no connection"
+NOT_TO_BE_SENT = "not to be sent"
+NO_REPLY_REASONS = frozenset({NO_CONNECTION, "reset"})
 
 
 class Call:
@@ -71,12 +75,12 @@
         if connection is None:
             loop = asyncio.get_running_loop()
             self.member.load.avoid(loop.time() + UNREACHABLE_RETRY_S)
-            failure = CallFailure(kind=FailureKind.UNREACHABLE, reason="no connection")
+            failure = CallFailure(kind=FailureKind.UNREACHABLE, reason=NO_CONNECTION)
             self._finish(failure)
             return
         if not self.may_send():
             self.member.pool.put_back(connection, None)
-            failure = CallFailure(kind=FailureKind.UNREACHABLE, reason="not to be sent")
+            failure = CallFailure(kind=FailureKind.UNREACHABLE, reason=NOT_TO_BE_SENT)
             self._finish(failure)
             return
         self._send(connection)
@@ -109,6 +113,7 @@
         now = asyncio.get_running_loop().time()
         load = self.member.load
         started_at = load.ended(self)
+        self._update_reach(outcome, now - started_at)
         match outcome:
             case CallFailure(kind=FailureKind.ABANDONED):
                 load.answered(
@@ -121,6 +126,23 @@
             case reply:
                 self._update_load_from_reply(reply, now)
 
+    def _update_reach(self, outcome, elapsed_s):
+        watch = self.fleet.on_reach
+        if watch is None:
+            return
+        start = self.member.searcher.start
+        match outcome:
+            case CallFailure(reason=reason) if reason in NO_REPLY_REASONS:
+                watch.failed(start)
+            case CallFailure(kind=FailureKind.BROKEN):
+                return  # bytes of the searcher have arrived
+            case CallFailure() if elapsed_s > silent_after_s(self.work_s):
+                watch.failed(start)
+            case CallFailure():
+                return
+            case _:
+                watch.replied(start)
+
     def _update_load_from_reply(self, reply, now):
         load = self.member.load
         self.fleet.limits.record_reply(
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -10,6 +10,7 @@
 from plantainstage._messages import serving
 from plantainstage._serving.control_sources import ControlSources
 from plantainstage._serving.crash_reports import suspicion_digest
+from plantainstage._serving.helper_hosts import helpers_digest
 from plantainstage._serving.merged_searchers import MergedSearchers
 from plantainstage._serving.searchers import SearcherState
 from plantainstage._supervision import ChangeSignal, run_supervised
@@ -50,8 +51,11 @@
     that an unreachable replica does not delay updates from the rest.
     """
 
-    def __init__(self, *, host_id, router, addresses, decode, on_limits, events):
+    def __init__(
+        self, *, host_id, router, addresses, decode, on_limits, events, relay_address=""
+    ):
         self.host_id = host_id
+        self.relay_address = relay_address
         self.router = router
         self.addresses = addresses
         self.decode = decode
@@ -162,6 +166,9 @@
             ),
             suspicion_digest=self.suspicion_digests.get(address, 0),
             crash_reports=reports,
+            relay_address=self.relay_address,
+            cut_off=self.router.fleet.reach.is_cut_off,
+            helpers_digest=helpers_digest(self.router.helpers.hosts.addresses),
         )
         return request, crash_number
 
@@ -182,6 +189,9 @@
             rulings = self.router.evidence.apply_suspected(reply.suspected, now)
             self.router.end_checks.apply(rulings)
 
+        if reply.helpers is not None and self.relay_address:
+            self.router.helpers.update(reply.helpers)
+
     def _confirm_reports(self, address, reply, crash_number):
         """Records which crash reports a replica has; one that restarted has none."""
         process = reply.sources[0].process if reply.sources else ""
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -33,7 +33,9 @@
     """Settings of an entry host for routed requests.
 
     ``control_addresses()`` returns the sync addresses in the current settings, which
-    may change. ``stop_s`` is the maximum duration of a planned stop.
+    may change. ``relay_listen`` is where other entry hosts that are cut off from the
+    searchers pass requests on; without it this host passes on nothing either.
+    ``stop_s`` is the maximum duration of a planned stop.
     """
 
     host_id: str
@@ -41,6 +43,7 @@
     listen: str
     ready_listen: str
     control_addresses: Callable[[], tuple[str, ...]]
+    relay_listen: str = ""
     ready_path: str = "/readyz"
     metrics_listen: str = ""
     names: HeaderNames = field(default_factory=HeaderNames)
@@ -73,6 +76,7 @@
             events=events,
         )
         self.ingress = Ingress(router=self.router)
+        self.relay_ingress = Ingress(router=self.router, relays=True)
         self.link = None  # ControlLink, while the daemon runs
 
     @property
@@ -88,6 +92,10 @@
         probes = self._probe_server()
         await self._listen(probes, "ready_listen", self.settings.ready_listen)
         await self._listen(self.ingress.server, "listen", self.settings.listen)
+        if self.settings.relay_listen:
+            await self._listen(
+                self.relay_ingress.server, "relay_listen", self.settings.relay_listen
+            )
         if self.settings.metrics_listen:
             serve_metrics(
                 address=self.settings.metrics_listen,
@@ -96,18 +104,25 @@
             )
         self.link = ControlLink(
             host_id=self.settings.host_id,
+            relay_address=self.settings.relay_listen,
             router=self.router,
             addresses=self.settings.control_addresses,
             decode=self.settings.decode_configuration,
             on_limits=self.ingress.set_limits,
             events=self.events,
         )
-        supervised = run_supervised(self.link.run, task="control", events=self.events)
-        link_task = asyncio.create_task(supervised)
+        tasks = [
+            asyncio.create_task(run_supervised(run, task=task, events=self.events))
+            for task, run in (
+                ("control", self.link.run),
+                ("reach", self.router.reach_watch.run),
+            )
+        ]
         self.events.log_event("started", address=self.settings.listen)
         await stop.wait()
         await self._drain()
-        link_task.cancel()
+        for task in tasks:
+            task.cancel()
         probes.stop()
         self.events.log_event("stopped")
         self.events.flush()
@@ -132,20 +147,32 @@
         """Fails readiness probes, answers remaining requests, then closes."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        self.stopping = self.ingress.stopping = True
-        self.events.log_event("stopping", running=len(self.ingress.running))
+        self.stopping = True
+        for ingress in self._ingresses:
+            ingress.stopping = True
+        self.events.log_event("stopping", running=self._running())
         await asyncio.sleep(min(DRAIN_S, self.settings.stop_s / 2))
-        self.ingress.server.stop()
+        for ingress in self._ingresses:
+            ingress.server.stop()
         # A connection that was accepted before the stop may still send a request.
         await asyncio.sleep(STOP_POLL_S)
-        self.ingress.close_idle()
-        while self.ingress.running:
+        self._close_idle()
+        while self._running():
             if loop.time() - began_at > self.settings.stop_s - STOP_MARGIN_S:
-                self.events.log_event(
-                    "stop_cut_short", running=len(self.ingress.running)
-                )
+                self.events.log_event("stop_cut_short", running=self._running())
                 break
             await asyncio.sleep(STOP_POLL_S)
-            self.ingress.close_idle()
+            self._close_idle()
         # Lets the last answers be flushed before the process exits.
         await asyncio.sleep(STOP_POLL_S)
+
+    @property
+    def _ingresses(self):
+        return (self.ingress, self.relay_ingress)
+
+    def _running(self):
+        return sum(len(ingress.running) for ingress in self._ingresses)
+
+    def _close_idle(self):
+        for ingress in self._ingresses:
+            ingress.close_idle()
--- a/src/plantainstage/_gateway/end_checks.py
+++ b/src/plantainstage/_gateway/end_checks.py
@@ -118,7 +118,12 @@
         if verdict is Verdict.ENDED:
             self._record_end(member.searcher, verdict.value)
         else:
-            self._log(member.searcher, "searcher_end_open", verdict.value)
+            self.events.log_ordinary(
+                "searcher_end_open",
+                searcher=member.searcher.searcher_id,
+                service=member.searcher.service,
+                reason=verdict.value,
+            )
 
     async def _verdict(self, member):
         if member.pool.is_connected:
@@ -135,18 +140,15 @@
         requests = sorted(self.evidence.pending.get(searcher.start, ()))
         rulings = self.evidence.record_end(searcher.start, now)
         self.metrics.ended_searchers.inc()
-        self._log(searcher, "searcher_ended", reason, fingerprints=requests)
-        self.apply(rulings)
-        self.on_observation()
-
-    def _log(self, searcher, event, reason, **fields):
         self.events.log_event(
-            event,
+            "searcher_ended",
             searcher=searcher.searcher_id,
             service=searcher.service,
             reason=reason,
-            **fields,
+            fingerprints=requests,
         )
+        self.apply(rulings)
+        self.on_observation()
 
     def _checked(self, start, task):
         del self.running[start]
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -10,6 +10,7 @@
 from plantainstage._gateway.searcher_limits import SearcherLimits
 from plantainstage._serving import connection_shares, placement
 from plantainstage._serving.connection_shares import ConnectionShare, HostCounts
+from plantainstage._serving.reachability import Reachability
 from plantainstage._serving.searchers import Searcher, SearcherState
 
 # For a service that the configuration in force does not define.
@@ -74,6 +75,8 @@
         self.limits = SearcherLimits(host_id=host_id, log_event=log_event)
         # Called with a start that was replaced or that is announced no longer.
         self.on_start_gone = _ignore
+        self.reach = Reachability()
+        self.on_reach = None  # ReachWatch, if there is one
 
     # ---- Known searchers ----------------------------------------------------------
 
@@ -110,6 +113,7 @@
             member.pool.retire()
             now = asyncio.get_running_loop().time()
             self.limits.searcher_removed(member.searcher, now)
+            self.reach.forget(member.searcher.start)
             self.shares.clear()
 
     def _remove_earlier_at_address(self, searcher):
@@ -133,6 +137,14 @@
         """Whether a connection to any searcher is open."""
         return any(member.pool.is_connected for member in self.members.values())
 
+    def reaches(self, service: str) -> bool:
+        """Whether a searcher of the service may reply to this host."""
+        if self.reach.is_clear:
+            return True
+        members = self.by_service.get(service, {}).values()
+        now = asyncio.get_running_loop().time()
+        return self.reach.reaches_any((m.searcher.start for m in members), now)
+
     def count(self, service: str) -> int:
         """Returns the number of known searchers of a service."""
         return len(self.by_service.get(service, ()))
@@ -228,13 +240,13 @@
 
     # ---- Waiting for room ---------------------------------------------------------
 
-    def wait_for_room(self, service: str, priority: int, try_send):
-        """Calls ``try_send()`` when the service may have room, by priority and arrival.
+    def wait_for_room(self, service: str, rank: tuple, try_send):
+        """Calls ``try_send()`` when the service may have room, by rank and arrival.
 
         ``try_send`` returns true once it no longer needs to wait.
         """
         queue = self.waiting[service]
-        heapq.heappush(queue, (priority, next(self.order), try_send))
+        heapq.heappush(queue, (rank, next(self.order), try_send))
 
     def retry_waiting(self, service: str):
         """Retries requests that wait for room at the service."""
--- a/src/plantainstage/_gateway/gather_request.py
+++ b/src/plantainstage/_gateway/gather_request.py
@@ -6,7 +6,7 @@
 from plantainstage._gateway import answers
 from plantainstage._gateway.messages import SearcherReply
 from plantainstage._gateway.routed_request import RoutedRequest
-from plantainstage._gateway.service_request import QUARANTINED
+from plantainstage._gateway.service_request import QUARANTINED, SEARCHERS_LIMITED
 from plantainstage._serving import gathering
 from plantainstage._serving.gathering import GatherLimits, Progress, Step
 from plantainstage._serving.records import greatest_records
@@ -38,6 +38,8 @@
         if known < self.limits.needed:
             self._refuse("too_few_shards_known", answers.RETRY_NO_SEARCHER_S)
             return
+        if self._leaves_to_helper():
+            return
         self.uses_permits = self._may_use_permits(shards)
         self.parts = [self._service_request(shard) for shard in shards]
         limited = self._limited_waits()
@@ -58,6 +60,17 @@
         for part in starting:
             part.start()
 
+    def _is_out_of_reach(self):
+        """Whether too few shards have answered or have a searcher in reach."""
+        fleet = self.router.fleet
+        if fleet.reach.is_clear:
+            return False
+        usable = sum(
+            shard in self.answered or fleet.reaches(shard)
+            for shard in self.route.target.shards
+        )
+        return usable < self.limits.needed
+
     def _gather_limits(self):
         target = self.route.target
         used_s = self.router.used_by_earlier_attempts_s(
@@ -89,7 +102,7 @@
         self.router.metrics.limited.inc(len(limited))
         self.excluded = sorted(limited)
         enough_s = sorted(limited.values())[-allowed - 1]
-        self._refuse("searchers_limited", max(answers.RETRY_BUSY_S, enough_s))
+        self._refuse(SEARCHERS_LIMITED, max(answers.RETRY_BUSY_S, enough_s))
 
     def _late_parts(self, limited, allowed):
         """Returns the shards to skip, since they are not expected to answer in time.
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -7,6 +7,7 @@
 
 from plantainstage._gateway import answers
 from plantainstage._gateway.messages import CallerRequest
+from plantainstage._gateway.relay_headers import RelayOrigin
 from plantainstage._gateway.requests import start_request
 
 # Limits until a configuration is in force.
@@ -17,6 +18,11 @@
 IDLE_MARGIN_S = 1.0
 
 
+# Requests of hosts that are cut off which a helper has at a time; the memory of a small
+# host holds several times as many.
+MAX_RELAYED = 64
+
+
 class _CallerServer(HTTPServer):
     """tornado's server, which also notifies the delegate of closed connections."""
 
@@ -26,10 +32,14 @@
 
 
 class Ingress(httputil.HTTPServerConnectionDelegate):
-    """Receives requests of callers and starts them on their routes."""
+    """Receives requests of callers and starts them on their routes.
+
+    With ``relays`` it receives what other entry hosts pass on.
+    """
 
-    def __init__(self, *, router):
+    def __init__(self, *, router, relays: bool = False):
         self.router = router
+        self.relays = relays
         self.started_at = asyncio.get_running_loop().time()
         self.server = _CallerServer(
             self,
@@ -101,12 +111,20 @@
             return
         self.connection.set_close_callback(self._caller_disconnected)
         router = self.ingress.router
+        origin = None
+        if self.ingress.relays:
+            origin = RelayOrigin.of(self.headers)
+            refusal = self._relay_refusal(origin)
+            if refusal is not None:
+                self._log_refusal(refusal.reason, status=refusal.status)
+                self._reply(refusal)
+                return
         if router.table is None:
             self._log_refusal("no_configuration", status=503)
             up_s = self.received_at - self.ingress.started_at
             self._reply(answers.no_configuration(up_s=up_s))
             return
-        route = router.table.find(self.headers.get("Host", ""), self.start_line.path)
+        route = self._find_route()
         if route is None:
             self._log_refusal("no_route", status=404)
             self._reply(answers.no_route())
@@ -117,11 +135,31 @@
             body=b"".join(self.chunks),
             names=router.names,
             received_at=self.received_at,
+            origin=origin,
         )
         self.routed = start_request(
             router=router, route=route, request=request, reply=self._reply
         )
 
+    def _relay_refusal(self, origin):
+        """Returns why this host does not take a request that was passed on, or None."""
+        router = self.ingress.router
+        if origin is None:
+            return answers.malformed_relay()
+        if self.ingress.stopping:
+            return answers.relay_refusal(reason="stopping")
+        if router.version < origin.version:
+            return answers.relay_refusal(reason="older_configuration")
+        if len(self.ingress.running) > MAX_RELAYED:
+            return answers.relay_refusal(reason="full")
+        if self._find_route() is None:
+            return answers.relay_refusal(reason="no_route")
+        return None
+
+    def _find_route(self):
+        table = self.ingress.router.table
+        return table.find(self.headers.get("Host", ""), self.start_line.path)
+
     def on_connection_close(self):
         """Drops the request, whose connection closed before it was complete."""
         self.ingress.running.discard(self)
--- a/src/plantainstage/_gateway/messages.py
+++ b/src/plantainstage/_gateway/messages.py
@@ -7,6 +7,7 @@
 from tornado import httputil
 
 from plantainstage._gateway.header_names import HOP_BY_HOP, HeaderNames
+from plantainstage._gateway.relay_headers import RELAY_HEADERS, RelayOrigin
 from plantainstage._limits.quarantine_times import fingerprint_of
 from plantainstage._serving.rate_limits import StatedRate
 
@@ -17,7 +18,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CallerRequest:
-    """One request of a caller; times are on the event loop's clock."""
+    """One request of a caller; times are on the event loop's clock.
+
+    ``origin`` is the host that passed it on, if it did not come from the caller.
+    """
 
     method: str
     target: str
@@ -26,9 +30,19 @@
     request_id: str
     deadline_ms: int | None
     received_at: float
+    origin: RelayOrigin | None = None
 
     @classmethod
-    def of(cls, *, start_line, headers, body, names: HeaderNames, received_at):
+    def of(
+        cls,
+        *,
+        start_line,
+        headers,
+        body,
+        names: HeaderNames,
+        received_at,
+        origin: RelayOrigin | None = None,
+    ):
         """Builds a request and reads its id and deadline from the headers."""
         return cls(
             method=start_line.method,
@@ -38,6 +52,7 @@
             request_id=headers.get(names.request_id, ""),
             deadline_ms=_deadline_of(headers.get(names.deadline, "")),
             received_at=received_at,
+            origin=origin,
         )
 
     @cached_property
@@ -138,7 +153,7 @@
     tornado's parser has validated the values on receipt, so none contains a line
     break. The head is formatted once per request instead of once per shard.
     """
-    dropped = HOP_BY_HOP | _named_by_connection(request.headers)
+    dropped = HOP_BY_HOP | _named_by_connection(request.headers) | RELAY_HEADERS
     dropped |= {"Content-Length", names.deadline, names.expected_searcher}
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [
@@ -167,6 +182,18 @@
     return head + own.encode("latin1") + body
 
 
+def relayed_request(
+    request: CallerRequest,
+    *,
+    names: HeaderNames,
+    origin: RelayOrigin,
+    remaining_ms: int,
+) -> bytes:
+    """Formats a request for the host to which it is passed on."""
+    own = f"{names.deadline}: {remaining_ms}\r\n{origin.lines()}\r\n"
+    return request_head(request, names) + own.encode("latin1") + request.body
+
+
 def reply_headers(reply: SearcherReply, names: HeaderNames) -> httputil.HTTPHeaders:
     """Returns the headers of a searcher's reply that are forwarded to the caller."""
     dropped = HOP_BY_HOP | _named_by_connection(reply.headers)
--- /dev/null
+++ b/src/plantainstage/_gateway/passed_request.py
@@ -0,0 +1,152 @@
+"""A routed request that another entry host runs, since this one is cut off."""
+
+import asyncio
+
+from plantainstage._gateway import answers
+from plantainstage._gateway.decisions import Decision
+from plantainstage._gateway.messages import (
+    CallFailure,
+    FailureKind,
+    SearcherReply,
+    relayed_request,
+    reply_headers,
+)
+from plantainstage._gateway.relay_headers import RELAY_REFUSED, RelayOrigin
+from plantainstage._gateway.service_request import MIN_REMAINING_S
+from plantainstage._serving.configuration import RouteKind
+
+# Helpers that get a request; each refusal or failure costs a round trip.
+MAX_HELPERS = 2
+STATUS_REFUSALS = frozenset({408, 421, 429, 503})
+STATUS_NO_ROUTE = 404
+
+
+class PassedRequest:
+    """Passes one request to a helper and its answer back to the caller.
+
+    A request that may run once at most goes to another helper only if the first one has
+    not run it. ``may_have_run`` tells that a searcher may have run the request already,
+    so that no refusal may say otherwise. ``finish(answer)`` is called once.
+    """
+
+    def __init__(
+        self, *, router, route, request, end_at, may_have_run, counted, finish
+    ):
+        self.router = router
+        self.route = route
+        self.request = request
+        self.end_at = end_at
+        self.may_have_run = may_have_run
+        self.finish = finish
+        self.origin = RelayOrigin(
+            host_id=router.fleet.host_id, version=router.version, counted=counted
+        )
+        self.loop = asyncio.get_running_loop()
+        self.tried = []
+        self.decisions = []
+        self.call = None
+        self.timer = None
+
+    # ---- Commands -----------------------------------------------------------------
+
+    def start(self):
+        """Sends the request to the first helper, or refuses it at once."""
+        self.router.metrics.passed_on.inc()
+        self.timer = self.loop.call_at(self.end_at, self._time_out)
+        self._send("no_helper")
+
+    def abandon(self):
+        """Ends the request, since its caller has left."""
+        self.timer.cancel()
+        if self.call is not None:
+            self.call.abandon()
+
+    # ---- Sending ------------------------------------------------------------------
+
+    def _send(self, reason):
+        """Sends to the next helper, or ends the request for ``reason``."""
+        now = self.loop.time()
+        remaining_s = self.end_at - now
+        address = self.router.helpers.hosts.choose(tried=self.tried, now=now)
+        exhausted = len(self.tried) >= MAX_HELPERS or remaining_s < MIN_REMAINING_S
+        if address is None or exhausted:
+            self._give_up(reason)
+            return
+        self.tried.append(address)
+        self._decide("pass_on", address)
+        self.call = self.router.helpers.send(
+            address,
+            request=relayed_request(
+                self.request,
+                names=self.router.names,
+                origin=self.origin,
+                remaining_ms=int(remaining_s * 1000),
+            ),
+            request_id=self.request.request_id,
+            on_done=self._replied,
+        )
+
+    def _give_up(self, reason):
+        self._decide("given_up", outcome=reason)
+        if self.may_have_run:
+            self._end(answers.failed(reason=reason))
+        else:
+            retry_s = answers.RETRY_CUT_OFF_S
+            self._end(answers.refusal(reason=reason, retry_after_s=retry_s))
+
+    def _time_out(self):
+        sent = self.call is not None and self.call.connection is not None
+        self._decide("given_up", outcome="timed_out")
+        if self.call is not None:
+            self.call.abandon()
+        if self.may_have_run or sent:
+            self._end(answers.timed_out())
+        else:
+            self._end(answers.refusal(reason="no_room_in_time"))
+
+    def _end(self, answer):
+        self.timer.cancel()
+        self.finish(answer)
+
+    def _decide(self, step, address="", outcome=""):
+        decision = Decision(
+            at=self.loop.time(), step=step, searcher=address, outcome=outcome
+        )
+        self.decisions.append(decision)
+
+    # ---- Outcomes -----------------------------------------------------------------
+
+    def _replied(self, outcome):
+        address = self.tried[-1]
+        self.call = None
+        match outcome:
+            case CallFailure(kind=kind, reason=reason):
+                self._decide("outcome", address, reason)
+                self.router.helpers.hosts.avoid(address, self.loop.time())
+                self._failed(kind, reason)
+            case SearcherReply() if RELAY_REFUSED in outcome.headers:
+                reason = outcome.headers[RELAY_REFUSED]
+                self._decide("outcome", address, f"refused: {reason}")
+                self.router.helpers.hosts.avoid(address, self.loop.time())
+                self._send("helpers_refused")
+            case SearcherReply():
+                self._decide("outcome", address, str(outcome.status))
+                self._end(self._answer(outcome))
+
+    def _failed(self, kind, reason):
+        if kind is not FailureKind.UNREACHABLE:
+            self.may_have_run = True
+        if self.may_have_run and self.route.kind is not RouteKind.IDEMPOTENT:
+            self._end(answers.failed(reason=reason))
+        else:
+            self._send("helpers_unreachable")
+
+    def _answer(self, reply):
+        if reply.status in STATUS_REFUSALS and self.may_have_run:
+            return answers.failed(reason="helper_refused")
+        return answers.Answer(
+            status=reply.status,
+            body=reply.body,
+            headers=reply_headers(reply, self.router.names),
+            reason="passed_on",
+        )
--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -6,7 +6,6 @@
 from plantainstage._gateway.connection import SearcherConnection, SearcherReplyReader
 from plantainstage._gateway.messages import CallFailure, FailureKind
 from plantainstage._gateway.reply_memory import ReplyMemory
-from plantainstage._serving.searchers import Searcher
 
 # Opening a connection takes 6 ms plus a round trip between regions.
 CONNECT_TIMEOUT_S = 0.3
@@ -20,10 +19,10 @@
 
 
 class SearcherPool:
-    """Idle and busy connections to one start of a searcher."""
+    """Idle and busy connections to one start of a searcher, or to an entry host."""
 
-    def __init__(self, *, searcher: Searcher, names, memory: ReplyMemory):
-        self.searcher = searcher
+    def __init__(self, *, address: str, names, memory: ReplyMemory):
+        self.address = address
         self.names = names
         self.memory = memory  # shared by all pools of a host
         self.idle = []  # most recently used last
@@ -80,6 +79,23 @@
             return error.reason
         return None
 
+    async def replies_to(self, request_line: str, *, timeout_s: float) -> bool:
+        """Whether a request without a body gets any reply on a new connection."""
+        connection = await self.open()
+        if connection is None:
+            return False
+        request = f"{request_line} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
+        outcomes = asyncio.Queue()
+        self.exchange(
+            connection, request=request, request_id="", on_done=outcomes.put_nowait
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                return not isinstance(await outcomes.get(), CallFailure)
+        except TimeoutError:
+            self.discard(connection)
+            return False
+
     async def _connect(self):
         self.count += 1
         self.opening += 1
@@ -87,7 +103,7 @@
         began_at = loop.time()
         try:
             connection = await SearcherConnection.open(
-                address=self.searcher.address,
+                address=self.address,
                 timeout_s=CONNECT_TIMEOUT_S,
                 on_closed=self._closed,
             )
--- /dev/null
+++ b/src/plantainstage/_gateway/relay_headers.py
@@ -0,0 +1,41 @@
+"""Headers between two entry hosts, one of which passes a request on to the other.
+
+The listener for other hosts alone reads them; they are never sent to searchers.
+"""
+
+from dataclasses import dataclass
+
+RELAYED_BY = "X-Relayed-By"
+RELAYED_VERSION = "X-Relayed-Version"
+# The host that passes the request on has counted it for the retry budgets.
+RELAYED_COUNTED = "X-Relayed-Counted"
+# Of a 503: why the helper does not take the request; another one may.
+RELAY_REFUSED = "X-Relay-Refused"
+RELAY_HEADERS = frozenset({RELAYED_BY, RELAYED_VERSION, RELAYED_COUNTED})
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayOrigin:
+    """The host that passed a request on, and its configuration version."""
+
+    host_id: str
+    version: int
+    counted: bool
+
+    @classmethod
+    def of(cls, headers):
+        """Reads the origin from the headers of a request; None if it is malformed."""
+        host_id = headers.get(RELAYED_BY, "")
+        version = headers.get(RELAYED_VERSION, "")
+        if not host_id or not version.isascii() or not version.isdigit():
+            return None
+        counted = headers.get(RELAYED_COUNTED, "") == "1"
+        return cls(host_id=host_id, version=int(version), counted=counted)
+
+    def lines(self) -> str:
+        """Returns the header lines of a request that is passed on."""
+        return (
+            f"{RELAYED_BY}: {self.host_id}\r\n"
+            f"{RELAYED_VERSION}: {self.version}\r\n"
+            f"{RELAYED_COUNTED}: {int(self.counted)}\r\n"
+        )
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -3,14 +3,18 @@
 import asyncio
 from collections.abc import Callable
 
+from plantainstage._gateway import answers
 from plantainstage._gateway.messages import CallerRequest, request_head
+from plantainstage._gateway.passed_request import PassedRequest
 from plantainstage._gateway.service_request import (
+    MIN_REMAINING_S,
     QUARANTINED,
+    SEARCHERS_LIMITED,
     RequestProgress,
     ServiceRequest,
 )
 from plantainstage._serving import gathering
-from plantainstage._serving.configuration import Route
+from plantainstage._serving.configuration import Route, RouteKind
 
 # Calls that are still running when the answer is sent may end within this time, so
 # that their connections can be reused.
@@ -18,6 +22,7 @@
 # The decisions for a service that took at least this share of the time of a late or
 # failed request are logged.
 SLOW_SERVICE_SHARE = 0.5
+UNANSWERED_STATUSES = frozenset({502, 503, 504})
 DISCONNECT_GRACE_S = 0.05  # for running calls once the caller has disconnected
 
 
@@ -50,14 +55,100 @@
         self.is_limited = False  # whether it needs permits of limited searchers
         self.timer = None
         self.over = False
+        self.passed = None  # PassedRequest, once a helper has the request
+        router.running.add(self)
 
     def caller_disconnected(self):
         """Ends the request, since the caller has closed its connection."""
-        if self.over:
+        if self.passed is not None:
+            self.passed.abandon()
+        elif self.over:
             return
-        self._close(DISCONNECT_GRACE_S)
+        else:
+            self._close(DISCONNECT_GRACE_S)
         self._log("caller_left", status=0)
 
+    # ---- Passing on to a helper -----------------------------------------------------
+
+    def pass_on_if_stuck(self):
+        """Passes the request on if this host cannot get an answer to it."""
+        if self.over or not self._may_pass_on() or not self._is_out_of_reach():
+            return
+        self._pass_on()
+
+    def _is_out_of_reach(self):
+        """Whether the searchers that this host reaches are too few for an answer."""
+        raise NotImplementedError
+
+    def _leaves_to_helper(self):
+        """Passes a new request on, or refuses it, if no searcher is in reach.
+
+        Returns whether it did. Without a helper the request is tried here, unless the
+        host is cut off from all searchers.
+        """
+        if not self._is_out_of_reach():
+            return False
+        if self.request.origin is not None:
+            self._finish(answers.relay_refusal(reason="out_of_reach"))
+            return True
+        if self._may_pass_on():
+            self._pass_on()
+            return True
+        if self.router.fleet.reach.is_cut_off:
+            retry_s = answers.RETRY_CUT_OFF_S
+            refusal = answers.refusal(reason="out_of_reach", retry_after_s=retry_s)
+            self._finish(refusal)
+            return True
+        return False
+
+    def _may_pass_on(self):
+        if self.request.origin is not None or not self.router.has_helper():
+            return False
+        if self.router.end_checks.remaining_s(self.request):
+            return False
+        is_idempotent = self.route.kind is RouteKind.IDEMPOTENT
+        return is_idempotent or not self._may_have_run()
+
+    def _may_have_run(self):
+        return any(
+            part.runs or any(call.sent_at is not None for call in part.calls)
+            for part in self.parts
+        )
+
+    def _pass_on(self):
+        may_have_run = self._may_have_run()
+        counted = any(part.decisions for part in self.parts)
+        self._close(0.0)
+        for part in self.parts:
+            part.abandon()
+        self.passed = PassedRequest(
+            router=self.router,
+            route=self.route,
+            request=self.request,
+            end_at=self.end_at,
+            may_have_run=may_have_run,
+            counted=counted,
+            finish=self._helped,
+        )
+        self.passed.start()
+
+    def _helped(self, answer):
+        self.reply(answer)
+        self._log(answer.reason, status=answer.status)
+
+    def _is_failure_to_reach(self, answer):
+        """Whether a helper may still answer what this host could not."""
+        if answer.status not in UNANSWERED_STATUSES or answer.is_of_searcher:
+            return False
+        if answer.reason in (QUARANTINED, SEARCHERS_LIMITED):
+            return False
+        remaining_s = self.end_at - self.loop.time()
+        if remaining_s < MIN_REMAINING_S or not self._may_pass_on():
+            return False
+        return self._is_out_of_reach()
+
+    # ---- Shared by both kinds -------------------------------------------------------
+
     def _budget_rank(self):
         return 0.0
 
@@ -91,12 +182,16 @@
     def _finish(self, answer):
         if self.over:
             return
+        if self._is_failure_to_reach(answer):
+            self._pass_on()
+            return
         self._close(UNFINISHED_CALL_GRACE_S)
         self.reply(answer)
         self._log(answer.reason or "answered", status=answer.status)
 
     def _close(self, grace_s):
         self.over = True
+        self.router.running.discard(self)
         if self.timer is not None:
             self.timer.cancel()
         running = [part for part in self.parts if part.calls]
@@ -121,6 +216,10 @@
             "rejections": sum(part.rejections for part in self.parts),
             **self._log_fields(),
         }
+        if self.request.origin is not None:
+            fields["passed_on_by"] = self.request.origin.host_id
+        if self.passed is not None:
+            fields["helpers"] = self.passed.tried
         if outcome == QUARANTINED:
             fields["fingerprint"] = self.request.fingerprint
         if status == 200 and elapsed_ms <= self.route.aim_ms:
@@ -131,19 +230,24 @@
 
     def _log_decisions(self, elapsed_s):
         """Logs the decisions for services that failed, retried or were slow."""
+        if self.passed is not None:
+            self._log_lines(self.passed.decisions)
         for part in self.parts:
             if (
                 part.succeeded_at_once
                 and part.duration_s < SLOW_SERVICE_SHARE * elapsed_s
             ):
                 continue
-            for decision in part.decisions:
-                self.router.events.log_event(
-                    "decision",
-                    request_id=self.request.request_id,
-                    service=part.service,
-                    **decision.fields(self.request.received_at),
-                )
+            self._log_lines(part.decisions, service=part.service)
+
+    def _log_lines(self, decisions, **fields):
+        for decision in decisions:
+            self.router.events.log_event(
+                "decision",
+                request_id=self.request.request_id,
+                **fields,
+                **decision.fields(self.request.received_at),
+            )
 
     def _count(self, status, elapsed_s):
         metrics = self.router.metrics
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -1,14 +1,16 @@
 """State shared by all requests of an entry host: routes, budgets and work times."""
 
+import asyncio
 import random
-from functools import partial
 
 from plantainstage._gateway.end_checks import EndChecks
 from plantainstage._gateway.fleet import Fleet
+from plantainstage._gateway.helpers import Helpers
 from plantainstage._gateway.pool import SearcherPool
+from plantainstage._gateway.reach_watch import ReachWatch
 from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._reports.exposition import GatewayMetrics
-from plantainstage._serving.configuration import ServingConfiguration
+from plantainstage._serving.configuration import Service, ServingConfiguration
 from plantainstage._serving.connection_shares import HostCounts
 from plantainstage._serving.crash_evidence import CrashEvidence
 from plantainstage._serving.permit_priority import PermitPriority
@@ -39,9 +41,7 @@
         self.events = events
         self.metrics = GatewayMetrics()
         self.reply_memory = ReplyMemory()
-        make_pool = make_pool or partial(
-            SearcherPool, names=names, memory=self.reply_memory
-        )
+        make_pool = make_pool or self._make_pool
         self.fleet = Fleet(
             data_centre=data_centre,
             make_pool=make_pool,
@@ -55,6 +55,15 @@
             events=events,
             metrics=self.metrics,
         )
+        self.reach_watch = ReachWatch(
+            fleet=self.fleet,
+            health_path=self._health_path,
+            events=events,
+            metrics=self.metrics,
+        )
+        self.reach_watch.on_cut_off = self._pass_on_running
+        self.helpers = Helpers(names=names, memory=self.reply_memory)
+        self.running = set()  # RoutedRequests
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
         self.metrics.dropped_lines.set_function(lambda: events.dropped_total)
@@ -66,6 +75,15 @@
         self.longest_deadline_ms = {}
         self.random = random.Random()
 
+    def _make_pool(self, *, searcher):
+        return SearcherPool(
+            address=searcher.address, names=self.names, memory=self.reply_memory
+        )
+
+    def _health_path(self, service):
+        known = self.table.services.get(service) if self.table is not None else None
+        return Service.health_path if known is None else known.health_path
+
     @property
     def version(self):
         """The version in force, or -1 if there is none yet."""
@@ -81,6 +99,16 @@
         self.round_robins = {}
         return True
 
+    def has_helper(self) -> bool:
+        """Whether another entry host may take requests of this one."""
+        now = asyncio.get_running_loop().time()
+        return self.helpers.hosts.choose(tried=(), now=now) is not None
+
+    def _pass_on_running(self):
+        """Passes on the requests that wait for searchers out of reach."""
+        for request in list(self.running):
+            request.pass_on_if_stuck()
+
     def set_hosts(self, hosts: HostCounts):
         """Divides connection limits and retry budgets among the entry hosts."""
         if hosts == self.fleet.hosts:
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -16,6 +16,7 @@
 from plantainstage._serving.configuration import Route, RouteKind
 
 QUARANTINED = "request_quarantined"
+SEARCHERS_LIMITED = "searchers_limited"
 # A request that is rejected more often than this is not retried.
 MAX_REJECTIONS = 3
 # A searcher with more requests than this multiple of its slots has a queue, in which
@@ -147,7 +148,9 @@
 
     def start(self):
         """Counts the request for the retry budget and sends it, or waits for room."""
-        self.router.budget(self.service).count_request()
+        origin = self.request.origin
+        if origin is None or not origin.counted:
+            self.router.budget(self.service).count_request()
         self._send_first()
 
     def best_choice(self):
@@ -237,9 +240,9 @@
         if not self.waiting:
             self.waiting = True
             self._add_decision("wait", outcome="no searcher has room")
-            self.router.fleet.wait_for_room(
-                self.service, self.route.priority, self._send_first
-            )
+            # The host's own callers come before those of a host that is cut off.
+            rank = (self.route.priority, self.request.origin is not None)
+            self.router.fleet.wait_for_room(self.service, rank, self._send_first)
         return False
 
     def _is_quarantined(self):
@@ -262,7 +265,7 @@
         """Ends the request at once, since the searchers' rate limits exclude it."""
         self.router.metrics.limited.inc()
         self._add_decision("given_up", outcome="rate limits of all searchers")
-        self._end(reason="searchers_limited", retry_after_s=wait_s)
+        self._end(reason=SEARCHERS_LIMITED, retry_after_s=wait_s)
 
     def _send(self, step):
         choice = self.best_choice()
--- a/src/plantainstage/_gateway/single_request.py
+++ b/src/plantainstage/_gateway/single_request.py
@@ -16,10 +16,16 @@
         self.uses_permits = self._may_use_permits([service])
         part = self._service_request(service)
         self.parts = [part]
+        quarantined = self.router.end_checks.remaining_s(self.request)
+        if not quarantined and self._leaves_to_helper():
+            return
         self._record_permits(served=not part.permit_wait_s())
         part.start()
         self._schedule()
 
+    def _is_out_of_reach(self):
+        return not self.router.fleet.reaches(self.parts[0].service)
+
     def _schedule(self):
         if self.over:
             return
@@ -65,6 +71,7 @@
             body=reply.body,
             headers=reply_headers(reply, self.router.names),
             reason=reason,
+            is_of_searcher=True,
         )
 
     def _log_fields(self):
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -35,7 +35,8 @@
     ``silent`` lists searchers that have not announced themselves to the replica for a
     while. ``hosts`` is the number of entry hosts that count themselves at the replica.
     ``age_ms`` is how long ago the replying replica was last in contact with it; 0 for
-    its own report.
+    its own report. ``helpers`` has the relay addresses of a few of these hosts, in
+    reports between replicas only.
     """
 
     address: str
@@ -46,6 +47,7 @@
     age_ms: int = 0
     searchers: tuple[Searcher, ...] = ()
     silent: tuple[str, ...] = ()
+    helpers: tuple[str, ...] = ()
 
 
 class SyncRequest(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
@@ -54,7 +56,9 @@
     ``version`` is that of the configuration in force on the host. ``counts`` tells
     that the replica should count the host; a host asks this of one replica at a time.
     ``crash_reports`` has what the replica has not confirmed yet, ``suspicion_digest``
-    the digest of the suspected requests that it last reported.
+    the digest of the suspected requests that it last reported. ``relay_address`` is
+    where the host takes requests of hosts that are cut off, unless it is ``cut_off``
+    itself. ``helpers_digest`` is the digest of the helpers that it knows.
     """
 
     host_id: str
@@ -63,6 +67,9 @@
     cursors: tuple[SourceCursor, ...] = ()
     suspicion_digest: int = 0
     crash_reports: tuple[CrashReport, ...] = ()
+    relay_address: str = ""
+    cut_off: bool = False
+    helpers_digest: int = 0
 
 
 class SyncReply(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
@@ -70,7 +77,8 @@
 
     The first of ``sources`` is the replying replica; the others are those that it is
     in contact with, so that the host need not poll them. ``replicas`` lists the
-    addresses of all replicas. ``suspected`` is None if it has not changed.
+    addresses of all replicas. ``suspected`` is None if it has not changed, and so is
+    ``helpers``, the relay addresses of a few hosts that reach the searchers.
     """
 
     version: int
@@ -78,6 +86,7 @@
     sources: tuple[SourceReport, ...] = ()
     replicas: tuple[str, ...] = ()
     suspected: tuple[SuspectedRequest, ...] | None = None
+    helpers: tuple[str, ...] | None = None
 
 
 class PeerSyncRequest(
--- a/src/plantainstage/_programs/gateway.py
+++ b/src/plantainstage/_programs/gateway.py
@@ -22,6 +22,12 @@
     show_default=True,
     help="IP:port for the balancer's probes of /readyz.",
 )
+@click.option(
+    "--relay-listen",
+    default="",
+    help="IP:port for requests of entry hosts that reach no searcher; if empty, this "
+    "host neither takes nor passes on any. Only for the hosts' own network.",
+)
 @click.option(
     "--metrics-listen", default="", help="IP:port that serves /metrics; none if empty."
 )
--- a/src/plantainstage/_registry/mirror.py
+++ b/src/plantainstage/_registry/mirror.py
@@ -87,6 +87,7 @@
             age_ms=round((now - self.updated_at) * 1000),
             searchers=tuple(e.searcher for e in changed.values() if not e.silent),
             silent=tuple(name for name, e in changed.items() if e.silent),
+            helpers=(),
         )
 
     def find(self, searcher_id: str) -> Searcher | None:
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -70,6 +70,15 @@
                 reports.append(report)
         return reports
 
+    def helpers(self, now: float) -> list[str]:
+        """Returns the relay addresses of hosts that other replicas count."""
+        return [
+            address
+            for mirror in self.mirrors.values()
+            if mirror.is_current(now)
+            for address in mirror.report.helpers
+        ]
+
     def find(self, searcher_id: str) -> Searcher | None:
         """Returns the newest announcement of a searcher that another replica heard."""
         newest = None
--- a/src/plantainstage/_registry/sync.py
+++ b/src/plantainstage/_registry/sync.py
@@ -1,13 +1,27 @@
 """Answers the polls of entry hosts and of other replicas."""
 
 import asyncio
+from dataclasses import dataclass
+
+import msgspec
 
 from plantainstage._messages import serving
+from plantainstage._serving.helper_hosts import choose_helpers, helpers_digest
 from plantainstage._supervision import ChangeSignal
 
 # An entry host polls several times a second. One that stopped is still counted for
 # this time, since its connections outlast it.
 HOST_RETENTION_S = 4.0
+# A whole data centre may be cut off and need hosts elsewhere.
+HELPERS_TOLD = 8
+
+
+@dataclass(frozen=True, kw_only=True)
+class PollingHost:
+    """An entry host that counts itself here; no address means that it helps nobody."""
+
+    polled_at: float
+    relay_address: str
 
 
 class SyncService:
@@ -37,7 +51,7 @@
         self.crashes = crashes
         self.relay = relay
         self.addresses = addresses
-        self.hosts = {}  # host id -> time of its last poll
+        self.hosts = {}  # host id -> PollingHost
         self.changes = ChangeSignal()
         register.on_change = self.changes.notify
         crashes.on_change = self.changes.notify
@@ -46,8 +60,8 @@
 
     def expire(self, now: float):
         """Forgets entry hosts that no longer count themselves here."""
-        for host_id, polled_at in list(self.hosts.items()):
-            if now - polled_at > HOST_RETENTION_S:
+        for host_id, host in list(self.hosts.items()):
+            if now - host.polled_at > HOST_RETENTION_S:
                 del self.hosts[host_id]
 
     # ---- Replies ------------------------------------------------------------------
@@ -55,7 +69,10 @@
     def reply_to_host(self, request: serving.SyncRequest, now: float):
         """Returns the reply to a poll of an entry host."""
         if request.counts:
-            self.hosts[request.host_id] = now
+            self.hosts[request.host_id] = PollingHost(
+                polled_at=now,
+                relay_address="" if request.cut_off else request.relay_address,
+            )
         self.crashes.record_from_host(request.crash_reports, now)
         held = {cursor.address: cursor for cursor in request.cursors}
         own = held.get(self.own_address, serving.NOTHING_HELD)
@@ -66,8 +83,25 @@
             sources=(report, *self.relay.reports(held, now)),
             replicas=self.addresses(),
             suspected=self.crashes.suspected_unless(request.suspicion_digest, now),
+            helpers=self._helpers_unless(request, now),
         )
 
+    def _helpers_unless(self, request, now):
+        """Returns the helpers of a host, or None if it knows them."""
+        if not request.relay_address or not request.counts:
+            return None
+        own = {request.relay_address}
+        near = set(self._relay_addresses()) - own
+        far = set(self.relay.helpers(now)) - own
+        chosen = choose_helpers(request.host_id, near, far)
+        known = helpers_digest(chosen) == request.helpers_digest
+        return None if known else chosen
+
+    def _relay_addresses(self):
+        """Returns where the hosts that poll this replica take requests of others."""
+        addresses = (host.relay_address for host in self.hosts.values())
+        return [address for address in addresses if address]
+
     async def reply_to_peer(self, request: serving.PeerSyncRequest):
         """Returns the reply to another replica, once there is something to report."""
         known = (self.process, self.register.cursor, self.crashes.last_number)
@@ -78,7 +112,10 @@
         crash_reports, crash_number = self.crashes.reports_after(number, now)
         return serving.PeerSyncReply(
             version=self.machine.newest.version,
-            report=self._own_report(process=request.process, cursor=request.cursor),
+            report=msgspec.structs.replace(
+                self._own_report(process=request.process, cursor=request.cursor),
+                helpers=tuple(sorted(self._relay_addresses())[:HELPERS_TOLD]),
+            ),
             document=self._document_above(request.version),
             crash_number=crash_number,
             crash_reports=crash_reports,
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -67,6 +67,12 @@
         self.quarantine_refusals = Counter(
             "quarantine_refusals", "Calls not sent since of a quarantine", **shared
         )
+        self.passed_on = Counter(
+            "passed_on", "Requests passed on to another entry host", **shared
+        )
+        self.cut_off = Gauge(
+            "cut_off", "1 while this host reaches no searcher, else 0", **shared
+        )
         self.failed_polls = Counter(
             "failed_polls", "Polls of control that got no reply", ["error"], **shared
         )
--- a/src/plantainstage/_settings/serving.py
+++ b/src/plantainstage/_settings/serving.py
@@ -37,6 +37,7 @@
     data_centre,
     listen,
     ready_listen,
+    relay_listen,
     metrics_listen,
     registry,
     retry_ratio,
@@ -49,6 +50,8 @@
     check.name(flag="--data-centre", value=data_centre)
     check.listen_address(flag="--listen", value=listen)
     check.listen_address(flag="--ready-listen", value=ready_listen)
+    if relay_listen:
+        check.listen_address(flag="--relay-listen", value=relay_listen)
     if metrics_listen:
         check.listen_address(flag="--metrics-listen", value=metrics_listen)
     check.addresses(flag="--registry", values=registry)
@@ -66,6 +69,7 @@
         data_centre=data_centre,
         listen=listen,
         ready_listen=ready_listen,
+        relay_listen=relay_listen,
         metrics_listen=metrics_listen,
         control_addresses=lambda: addresses,
         budget=RetryBudgetLimits(ratio=ratio, slack=slack),
