Heed what searchers state in replies: that they leave, or want a pause

New rules of the users: a searcher that leaves says so in all its answers, and one that refuses with Retry-After wants nothing from that host for so long. Nothing read either header, so first calls, hedges, repeats and calls that waited for a connection arrived.

Values that are no decimal number change nothing and are logged. If all searchers want a pause a request is refused at once with the time left.

--- a/bench/routed_model/pool.py
+++ b/bench/routed_model/pool.py
@@ -12,7 +12,7 @@
     LoadReport,
     SearcherReply,
 )
-from plantainstage._serving.rate_limits import StatedRate
+from plantainstage._serving.decimals import StatedNumber
 
 from .searchers import Job
 
@@ -150,7 +150,7 @@
 
     def _stated_rate(self):
         limit = self.model.rate_limit
-        return None if limit is None else StatedRate(text=str(limit), per_s=limit)
+        return None if limit is None else StatedNumber(text=str(limit), value=limit)
 
     def put_back(self, connection, reader):
         """Keeps a connection for the next request."""
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -7,8 +7,8 @@
 
 from plantainstage._gateway.messages import STATUS_MISDIRECTED
 from plantainstage._gateway.searcher_limits import SearcherLimits
+from plantainstage._serving.decimals import StatedNumber
 from plantainstage._serving.permit_priority import PermitPriority
-from plantainstage._serving.rate_limits import StatedRate
 from support.rate_limit_run import Phase, RateLimitRun, reply_with, searcher_named
 from support.routed_tier import NAMES, answer_with_limit
 
@@ -23,7 +23,7 @@
 
 
 def reply_of(status=200, text=None, not_executed=False):
-    stated = None if text is None else StatedRate.parse(text)
+    stated = None if text is None else StatedNumber.parse(text)
     return reply_with(rate_limit=stated, status=status, not_executed=not_executed)
 
 
@@ -100,11 +100,11 @@
 
 @then('a stated limit of "{text}" counts as {meaning}')
 def step_parse(context, text, meaning):
-    stated = StatedRate.parse(text)
+    stated = StatedNumber.parse(text)
     if meaning == "unreadable":
-        assert stated.per_s is None, stated
+        assert stated.value is None, stated
     else:
-        assert stated.per_s == float(meaning.removesuffix(" a second")), stated
+        assert stated.value == float(meaning.removesuffix(" a second")), stated
 
 
 @given("a host that knows no limit")
--- a/features/support/rate_limit_run.py
+++ b/features/support/rate_limit_run.py
@@ -17,7 +17,7 @@
 
 from plantainstage._gateway.messages import SearcherReply
 from plantainstage._gateway.searcher_limits import SearcherLimits
-from plantainstage._serving.rate_limits import StatedRate
+from plantainstage._serving.decimals import StatedNumber
 from plantainstage._serving.searchers import Searcher
 
 sys.path.append(str(Path(__file__).resolve().parents[2] / "bench"))
@@ -153,7 +153,7 @@
 
     def _reply(self, now):
         limit = self._limit_at(now)
-        stated = None if limit is None else StatedRate(text="", per_s=limit)
+        stated = None if limit is None else StatedNumber(text="", value=limit)
         return reply_with(rate_limit=stated)
 
     def _limit_at(self, now):
@@ -168,7 +168,7 @@
             if sent_at < host.restarted_at:
                 continue
             if reply.rate_limit is not None:
-                key = (searcher.searcher_id, reply.rate_limit.per_s)
+                key = (searcher.searcher_id, reply.rate_limit.value)
                 host.told_at.setdefault(key, at)
             host.limits.record_reply(searcher, reply, sent_at=sent_at, now=at)
 
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -112,7 +112,7 @@
     def crash(self):
         """Closes the listener and all connections, as the end of a process does."""
         self.is_down = True
-        self.crashes.append(asyncio.get_running_loop().time())
+        self.crashes.append(self.server.get_loop().time())
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
--- a/src/plantainstage/_gateway/answers.py
+++ b/src/plantainstage/_gateway/answers.py
@@ -1,5 +1,6 @@
 """Answers to callers, including errors and refusals of the tier itself."""
 
+import math
 from dataclasses import dataclass, field
 
 from tornado import httputil
@@ -33,6 +34,16 @@
     is_of_searcher: bool = False
 
 
+def retry_after_s(excluded_s: float) -> float:
+    """Returns when to come back after searchers have excluded a request for a time.
+
+    It is infinity if all of them leave; others may announce themselves any moment.
+    """
+    if math.isinf(excluded_s):
+        return RETRY_NO_SEARCHER_S
+    return max(RETRY_BUSY_S, excluded_s)
+
+
 def refusal(*, reason: str, retry_after_s: float = RETRY_BUSY_S) -> Answer:
     """Returns a 503: the request has not run and will not run."""
     headers = httputil.HTTPHeaders({"Retry-After": f"{retry_after_s:.3f}"})
--- a/src/plantainstage/_gateway/call.py
+++ b/src/plantainstage/_gateway/call.py
@@ -78,7 +78,7 @@
             failure = CallFailure(kind=FailureKind.UNREACHABLE, reason=NO_CONNECTION)
             self._finish(failure)
             return
-        if not self.may_send():
+        if not (self.may_send() and self.fleet.accepts(self.member)):
             self.member.pool.put_back(connection, None)
             failure = CallFailure(kind=FailureKind.UNREACHABLE, reason=NOT_TO_BE_SENT)
             self._finish(failure)
@@ -148,6 +148,7 @@
         self.fleet.limits.record_reply(
             self.member.searcher, reply, sent_at=self.sent_at, now=now
         )
+        self.fleet.wishes.record_reply(self.member.searcher, reply, now=now)
         if reply.load is not None:
             load.reported(
                 running=reply.load.running, waiting=reply.load.waiting, now=now
--- a/src/plantainstage/_gateway/connection.py
+++ b/src/plantainstage/_gateway/connection.py
@@ -5,7 +5,7 @@
 from tornado.httputil import HTTPInputError
 
 from plantainstage._gateway.messages import LoadReport, SearcherReply
-from plantainstage._serving.rate_limits import StatedRate
+from plantainstage._serving.decimals import StatedNumber
 from plantainstage._transport.http_connection import HttpConnection, ReplyReader
 
 # The searcher may close an idle connection while a request is on its way.
@@ -64,12 +64,14 @@
             signature=headers.get(self.names.signature, ""),
             not_executed=self.names.not_executed in headers,
             load=LoadReport.parse(headers.get(self.names.load, "")),
-            rate_limit=self._rate_limit(),
+            rate_limit=self._stated_number(self.names.rate_limit),
+            leaving=headers.get(self.names.leaving),
+            retry_after=self._stated_number("Retry-After"),
         )
 
-    def _rate_limit(self):
-        text = self.headers.get(self.names.rate_limit)
-        return None if text is None else StatedRate.parse(text)
+    def _stated_number(self, name):
+        text = self.headers.get(name)
+        return None if text is None else StatedNumber.parse(text)
 
     def idle_limit_s(self):
         """Returns how long the connection may be idle and still be reused."""
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -8,6 +8,7 @@
 
 from plantainstage._gateway.call import Call
 from plantainstage._gateway.searcher_limits import SearcherLimits
+from plantainstage._gateway.searcher_wishes import SearcherWishes
 from plantainstage._serving import connection_shares, placement
 from plantainstage._serving.connection_shares import ConnectionShare, HostCounts
 from plantainstage._serving.reachability import Reachability
@@ -73,6 +74,7 @@
         self.hosts = HostCounts(by_data_centre={data_centre: 1})  # share the caps
         self.shares = {}  # searcher id -> ConnectionShare
         self.limits = SearcherLimits(host_id=host_id, log_event=log_event)
+        self.wishes = SearcherWishes(log_event=log_event)
         # Called with a start that was replaced or that is announced no longer.
         self.on_start_gone = _ignore
         self.reach = Reachability()
@@ -114,6 +116,7 @@
             now = asyncio.get_running_loop().time()
             self.limits.searcher_removed(member.searcher, now)
             self.reach.forget(member.searcher.start)
+            self.wishes.removed(member.searcher, now)
             self.shares.clear()
 
     def _remove_earlier_at_address(self, searcher):
@@ -156,14 +159,16 @@
     ) -> placement.Choice | None:
         """Returns the best untried searcher that may get a request, or None.
 
-        It has room for the request, and its rate limit, if it states one, allows it.
-        Without ``uses_permits`` searchers that state a limit are passed over.
+        It has room for the request, it does not leave and wants no pause, and its rate
+        limit, if it states one, allows it. Without ``uses_permits`` searchers that
+        state a limit are passed over.
         """
         now = asyncio.get_running_loop().time()
         candidates = [
             placement.Candidate(load=member.load, connect_s=member.pool.connect_s(now))
             for searcher_id, member in self.by_service.get(service, {}).items()
             if searcher_id not in tried
+            and not self.wishes.wait_s(member.searcher, now)
             and member.load.in_flight < self._request_limit(member)
             and member.pool.has_room(self.share(member).limit, now)
             and self.limits.allows(member.searcher, now, uses_permits)
@@ -172,6 +177,22 @@
             candidates, now=now, work_s=work_s, data_centre=self.data_centre
         )
 
+    def pause_wait_s(self, service: str) -> float:
+        """Returns how long all searchers of a service want no requests of this host.
+
+        It is 0 if one of them takes requests, and infinity if all of them leave.
+        """
+        members = self.by_service.get(service)
+        if not members or self.wishes.is_empty:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        return min(self.wishes.wait_s(m.searcher, now) for m in members.values())
+
+    def accepts(self, member) -> bool:
+        """Whether a searcher still wants requests, after a wait for a connection."""
+        now = asyncio.get_running_loop().time()
+        return not self.wishes.wait_s(member.searcher, now)
+
     def needs_permits(self, service: str) -> bool:
         """Whether all searchers of a service state a rate limit."""
         members = self.by_service.get(service)
--- a/src/plantainstage/_gateway/gather_request.py
+++ b/src/plantainstage/_gateway/gather_request.py
@@ -91,10 +91,10 @@
         self._finish(answers.refusal(reason=reason, retry_after_s=retry_after_s))
 
     def _limited_waits(self):
-        """Returns the wait for a permit by shard, where rate limits exclude it now."""
-        if not self.is_limited:
+        """Returns the wait by shard, where the searchers' own wishes exclude it now."""
+        if not self.is_limited and self.router.fleet.wishes.is_empty:
             return {}
-        waits = {part.service: part.permit_wait_s() for part in self.parts}
+        waits = {part.service: part.excluded_s() for part in self.parts}
         return {name: wait_s for name, wait_s in waits.items() if wait_s}
 
     def _refuse_limited(self, limited, allowed):
@@ -102,7 +102,7 @@
         self.router.metrics.limited.inc(len(limited))
         self.excluded = sorted(limited)
         enough_s = sorted(limited.values())[-allowed - 1]
-        self._refuse(SEARCHERS_LIMITED, max(answers.RETRY_BUSY_S, enough_s))
+        self._refuse(SEARCHERS_LIMITED, answers.retry_after_s(enough_s))
 
     def _late_parts(self, limited, allowed):
         """Returns the shards to skip, since they are not expected to answer in time.
--- a/src/plantainstage/_gateway/header_names.py
+++ b/src/plantainstage/_gateway/header_names.py
@@ -13,6 +13,8 @@
     one that states that the request did not run. ``load`` carries the numbers of
     running requests, waiting requests and slots. ``rate_limit`` carries the requests a
     second that a searcher accepts from all hosts together, as long as it states them.
+    ``leaving`` is ``1`` in all replies of a searcher that leaves. The standard
+    ``Retry-After`` of a searcher's 503 is a pause that it wants from this host alone.
     """
 
     request_id: str = "X-Request-Id"
@@ -24,6 +26,7 @@
     load: str = "X-Load"
     rate_limit: str = "X-Rate-Limit"
     not_executed: str = "X-Not-Executed"
+    leaving: str = "X-Leaving"
 
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
--- a/src/plantainstage/_gateway/messages.py
+++ b/src/plantainstage/_gateway/messages.py
@@ -9,10 +9,11 @@
 from plantainstage._gateway.header_names import HOP_BY_HOP, HeaderNames
 from plantainstage._gateway.relay_headers import RELAY_HEADERS, RelayOrigin
 from plantainstage._limits.quarantine_times import fingerprint_of
-from plantainstage._serving.rate_limits import StatedRate
+from plantainstage._serving.decimals import StatedNumber
 
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500  # and above
+STATUS_UNAVAILABLE = 503
 MAX_DEADLINE_MS = 3_600_000
 
 
@@ -105,7 +106,9 @@
     signature: str
     not_executed: bool
     load: LoadReport | None
-    rate_limit: StatedRate | None = None
+    rate_limit: StatedNumber | None = None
+    leaving: str | None = None
+    retry_after: StatedNumber | None = None
 
     @property
     def is_success(self):
@@ -197,7 +200,7 @@
 def reply_headers(reply: SearcherReply, names: HeaderNames) -> httputil.HTTPHeaders:
     """Returns the headers of a searcher's reply that are forwarded to the caller."""
     dropped = HOP_BY_HOP | _named_by_connection(reply.headers)
-    dropped |= {"Content-Length", names.load, names.rate_limit}
+    dropped |= {"Content-Length", names.load, names.rate_limit, names.leaving}
     kept = httputil.HTTPHeaders()
     for name, value in reply.headers.get_all():
         if name not in dropped:
--- a/src/plantainstage/_gateway/reach_watch.py
+++ b/src/plantainstage/_gateway/reach_watch.py
@@ -91,7 +91,7 @@
 
     async def _probe(self):
         """Checks the health of the next searcher in turn; any reply will do."""
-        members = list(self.fleet.members.values())
+        members = [m for m in self.fleet.members.values() if self.fleet.accepts(m)]
         if not members:
             return
         self.probed += 1
--- a/src/plantainstage/_gateway/searcher_limits.py
+++ b/src/plantainstage/_gateway/searcher_limits.py
@@ -70,10 +70,10 @@
             permits = self.permits.get(searcher.start)
             if permits and reply.is_success and sent_at > permits.stated_at:
                 self._end(searcher)
-        elif stated.per_s is None:
+        elif stated.value is None:
             self._refuse(searcher, stated.text)
         else:
-            self._learn(searcher, stated.per_s, now)
+            self._learn(searcher, stated.value, now)
 
     def searcher_added(self, searcher: Searcher):
         """Keeps the limit of a searcher that is known again."""
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -170,6 +170,14 @@
             return fleet.permit_wait_s(self.service)
         return RETRY_BUSY_S if fleet.needs_permits(self.service) else 0.0
 
+    def excluded_s(self) -> float:
+        """Returns how long the searchers' own wishes exclude the request, or 0.
+
+        These are rate limits and pauses; it is infinity if all searchers leave.
+        """
+        pause_s = self.router.fleet.pause_wait_s(self.service)
+        return max(pause_s, self.permit_wait_s())
+
     def leave_out(self):
         """Ends the request without sending it."""
         self._add_decision("left_out")
@@ -233,7 +241,7 @@
             self._add_decision("given_up", outcome="no searcher is known")
             self._end(reason="no searcher is known")
             return True
-        wait_s = self.permit_wait_s()
+        wait_s = self.excluded_s()
         if wait_s:
             self._turn_away(wait_s)
             return True
@@ -262,9 +270,9 @@
         return self.router.end_checks.may_send(self.request)
 
     def _turn_away(self, wait_s):
-        """Ends the request at once, since the searchers' rate limits exclude it."""
+        """Ends the request at once, since the searchers' own wishes exclude it."""
         self.router.metrics.limited.inc()
-        self._add_decision("given_up", outcome="rate limits of all searchers")
+        self._add_decision("given_up", outcome="limits or pauses of all searchers")
         self._end(reason=SEARCHERS_LIMITED, retry_after_s=wait_s)
 
     def _send(self, step):
--- a/src/plantainstage/_gateway/single_request.py
+++ b/src/plantainstage/_gateway/single_request.py
@@ -19,7 +19,7 @@
         quarantined = self.router.end_checks.remaining_s(self.request)
         if not quarantined and self._leaves_to_helper():
             return
-        self._record_permits(served=not part.permit_wait_s())
+        self._record_permits(served=not part.excluded_s())
         part.start()
         self._schedule()
 
@@ -59,7 +59,9 @@
 
     def _retry_after_s(self, part, outcome):
         if outcome.retry_after_s is not None:
-            return max(answers.RETRY_BUSY_S, outcome.retry_after_s)
+            return answers.retry_after_s(outcome.retry_after_s)
+        if part.excluded_s():
+            return answers.retry_after_s(part.excluded_s())
         known = self.router.fleet.count(part.service)
         return answers.RETRY_BUSY_S if known else answers.RETRY_NO_SEARCHER_S
 
--- a/src/plantainstage/_serving/rate_limits.py
+++ b/src/plantainstage/_serving/rate_limits.py
@@ -12,33 +12,12 @@
 """
 
 import math
-import re
-from dataclasses import dataclass
 
 HOLD_S = 1.25
 HELD_PERMITS = 1.0
 # Per second, for all hosts together. A host notices that a limit has ended from a reply
 # only, so that a few requests go even to a searcher that accepts none.
 MIN_RATE = 0.1
-_DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")
-
-
-@dataclass(frozen=True, kw_only=True)
-class StatedRate:
-    """The rate that a reply states, as text and in requests a second.
-
-    ``per_s`` is None if the text is not a decimal number without a sign.
-    """
-
-    text: str
-    per_s: float | None
-
-    @classmethod
-    def parse(cls, text: str):
-        """Parses a header value; a value that was sent twice is not a number."""
-        text = text.strip()
-        valid = _DECIMAL.fullmatch(text) is not None
-        return cls(text=text, per_s=float(text) if valid else None)
 
 
 def hold_s(rate: float) -> float:
