--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -172,6 +172,20 @@
     And the second connection is closed without an answer
     And the stop ends
 
+  Scenario Outline: A <kind> request still at work at the end of a stop gets an answer
+    # Guards against a connection that ends without a word although a 502 is true.
+    Given a routed tier with searchers of each shard and of "cards" that never answer
+    And its routes allow 20 s for a request
+    When callers send <method> "<target>" on a kept and on a new connection during a stop
+    Then both get 502 before the stop ends
+    And no searcher has got one of them twice
+
+    Examples:
+      | kind         | method | target  |
+      | repeatable   | GET    | /read/x |
+      | at-most-once | POST   | /card/x |
+      | gathered     | GET    | /all/x  |
+
   Scenario: An error while searchers are updated does not keep a host at an old version
     # Guards against a host that refuses routes of later versions with 404 permanently:
     # a forged announcement ended the tasks that poll control (hunt-796c-31).
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -4,17 +4,21 @@
 
 from behave import given, then, when
 
-from support.routed_tier import NAMES, read_message, until
+from steps.routed_request_steps import add_searcher, put_configuration, start_tier
+from support.routed_tier import NAMES, answer_without_end, read_message, until
 
+SHARDS = ("shard-1", "shard-2", "shard-3", "shard-4")
+LONG_MS = 20_000
 
-async def send_request(connection, request_id):
+
+async def send_request(connection, request_id, line="GET /read/x", ms=2000):
     """Sends a request on an open connection; returns its status and headers."""
     reader, writer = connection
     lines = [
-        "GET /read/x HTTP/1.1",
+        f"{line} HTTP/1.1",
         "Host: a.example",
         f"{NAMES.request_id}: {request_id}",
-        f"{NAMES.deadline}: 2000",
+        f"{NAMES.deadline}: {ms}",
     ]
     writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
     line, headers, _ = await read_message(reader)
@@ -72,3 +76,62 @@
 @then("the stop ends")
 def step_stop_ends(context):
     context.tier.run(context.stopped)
+
+
+# ---- Requests that a stop cannot wait for -----------------------------------------------
+
+
+@given(
+    'a routed tier with searchers of each shard and of "{service}" that never answer'
+)
+def step_silent_tier(context, service):
+    start_tier(context, shards=SHARDS)
+    put_configuration(context)
+    for name in (service, *SHARDS):
+        add_searcher(context, f"{name}-1", name).behave = answer_without_end
+
+
+@given("its routes allow {seconds:d} s for a request")
+def step_long_routes(context, seconds):
+    document = context.configuration
+    routes = [{**route, "timeout_ms": seconds * 1000} for route in document["routes"]]
+    version = document["version"] + 1
+    context.configuration = {**document, "routes": routes, "version": version}
+    put_configuration(context)
+    context.tier.wait_for(
+        lambda: context.gateway.router.version == version, "the configuration"
+    )
+
+
+@when(
+    'callers send {method} "{target}" on a kept and on a new connection during a stop'
+)
+def step_send_during_stop(context, method, target):
+    async def send_both():
+        kept = await connect(context)
+        _, stop, stopped = context.tier.gateways[0]
+        stop.set()
+        await until(lambda: context.gateway.stopping)
+        connections = [kept, await connect(context)]
+        line = f"{method} {target}"
+        sending = [
+            send_request(connection, f"late-{number}", line, LONG_MS)
+            for number, connection in enumerate(connections)
+        ]
+        replies = await asyncio.gather(*sending)
+        await stopped
+        return replies
+
+    context.answers = context.tier.run(send_both())
+
+
+@then("both get {status:d} before the stop ends")
+def step_both(context, status):
+    assert [got for got, _ in context.answers] == [status] * 2, context.answers
+
+
+@then("no searcher has got one of them twice")
+def step_no_repeats(context):
+    for searcher in context.tier.searchers.values():
+        ids = [request.request_id for request in searcher.received]
+        assert len(ids) == len(set(ids)), ids
--- a/src/plantainstage/_gateway/answers.py
+++ b/src/plantainstage/_gateway/answers.py
@@ -78,6 +78,15 @@
     return Answer(status=502, reason=reason)
 
 
+def unfinished(
+    *, may_have_run: bool, reason: str, retry_after_s: float = RETRY_BUSY_S
+) -> Answer:
+    """Returns a 502 for a request that may have run, a 503 for any other."""
+    if may_have_run:
+        return failed(reason=reason)
+    return refusal(reason=reason, retry_after_s=retry_after_s)
+
+
 def timed_out() -> Answer:
     """Returns a 504: the request may have run, and its time limit has passed."""
     return Answer(status=504, reason="timed_out")
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -159,7 +159,7 @@
         self._close_idle()
         while self._running():
             if loop.time() - began_at > self.settings.stop_s - STOP_MARGIN_S:
-                self.events.log_event("stop_cut_short", running=self._running())
+                self._end_running()
                 break
             await asyncio.sleep(STOP_POLL_S)
             self._close_idle()
@@ -173,6 +173,12 @@
     def _running(self):
         return sum(len(ingress.running) for ingress in self._ingresses)
 
+    def _end_running(self):
+        """Answers what is still running, as its searchers would answer too late."""
+        self.events.log_event("stop_cut_short", running=self._running())
+        for ingress in self._ingresses:
+            ingress.end_running()
+
     def _close_idle(self):
         for ingress in self._ingresses:
             ingress.close_idle()
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -23,6 +23,9 @@
 MAX_RELAYED = 64
 
 
+STOPPING = "stopping"
+
+
 class _CallerServer(HTTPServer):
     """tornado's server, which also notifies the delegate of closed connections."""
 
@@ -76,6 +79,11 @@
             waiting.connection.close()
         self.waiting.clear()
 
+    def end_running(self):
+        """Answers the requests that are running, without waiting for searchers."""
+        for request in list(self.running):
+            request.end()
+
 
 class IngressRequest(httputil.HTTPMessageDelegate):
     """One request of a caller on its connection."""
@@ -147,7 +155,7 @@
         if origin is None:
             return answers.malformed_relay()
         if self.ingress.stopping:
-            return answers.relay_refusal(reason="stopping")
+            return answers.relay_refusal(reason=STOPPING)
         if router.version < origin.version:
             return answers.relay_refusal(reason="older_configuration")
         if len(self.ingress.running) > MAX_RELAYED:
@@ -180,6 +188,11 @@
     def _is_closed(self):
         return self.connection.stream is None or self.connection.stream.closed()
 
+    def end(self):
+        """Answers the request now, if it has been started."""
+        if self.routed is not None and not self.replied:
+            self.routed.end(STOPPING)
+
     # ---- Answer -------------------------------------------------------------------
 
     def _caller_disconnected(self):
--- a/src/plantainstage/_gateway/passed_request.py
+++ b/src/plantainstage/_gateway/passed_request.py
@@ -61,6 +61,16 @@
         if self.call is not None:
             self.call.abandon()
 
+    def end(self, reason: str):
+        """Ends the request with an answer of this host."""
+        may_have_run = self.may_have_run or self._is_at_helper()
+        if self.call is not None:
+            self.call.abandon()
+        self._end(answers.unfinished(may_have_run=may_have_run, reason=reason))
+
+    def _is_at_helper(self):
+        return self.call is not None and self.call.connection is not None
+
     # ---- Sending ------------------------------------------------------------------
 
     def _send(self, reason):
@@ -88,14 +98,15 @@
 
     def _give_up(self, reason):
         self._decide("given_up", outcome=reason)
-        if self.may_have_run:
-            self._end(answers.failed(reason=reason))
-        else:
-            retry_s = answers.RETRY_CUT_OFF_S
-            self._end(answers.refusal(reason=reason, retry_after_s=retry_s))
+        answer = answers.unfinished(
+            may_have_run=self.may_have_run,
+            reason=reason,
+            retry_after_s=answers.RETRY_CUT_OFF_S,
+        )
+        self._end(answer)
 
     def _time_out(self):
-        sent = self.call is not None and self.call.connection is not None
+        sent = self._is_at_helper()
         self._decide("given_up", outcome="timed_out")
         if self.call is not None:
             self.call.abandon()
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -68,6 +68,15 @@
             self._close(DISCONNECT_GRACE_S)
         self._log("caller_left", status=0)
 
+    def end(self, reason: str):
+        """Answers the request now: refused if it cannot have run, else failed."""
+        if self.passed is not None:
+            self.passed.end(reason)
+        elif not self.over:
+            may_have_run = self._may_have_run()
+            self._close(0.0)
+            self._helped(answers.unfinished(may_have_run=may_have_run, reason=reason))
+
     # ---- Passing on to a helper -----------------------------------------------------
 
     def pass_on_if_stuck(self):
