Hold a repeat back until a searcher whose connection broke has been checked

Cause: two breaks under one request stopped its repeats although the searchers lived on. Suspicions that were cleared, or are too old, are no longer kept and told, and crash reports in quick succession share polls.

--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -24,6 +24,7 @@
 # A host without a configuration cannot serve requests, so it retries at short
 # intervals to connect to replicas that are still starting.
 UNCONFIGURED_RECONNECT_MAX_MS = 60
+REPORT_GAP_S = 0.05  # between polls that carry crash reports
 POLL_TIMEOUT_S = 0.8
 EXPIRE_INTERVAL_S = 0.25
 
@@ -130,7 +131,14 @@
                 client.reconnect_max_ms = RECONNECT_MAX_MS
                 self._apply_reply(address, reply)
                 self._confirm_reports(address, reply, crash_number)
-            await self.observed.wait(self._poll_interval_s(address))
+            await self._pause(address)
+
+    async def _pause(self, address):
+        """Waits for the next poll, which is due earlier if there is a crash report."""
+        await asyncio.sleep(REPORT_GAP_S)
+        _, confirmed = self.confirmed.get(address, ("", 0))
+        if self.router.evidence.last_number == confirmed:
+            await self.observed.wait(self._poll_interval_s(address) - REPORT_GAP_S)
 
     async def _wait_while_relayed(self, address):
         now = asyncio.get_running_loop().time()
--- a/src/plantainstage/_gateway/decisions.py
+++ b/src/plantainstage/_gateway/decisions.py
@@ -8,8 +8,9 @@
     """One decision, or the outcome of a call.
 
     ``at`` is on the event loop's clock. ``step`` is ``send``, ``hedge``, ``repeat``,
-    ``wait``, ``left_out``, ``no_hedge``, ``no_repeat``, ``given_up``, ``outcome``
-    or ``pass_on``, whose ``searcher`` is the address of the entry host that helps.
+    ``wait``, ``left_out``, ``no_hedge``, ``hold_back``, ``no_repeat``, ``given_up``,
+    ``outcome`` or ``pass_on``, whose ``searcher`` is the address of the entry host that
+    helps.
     The inputs of a searcher's selection are ``expected_ms``, its expected latency,
     ``in_flight``, the number of this host's other requests there, ``reported_busy``,
     the load that it last reported, and ``report_age_ms``, the age of that report.
--- a/src/plantainstage/_gateway/end_checks.py
+++ b/src/plantainstage/_gateway/end_checks.py
@@ -118,6 +118,8 @@
         if verdict is Verdict.ENDED:
             self._record_end(member.searcher, verdict.value)
         else:
+            if verdict in (Verdict.CONNECTED, Verdict.ACCEPTS):
+                self.evidence.record_contact(member.searcher.start)
             self.events.log_ordinary(
                 "searcher_end_open",
                 searcher=member.searcher.searcher_id,
--- a/src/plantainstage/_gateway/searcher_wishes.py
+++ b/src/plantainstage/_gateway/searcher_wishes.py
@@ -32,6 +32,8 @@
 
     def wait_s(self, searcher: Searcher, now: float) -> float:
         """Returns how long the searcher wants no requests; infinity if it leaves."""
+        if self.pauses.is_empty:
+            return 0.0
         return self.pauses.wait_s(searcher.start, now)
 
     def record_reply(self, searcher: Searcher, reply: SearcherReply, *, now: float):
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -22,6 +22,8 @@
 # A searcher with more requests than this multiple of its slots has a queue, in which
 # a request that is no longer needed delays the others.
 OVERLOAD_FACTOR = 1.5
+# Until the check of a searcher whose connection broke has a verdict.
+HOLD_BACK_S = 0.04
 # With less remaining time than this no searcher could complete a request.
 MIN_REMAINING_S = 0.002
 
@@ -106,6 +108,7 @@
         self.runs = 0  # ended calls whose searcher may have run it
         self.rejections = 0
         self.hedged = False
+        self.held_back = False
         self.waiting = False
         self.over = False
         self.succeeded = False
@@ -360,6 +363,8 @@
         ``arrived`` tells that the failed call may have reached its searcher; only then
         does the retry count against the budget.
         """
+        if self._is_held_back():
+            return
         if self._may_try_again():
             budget = self.router.budget(self.service)
             if not arrived or budget.take(rank=self.rank):
@@ -371,6 +376,22 @@
         if not self.calls:
             self._end(reason=self.last_reason)
 
+    def _is_held_back(self):
+        """Puts a retry off once, until it is known what breaks before it mean."""
+        if self.held_back or self.calls or self._may_repeat():
+            return False
+        if not self.may_run_again or self._remaining_s() < HOLD_BACK_S:
+            return False
+        self.held_back = True
+        self._add_decision("hold_back", outcome="searchers may have ended")
+        loop = asyncio.get_running_loop()
+        loop.call_later(HOLD_BACK_S, self._repeat_held_back)
+        return True
+
+    def _repeat_held_back(self):
+        if not self.over:
+            self._try_again(arrived=True)
+
     def _may_try_again(self):
         if self._remaining_s() < MIN_REMAINING_S or self.rejections > MAX_REJECTIONS:
             return False
--- a/src/plantainstage/_limits/quarantine_times.py
+++ b/src/plantainstage/_limits/quarantine_times.py
@@ -39,6 +39,10 @@
         """Quarantines a fingerprint, or extends its quarantine."""
         self.until[fingerprint] = max(until, self.until.get(fingerprint, until))
 
+    def expire(self, now: float):
+        """Forgets the quarantines that are over."""
+        self.until = {name: until for name, until in self.until.items() if until > now}
+
     def end(self, fingerprint: str):
         """Ends a quarantine before its time."""
         self.until.pop(fingerprint, None)
--- a/src/plantainstage/_registry/crash_register.py
+++ b/src/plantainstage/_registry/crash_register.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from plantainstage._serving.crash_records import ENDS_TO_QUARANTINE, CrashRecords
+from plantainstage._serving.crash_records import CrashRecords
 from plantainstage._serving.crash_reports import (
     CrashReport,
     CrashReportKind,
@@ -17,9 +17,9 @@
     suspicion_digest,
 )
 
-# Hosts get to know a request before it is quarantined, so that any host which gets an
-# answer to it can clear it.
-ENDS_TO_SUSPECT = ENDS_TO_QUARANTINE - 1
+# Hosts poll at least once a second; one that was out of reach for longer keeps a
+# quarantine until its time is over.
+CLEARANCE_TOLD_S = 60.0
 MAX_REPORTS = 1024  # that are kept for the other replicas
 
 
@@ -47,7 +47,7 @@
                 age_ms=max(0, round((now - self.records.changed_at(name)) * 1000)),
             )
             for name in self.records.records
-            if self._matters(name)
+            if self._matters(name, now)
         )
 
     def suspected_unless(self, digest: int, now: float):
@@ -66,9 +66,12 @@
         )
         return reports, self.last_number
 
-    def _matters(self, fingerprint):
-        cleared = self.records.is_cleared(fingerprint)
-        return cleared or self.records.ends(fingerprint) >= ENDS_TO_SUSPECT
+    def _matters(self, fingerprint, now):
+        if self.records.is_suspected(fingerprint):
+            return True
+        age_s = now - self.records.changed_at(fingerprint)
+        has_news = self.records.has_news_of_clearance(fingerprint)
+        return has_news and age_s < CLEARANCE_TOLD_S
 
     # ---- Commands -----------------------------------------------------------------
 
--- a/src/plantainstage/_serving/crash_evidence.py
+++ b/src/plantainstage/_serving/crash_evidence.py
@@ -63,8 +63,10 @@
 
     def __init__(self):
         self.pending = {}  # start -> {fingerprint: time of its break}
+        self.in_contact = set()  # pending starts that have accepted a connection since
         self.records = CrashRecords()  # ends that this host has found
-        self.suspected = {}  # fingerprint -> SuspectedRequest of control
+        self.suspected = {}  # fingerprint -> ends, as control counts them
+        self.suspected_until = {}  # fingerprint -> time at which that is too old
         self.quarantines = QuarantineTimes()
         self.observations = deque(maxlen=MAX_REPORTS)
         self.last_number = 0
@@ -96,16 +98,20 @@
     def may_repeat(self, fingerprint: str, now: float) -> bool:
         """Whether a repeat or a hedge may be sent, which could end one more searcher.
 
-        Breaks count as well here, since it is not known yet what they mean.
+        Breaks count as well here, since it is not known yet what they mean, unless the
+        searcher has a connection to this host.
         """
-        broken = sum(fingerprint in requests for requests in self.pending.values())
+        broken = sum(
+            fingerprint in requests
+            for start, requests in self.pending.items()
+            if start not in self.in_contact
+        )
         if self._ends(fingerprint) + broken >= ENDS_TO_QUARANTINE - 1:
             return False
         return not self.remaining_s(fingerprint, now)
 
     def _ends(self, fingerprint):
-        known = self.suspected.get(fingerprint)
-        return max(self.records.ends(fingerprint), known.ends if known else 0)
+        return max(self.records.ends(fingerprint), self.suspected.get(fingerprint, 0))
 
     def is_pending(self, start) -> bool:
         """Whether it is to be decided if this start of a searcher has ended."""
@@ -127,6 +133,7 @@
     def record_broken(self, fingerprint: str, start, now: float):
         """Records that the connection broke on which the searcher had the request."""
         requests = self.pending.setdefault(start, {})
+        self.in_contact.discard(start)
         if len(requests) < MAX_PENDING_OF_START:
             requests.setdefault(fingerprint, now)
         if len(self.pending) > MAX_PENDING_STARTS:
@@ -149,6 +156,11 @@
                 rulings += self._rule(fingerprint, ends, now + QUARANTINE_S, now)
         return rulings
 
+    def record_contact(self, start):
+        """Records that a start, or the next one, accepts connections after a break."""
+        if start in self.pending:
+            self.in_contact.add(start)
+
     def record_alive(self, start, broken_before: float):
         """Records that a start has answered, so that earlier breaks were no end."""
         requests = self.pending.get(start)
@@ -179,8 +191,9 @@
             if entry.ends == 0:
                 rulings += self._clear(entry.fingerprint, now)
                 continue
-            self.suspected[entry.fingerprint] = entry
             until = now + QUARANTINE_S - entry.age_ms / 1000
+            self.suspected[entry.fingerprint] = entry.ends
+            self.suspected_until[entry.fingerprint] = until
             if entry.proven and now < until:
                 rulings += self._rule(entry.fingerprint, entry.ends, until, now)
         return rulings
@@ -190,12 +203,12 @@
         for start, requests in list(self.pending.items()):
             if now - max(requests.values()) > PENDING_S:
                 del self.pending[start]
+        self.in_contact &= self.pending.keys()
         self.records.expire(now)
-        self.suspected = {
-            name: entry
-            for name, entry in self.suspected.items()
-            if not entry.proven or self.quarantines.is_quarantined(name, now)
-        }
+        self.quarantines.expire(now)
+        for fingerprint, until in list(self.suspected_until.items()):
+            if until <= now:
+                self._forget_suspicion(fingerprint)
 
     def _is_suspected(self, fingerprint, now):
         return (
@@ -222,13 +235,17 @@
     def _clear(self, fingerprint, now):
         known = self.quarantines.is_quarantined(fingerprint, now)
         self.quarantines.end(fingerprint)
-        self.suspected.pop(fingerprint, None)
+        self._forget_suspicion(fingerprint)
         report = CrashReport(fingerprint=fingerprint, kind=CrashReportKind.ANSWERED)
         self.records.record(report, now)
         if not known:
             return []
         return [Ruling(fingerprint=fingerprint, quarantined=False, ends=0)]
 
+    def _forget_suspicion(self, fingerprint):
+        self.suspected.pop(fingerprint, None)
+        self.suspected_until.pop(fingerprint, None)
+
 
 def _aged(report, age_s):
     return CrashReport(
--- a/src/plantainstage/_serving/crash_records.py
+++ b/src/plantainstage/_serving/crash_records.py
@@ -9,6 +9,9 @@
 # A harmless request shares each end of a searcher with the one that caused it, and both
 # may be repeated at the same searcher; that both are there a third time is rare.
 ENDS_TO_QUARANTINE = 3
+# Hosts get to know a request before it is quarantined, so that any host which gets an
+# answer to it can clear it.
+ENDS_TO_SUSPECT = ENDS_TO_QUARANTINE - 1
 # A request that changes each time fills the records with fingerprints of one end.
 MAX_FINGERPRINTS = 1000
 MAX_ENDS = 16  # that are told apart of one fingerprint
@@ -23,6 +26,7 @@
     changed_at: float = float("-inf")
     cleared_at: float = float("-inf")
     cleared_by: CrashReportKind | None = None
+    was_suspected: bool = False  # before it was cleared
 
 
 class CrashRecords:
@@ -57,10 +61,16 @@
         """Returns the time of the last end, or of what cleared them."""
         return self.records[fingerprint].changed_at
 
-    def is_cleared(self, fingerprint: str) -> bool:
-        """Whether an answer or an operator has cleared the fingerprint."""
-        record = self.records.get(fingerprint)
-        return record is not None and record.cleared_by is not None
+    def is_suspected(self, fingerprint: str) -> bool:
+        """Whether one more end could quarantine the request."""
+        return self.ends(fingerprint) >= ENDS_TO_SUSPECT
+
+    def has_news_of_clearance(self, fingerprint: str) -> bool:
+        """Whether hosts may hold a suspicion that was cleared."""
+        record = self.records[fingerprint]
+        if record.cleared_by is None:
+            return False
+        return record.was_suspected or record.cleared_by is CrashReportKind.LIFTED
 
     # ---- Commands -----------------------------------------------------------------
 
@@ -95,6 +105,7 @@
     if report.kind is not CrashReportKind.ENDED:
         if at <= record.cleared_at:
             return False
+        record.was_suspected = len(record.ends) >= ENDS_TO_SUSPECT
         record.cleared_at = at
         record.cleared_by = report.kind
         record.ends.clear()
