--- a/features/support/proxy.py
+++ b/features/support/proxy.py
@@ -8,10 +8,12 @@
 import asyncio
 import contextlib
 import enum
+import os
 import socket
 import struct
 import threading
 from dataclasses import dataclass, field
+from pathlib import Path
 
 CHUNK_BYTES = 65536
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time: RST
@@ -28,6 +30,33 @@
 class _Connection:
     writers: list = field(default_factory=list)
     silent: bool = False
+    is_cut: bool = False  # its client is cut off from all servers
+
+    @property
+    def client_port(self):
+        """The port of the program that opened the connection, or 0."""
+        peer = self.writers[0].get_extra_info("peername")
+        return peer[1] if peer else 0
+
+
+def _reset(connection):
+    for writer in connection.writers:
+        raw = writer.get_extra_info("socket")
+        if raw is not None and raw.fileno() >= 0:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        writer.transport.abort()
+
+
+def ports_of(pid):
+    """Returns the local TCP ports of a process (Linux); none if it has ended."""
+    try:
+        targets = [os.readlink(entry) for entry in Path(f"/proc/{pid}/fd").iterdir()]
+        lines = Path(f"/proc/{pid}/net/tcp").read_text().splitlines()[1:]
+    except OSError:
+        return frozenset()
+    inodes = {target[8:-1] for target in targets if target.startswith("socket:[")}
+    rows = [line.split() for line in lines]
+    return frozenset(int(row[1].split(":")[1], 16) for row in rows if row[9] in inodes)
 
 
 class Link:
@@ -117,11 +146,7 @@
 
     def _reset_all(self):
         for connection in self.connections:
-            for writer in connection.writers:
-                raw = writer.get_extra_info("socket")
-                if raw is not None and raw.fileno() >= 0:
-                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-                writer.transport.abort()
+            _reset(connection)
 
     def _accept(self, reader, writer):
         # Not a coroutine: asyncio would log an error when it is cancelled.
@@ -131,6 +156,7 @@
 
     async def _relay(self, reader, writer):
         connection = _Connection(writers=[writer])
+        connection.is_cut = self.network.is_cut_off(connection.client_port)
         self.connections.add(connection)
         self.opened += 1
         try:
@@ -155,7 +181,7 @@
                 item.close()
 
     async def _wait_until_open(self, connection):
-        while self.held or connection.silent:
+        while self.held or connection.silent or connection.is_cut:
             await self.changed.wait()
 
     async def _pump(self, connection, reader, writer, direction):
@@ -178,9 +204,39 @@
     def __init__(self):
         self.loop = asyncio.new_event_loop()
         self.links = []
+        self.cut_pids = set()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
 
+    def cut_off(self, pid, *, resets=False):
+        """Cuts a program off from all servers; ``resets`` resets its connections."""
+        self.call(self._cut_off, pid, resets)
+
+    def rejoin(self, pid):
+        """Ends ``cut_off``; held bytes are delivered."""
+        self.call(self._rejoin, pid)
+
+    def is_cut_off(self, port):
+        """Whether the program that opened a connection from this port is cut off."""
+        return any(port in ports_of(pid) for pid in self.cut_pids)
+
+    def _cut_off(self, pid, resets):
+        self.cut_pids.add(pid)
+        ports = ports_of(pid)
+        for link in self.links:
+            for connection in list(link.connections):
+                if connection.client_port in ports:
+                    connection.is_cut = True
+                    if resets:
+                        _reset(connection)
+
+    def _rejoin(self, pid):
+        self.cut_pids.discard(pid)
+        for link in self.links:
+            for connection in link.connections:
+                connection.is_cut = connection.is_cut and bool(self.cut_pids)
+            link._wake()
+
     def call(self, function, *arguments):
         """Runs a function in the network's thread and waits for it."""
 
--- a/tools/soak/processes.py
+++ b/tools/soak/processes.py
@@ -70,13 +70,14 @@
 def make_gateway(folder, number, seed_ports):
     """Returns the process of one entry host."""
     name = f"gateway-{number}"
-    port = free_ports(2)
+    port = free_ports(3)
     address, ready_address = f"127.0.0.1:{port}", f"127.0.0.1:{port + 1}"
     arguments = [
         *("--host-id", name),
         *("--data-centre", "dc-1"),
         *("--listen", address),
         *("--ready-listen", ready_address),
+        *("--relay-listen", f"127.0.0.1:{port + 2}"),
         *("--retry-slack", "1000"),
     ]
     for seed_port in seed_ports:
--- a/tools/soak/searchers.py
+++ b/tools/soak/searchers.py
@@ -31,6 +31,7 @@
         self.sequence = 0
         self.started_at_ms = 0
         self.draining = False
+        self.is_down = True
         self.announce_task = None
 
     async def start(self):
@@ -42,9 +43,11 @@
         self.sequence, self.draining = 0, False
         self.started_at_ms = int(time.time() * 1000)
         self.announce_task = asyncio.create_task(self._announce())
+        self.is_down = False
 
     def crash(self):
         """Closes the server and all connections without an announcement."""
+        self.is_down = True
         self.announce_task.cancel()
         self.server.close()
         for writer in list(self.writers):
@@ -101,8 +104,11 @@
         self.writers.add(writer)
         try:
             while True:
-                _, headers = await read_head(reader)
+                line, headers = await read_head(reader)
                 await read_body(reader, headers)
+                if self.soak.faults.ends_searchers(line):
+                    await self.soak.faults.end_searcher(self)
+                    return
                 await self._answer(headers, writer)
                 await writer.drain()
         except (OSError, EOFError, asyncio.CancelledError):
