--- a/features/failures/crashing_requests.feature
+++ b/features/failures/crashing_requests.feature
@@ -24,9 +24,14 @@
     Given 4 searchers of each service of a single route that a request to its path "x" ends
     When a caller sends that request to the hosts in turn until each one has refused it
     Then each replica lists it as quarantined
-    When the searchers are mended and an operator lifts the quarantine
+    When the searchers are mended and the command lifts what it lists as quarantined
     Then each host answers the request with 200
 
+  Scenario: The command refuses what is no fingerprint
+    # Guards against a mistyped fingerprint that is acknowledged.
+    When the command lifts "not-a-fingerprint"
+    Then it ends with 2 and "is not a fingerprint"
+
   Scenario: A host that starts anew refuses a quarantined request
     # Guards against a restart after which one host sends the request again.
     Given 4 searchers of each service of a single route that a request to its path "x" ends
--- a/features/steps/crashing_request_steps.py
+++ b/features/steps/crashing_request_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from steps.routed_control_steps import run_command
 from steps.routed_request_steps import configuration
 from support.routed_tier import RoutedTier, StandInSearcher, answer_whole, end_on
 
@@ -152,16 +153,23 @@
     wait_until_up(context)
 
 
-@when("the searchers are mended and an operator lifts the quarantine")
+@when("the searchers are mended and the command lifts what it lists as quarantined")
 def step_lift(context):
     wait_until_up(context)
     for searcher in context.searchers:
         searcher.behave = answer_whole
-    address = next(iter(context.tier.registries))
-    (fingerprint,) = quarantined_at(context, address)
-    path = f"/v1/quarantined-requests/{fingerprint}/lift"
-    reply = context.tier.run(context.tier.call_control(address, "POST", path))
-    assert reply.status == 200, reply
+    context.controls = list(context.tier.registries)
+    run_command(context, "quarantined")
+    rows = json.loads(context.command.output)
+    (fingerprint,) = [row["fingerprint"] for row in rows if row["quarantined"]]
+    run_command(context, "lift", fingerprint)
+    assert context.command.exit_code == 0, context.command.output
+
+
+@when('the command lifts "{text}"')
+def step_lift_text(context, text):
+    context.controls = list(context.tier.registries)
+    run_command(context, "lift", text)
 
 
 @then("each host answers the request with 200")
