--- a/features/behaviour/reachability.feature
+++ b/features/behaviour/reachability.feature
@@ -22,6 +22,14 @@
     When calls to 5 searchers fail
     Then the host is not cut off
 
+  Scenario: Searchers that are all slow are tried, those that refuse connections are not
+    # Guards against hosts that refuse every request since all searchers are slow.
+    Given a host that got a reply 1 s ago
+    When 5 searchers leave requests on open connections unanswered
+    Then the host is cut off, but a request tried there may succeed
+    When calls to 3 searchers fail
+    Then the host is cut off, and a request tried there would fail
+
   Scenario: A service is out of reach only while all of its searchers fail
     # Guards against a request that is passed on although a searcher here could run it.
     Given a host that got a reply 0.01 s ago
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -36,6 +36,21 @@
         context.reach.record_failure(failed, context.now)
 
 
+@when("{count:d} searchers leave requests on open connections unanswered")
+def step_silent(context, count):
+    context.reach.record_silence(starts(count), context.now)
+
+
+@then("the host is cut off, but a request tried there may succeed")
+def step_uncertain(context):
+    assert context.reach.is_cut_off and not context.reach.is_certain
+
+
+@then("the host is cut off, and a request tried there would fail")
+def step_certain(context):
+    assert context.reach.is_cut_off and context.reach.is_certain
+
+
 @when("a call to a third searcher fails")
 def step_third(context):
     context.reach.record_failure(start(2), context.now)
--- a/features/support/proxy.py
+++ b/features/support/proxy.py
@@ -8,12 +8,12 @@
 import asyncio
 import contextlib
 import enum
-import os
 import socket
 import struct
 import threading
 from dataclasses import dataclass, field
-from pathlib import Path
+
+from support.socket_owners import owns
 
 CHUNK_BYTES = 65536
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time: RST
@@ -32,11 +32,12 @@
     silent: bool = False
     is_cut: bool = False  # its client is cut off from all servers
 
-    @property
-    def client_port(self):
-        """The port of the program that opened the connection, or 0."""
-        peer = self.writers[0].get_extra_info("peername")
-        return peer[1] if peer else 0
+    def is_of(self, pid):
+        """Whether a program opened the connection."""
+        writer = self.writers[0]
+        client = writer.get_extra_info("peername")
+        server = writer.get_extra_info("sockname")
+        return owns(pid, client, server)
 
 
 def _reset(connection):
@@ -47,18 +48,6 @@
         writer.transport.abort()
 
 
-def ports_of(pid):
-    """Returns the local TCP ports of a process (Linux); none if it has ended."""
-    try:
-        targets = [os.readlink(entry) for entry in Path(f"/proc/{pid}/fd").iterdir()]
-        lines = Path(f"/proc/{pid}/net/tcp").read_text().splitlines()[1:]
-    except OSError:
-        return frozenset()
-    inodes = {target[8:-1] for target in targets if target.startswith("socket:[")}
-    rows = [line.split() for line in lines]
-    return frozenset(int(row[1].split(":")[1], 16) for row in rows if row[9] in inodes)
-
-
 class Link:
     """Listens on ``address`` and forwards connections to ``target``."""
 
@@ -156,8 +145,8 @@
 
     async def _relay(self, reader, writer):
         connection = _Connection(writers=[writer])
-        connection.is_cut = self.network.is_cut_off(connection.client_port)
         self.connections.add(connection)
+        connection.is_cut = any(map(connection.is_of, self.network.cut_pids))
         self.opened += 1
         try:
             # A new connection must not reach the server while the link is held.
@@ -216,16 +205,11 @@
         """Ends ``cut_off``; held bytes are delivered."""
         self.call(self._rejoin, pid)
 
-    def is_cut_off(self, port):
-        """Whether the program that opened a connection from this port is cut off."""
-        return any(port in ports_of(pid) for pid in self.cut_pids)
-
     def _cut_off(self, pid, resets):
         self.cut_pids.add(pid)
-        ports = ports_of(pid)
         for link in self.links:
             for connection in list(link.connections):
-                if connection.client_port in ports:
+                if connection.is_of(pid):
                     connection.is_cut = True
                     if resets:
                         _reset(connection)
--- a/src/plantainstage/_gateway/call.py
+++ b/src/plantainstage/_gateway/call.py
@@ -133,11 +133,11 @@
         start = self.member.searcher.start
         match outcome:
             case CallFailure(reason=reason) if reason in NO_REPLY_REASONS:
-                watch.failed(start)
+                watch.failed(start, connected=False)
             case CallFailure(kind=FailureKind.BROKEN):
                 return  # bytes of the searcher have arrived
             case CallFailure() if elapsed_s > silent_after_s(self.work_s):
-                watch.failed(start)
+                watch.failed(start, connected=self.sent_at is not None)
             case CallFailure():
                 return
             case _:
--- a/src/plantainstage/_gateway/reach_watch.py
+++ b/src/plantainstage/_gateway/reach_watch.py
@@ -46,10 +46,10 @@
                 cut_off_ms=round((now - self.cut_off_at) * 1000),
             )
 
-    def failed(self, start):
-        """Records a call that ended without a reply."""
+    def failed(self, start, *, connected: bool):
+        """Records a call that ended without a reply on an open connection, or none."""
         now = asyncio.get_running_loop().time()
-        if self.reach.record_failure(start, now):
+        if self.reach.record_failure(start, now, connected=connected):
             self._cut_off(now)
 
     def _cut_off(self, now):
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -92,8 +92,8 @@
     def _leaves_to_helper(self):
         """Passes a new request on, or refuses it, if no searcher is in reach.
 
-        Returns whether it did. Without a helper the request is tried here, unless the
-        host is cut off from all searchers.
+        Returns whether it did. Without a helper the request is tried here, unless no
+        searcher accepts connections: all searchers may be slow.
         """
         if not self._is_out_of_reach():
             return False
@@ -103,7 +103,7 @@
         if self._may_pass_on():
             self._pass_on()
             return True
-        if self.router.fleet.reach.is_cut_off:
+        if self.router.fleet.reach.is_certain:
             retry_s = answers.RETRY_CUT_OFF_S
             refusal = answers.refusal(reason="out_of_reach", retry_after_s=retry_s)
             self._finish(refusal)
--- a/src/plantainstage/_serving/reachability.py
+++ b/src/plantainstage/_serving/reachability.py
@@ -39,11 +39,17 @@
     def __init__(self):
         self.failed = {}  # start -> time of its last failure, until it replies
         self.failed_in_row = set()  # starts without a reply, since the last one of any
+        self.unconnected = set()  # those of them that refused or reset connections
         self.last_reply_at = float("-inf")
         self.is_cut_off = False
 
     # ---- Queries ------------------------------------------------------------------
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether a request tried here would fail, and not just be slow."""
+        return self.is_cut_off and len(self.unconnected) >= MIN_FAILED_STARTS
+
     @property
     def is_clear(self) -> bool:
         """Whether no searcher has failed lately."""
@@ -70,16 +76,22 @@
         """Records a reply; returns whether a cut has ended."""
         self.failed.pop(start, None)
         self.failed_in_row.clear()
+        self.unconnected.clear()
         self.last_reply_at = now
         ended, self.is_cut_off = self.is_cut_off, False
         if ended:
             self.failed.clear()
         return ended
 
-    def record_failure(self, start, now: float) -> bool:
-        """Records a call without a reply; returns whether the host is now cut off."""
+    def record_failure(self, start, now: float, *, connected: bool = False) -> bool:
+        """Records a call without a reply; returns whether the host is now cut off.
+
+        ``connected`` tells that its connection was open, so that it may be slow only.
+        """
         self.failed[start] = now
         self.failed_in_row.add(start)
+        if not connected:
+            self.unconnected.add(start)
         return self._decide(now)
 
     def record_silence(self, starts: Iterable, now: float) -> bool:
@@ -93,6 +105,7 @@
         """Forgets a start that is no longer known."""
         self.failed.pop(start, None)
         self.failed_in_row.discard(start)
+        self.unconnected.discard(start)
 
     def _decide(self, now):
         if self.is_cut_off or len(self.failed_in_row) < MIN_FAILED_STARTS:
