--- a/features/behaviour/crash_evidence.feature
+++ b/features/behaviour/crash_evidence.feature
@@ -11,6 +11,16 @@
     When a searcher answers the request at 4 s
     Then the request is clear and may be repeated
 
+  Scenario: Searchers that end do not count for a request that was answered before
+    # Guards against a quarantine of a request that many callers send: it runs on every
+    # searcher that ends for another reason.
+    Given a host without evidence
+    When a searcher answers the request at 1 s
+    And "s-1" ends under the request at 2 s
+    And "s-2" ends under the request at 5 s
+    And "s-3" ends under the request at 8 s
+    Then the request is clear and may be repeated
+
   Scenario: Connections that break at a searcher which lives on prove nothing
     # Guards against refusals while searchers reset connections or cut answers short.
     Given a host without evidence
--- a/features/behaviour/reachability.feature
+++ b/features/behaviour/reachability.feature
@@ -4,6 +4,7 @@
     # Guards against callers that fail until each searcher has been tried.
     Given a host that got a reply 1 s ago
     When calls to 2 searchers fail
+    And 0.2 s pass
     Then the host is not cut off
     When a call to a third searcher fails
     Then the host is cut off
@@ -16,18 +17,24 @@
     When 40 calls fail, and after each second one another searcher replies
     Then the host is not cut off
 
-  Scenario: Refused connections beside replies on open ones are no cut
-    # Guards against a host that gives up connections that work.
-    Given a host that got a reply 0.01 s ago
+  Scenario Outline: Refused connections in one moment are no cut, <idle> s after a reply
+    # Guards against a host that gives up connections that work, and one that was idle.
+    Given a host that got a reply <idle> s ago
     When calls to 5 searchers fail
     Then the host is not cut off
 
+    Examples:
+      | idle |
+      | 0.01 |
+      | 60   |
+
   Scenario: Searchers that are all slow are tried, those that refuse connections are not
     # Guards against hosts that refuse every request since all searchers are slow.
     Given a host that got a reply 1 s ago
     When 5 searchers leave requests on open connections unanswered
     Then the host is cut off, but a request tried there may succeed
-    When calls to 3 searchers fail
+    When 0.2 s pass
+    And calls to 3 searchers fail
     Then the host is cut off, and a request tried there would fail
 
   Scenario: A service is out of reach only while all of its searchers fail
--- a/src/plantainstage/_gateway/passed_request.py
+++ b/src/plantainstage/_gateway/passed_request.py
@@ -11,14 +11,21 @@
     relayed_request,
     reply_headers,
 )
-from plantainstage._gateway.relay_headers import RELAY_REFUSED, RelayOrigin
+from plantainstage._gateway.relay_headers import (
+    NO_ROUTE,
+    OLDER_CONFIGURATION,
+    OUT_OF_REACH,
+    RELAY_REFUSED,
+    RelayOrigin,
+)
 from plantainstage._gateway.service_request import MIN_REMAINING_S
 from plantainstage._serving.configuration import RouteKind
 
 # Helpers that get a request; each refusal or failure costs a round trip.
 MAX_HELPERS = 2
 STATUS_REFUSALS = frozenset({408, 421, 429, 503})
-STATUS_NO_ROUTE = 404
+# Reasons that say nothing of other requests.
+REFUSALS_OF_REQUEST = frozenset({OLDER_CONFIGURATION, NO_ROUTE, OUT_OF_REACH})
 
 
 class PassedRequest:
@@ -39,7 +46,10 @@
         self.may_have_run = may_have_run
         self.finish = finish
         self.origin = RelayOrigin(
-            host_id=router.fleet.host_id, version=router.version, counted=counted
+            host_id=router.fleet.host_id,
+            version=router.version,
+            route=route.digest,
+            counted=counted,
         )
         self.loop = asyncio.get_running_loop()
         self.tried = []
@@ -138,10 +148,13 @@
             case SearcherReply() if RELAY_REFUSED in outcome.headers:
                 reason = outcome.headers[RELAY_REFUSED]
                 self._decide("outcome", address, f"refused: {reason}")
-                self.router.helpers.hosts.avoid(address, self.loop.time())
+                if reason not in REFUSALS_OF_REQUEST:
+                    self.router.helpers.hosts.avoid(address, self.loop.time())
                 self._send("helpers_refused")
             case SearcherReply():
                 self._decide("outcome", address, str(outcome.status))
+                if 200 <= outcome.status < 300:
+                    self.router.end_checks.request_answered(self.request)
                 self._end(self._answer(outcome))
 
     def _failed(self, kind, reason):
--- a/src/plantainstage/_gateway/relay_headers.py
+++ b/src/plantainstage/_gateway/relay_headers.py
@@ -9,17 +9,25 @@
 RELAYED_VERSION = "X-Relayed-Version"
 # The host that passes the request on has counted it for the retry budgets.
 RELAYED_COUNTED = "X-Relayed-Counted"
+RELAYED_ROUTE = "X-Relayed-Route"
 # Of a 503: why the helper does not take the request; another one may.
 RELAY_REFUSED = "X-Relay-Refused"
-RELAY_HEADERS = frozenset({RELAYED_BY, RELAYED_VERSION, RELAYED_COUNTED})
+OLDER_CONFIGURATION = "older_configuration"
+NO_ROUTE = "no_route"
+OUT_OF_REACH = "out_of_reach"
+RELAY_HEADERS = frozenset({RELAYED_BY, RELAYED_VERSION, RELAYED_COUNTED, RELAYED_ROUTE})
 
 
 @dataclass(frozen=True, kw_only=True)
 class RelayOrigin:
-    """The host that passed a request on, and its configuration version."""
+    """The host that passed a request on, with its version and a digest of the route.
+
+    A helper whose configuration is older takes the request if its route is the same.
+    """
 
     host_id: str
     version: int
+    route: str
     counted: bool
 
     @classmethod
@@ -30,12 +38,14 @@
         if not host_id or not version.isascii() or not version.isdigit():
             return None
         counted = headers.get(RELAYED_COUNTED, "") == "1"
-        return cls(host_id=host_id, version=int(version), counted=counted)
+        route = headers.get(RELAYED_ROUTE, "")
+        return cls(host_id=host_id, version=int(version), route=route, counted=counted)
 
     def lines(self) -> str:
         """Returns the header lines of a request that is passed on."""
         return (
             f"{RELAYED_BY}: {self.host_id}\r\n"
             f"{RELAYED_VERSION}: {self.version}\r\n"
+            f"{RELAYED_ROUTE}: {self.route}\r\n"
             f"{RELAYED_COUNTED}: {int(self.counted)}\r\n"
         )
--- a/src/plantainstage/_serving/configuration.py
+++ b/src/plantainstage/_serving/configuration.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from plantainstage._errors import ConfigurationProblem, InvalidConfigurationError
 
@@ -73,6 +74,11 @@
     attempts: int = 1
     priority: int = 0
 
+    @property
+    def digest(self) -> str:
+        """A hash of the route, by which two hosts tell that theirs are the same."""
+        return xxhash.xxh3_64_hexdigest(msgspec.json.encode(self))
+
     @property
     def services(self):
         """The names of all services that the route can use."""
--- a/src/plantainstage/_serving/crash_evidence.py
+++ b/src/plantainstage/_serving/crash_evidence.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -23,6 +23,9 @@
 PENDING_S = 8.0
 MAX_PENDING_STARTS = 256
 MAX_PENDING_OF_START = 32
+# A request that was answered so recently ends no searchers; many callers send it.
+ANSWERED_VALIDITY_S = 10.0
+MAX_ANSWERED = 4096
 # Reports that are kept for a replica that has not got them yet.
 MAX_REPORTS = 512
 
@@ -64,6 +67,7 @@
     def __init__(self):
         self.pending = {}  # start -> {fingerprint: time of its break}
         self.in_contact = set()  # pending starts that have accepted a connection since
+        self.answered = OrderedDict()  # fingerprint -> time, by last answer
         self.records = CrashRecords()  # ends that this host has found
         self.suspected = {}  # fingerprint -> ends, as control counts them
         self.suspected_until = {}  # fingerprint -> time at which that is too old
@@ -130,14 +134,20 @@
 
     # ---- Events -------------------------------------------------------------------
 
-    def record_broken(self, fingerprint: str, start, now: float):
-        """Records that the connection broke on which the searcher had the request."""
+    def record_broken(self, fingerprint: str, start, now: float) -> bool:
+        """Records that the connection broke on which the searcher had the request.
+
+        Returns whether that says anything of the request.
+        """
+        if now - self.answered.get(fingerprint, float("-inf")) < ANSWERED_VALIDITY_S:
+            return False
         requests = self.pending.setdefault(start, {})
         self.in_contact.discard(start)
         if len(requests) < MAX_PENDING_OF_START:
             requests.setdefault(fingerprint, now)
         if len(self.pending) > MAX_PENDING_STARTS:
             del self.pending[next(iter(self.pending))]
+        return True
 
     def record_end(self, start, now: float) -> list[Ruling]:
         """Records that a searcher with pending breaks has ended."""
@@ -169,6 +179,10 @@
 
     def record_answer(self, fingerprint: str, now: float) -> list[Ruling]:
         """Records that a searcher has run the request and answered it."""
+        self.answered[fingerprint] = now
+        self.answered.move_to_end(fingerprint)
+        if len(self.answered) > MAX_ANSWERED:
+            self.answered.popitem(last=False)
         for start, requests in list(self.pending.items()):
             requests.pop(fingerprint, None)
             if not requests:
