Name the hops of a host apart from a searcher's silence, split service times off

Two classes were called Reachability; owner_queue.py was the largest file. Behaviour is unchanged: owner_queue, decisions, quarantine and cut_off_hosts pass (44 scenarios).

--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from plantainstage._serving.helper_hosts import HELPERS, choose_helpers
-from plantainstage._serving.reachability import SILENT_S, Reachability
+from plantainstage._serving.searcher_reach import SILENT_S, SearcherReach
 
 CALL_GAP_S = 0.02
 REPLY_S = 0.03
@@ -25,7 +25,7 @@
 
 @given("a host that got a reply {seconds:g} s ago")
 def step_host(context, seconds):
-    context.reach = Reachability()
+    context.reach = SearcherReach()
     context.now = 100.0
     context.reach.record_reply(start(99), context.now - seconds)
 
@@ -114,7 +114,7 @@
     def __init__(self, *, searchers, seed):
         self.random = random.Random(seed)
         self.searchers = starts(searchers)
-        self.reach = Reachability()
+        self.reach = SearcherReach()
         self.now = 0.0
         self.down_until = {}
         self.pending = []  # (time of the reply or failure, start, replies)
--- a/src/plantainstage/_gateway/call.py
+++ b/src/plantainstage/_gateway/call.py
@@ -7,7 +7,7 @@
     CallFailure,
     FailureKind,
 )
-from plantainstage._serving.reachability import silent_after_s
+from plantainstage._serving.searcher_reach import silent_after_s
 
 # Other searchers are preferred for this time after a failed connection attempt.
 UNREACHABLE_RETRY_S = 1.0
@@ -127,7 +127,7 @@
                 self._update_load_from_reply(reply, now)
 
     def _update_reach(self, outcome, elapsed_s):
-        watch = self.fleet.on_reach
+        watch = self.fleet.reach_watch
         if watch is None:
             return
         start = self.member.searcher.start
--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -11,7 +11,7 @@
 from plantainstage._gateway.searcher_wishes import SearcherWishes
 from plantainstage._serving import connection_shares, placement
 from plantainstage._serving.connection_shares import ConnectionShare, HostCounts
-from plantainstage._serving.reachability import Reachability
+from plantainstage._serving.searcher_reach import SearcherReach
 from plantainstage._serving.searchers import Searcher, SearcherState
 
 # For a service that the configuration in force does not define.
@@ -77,8 +77,8 @@
         self.wishes = SearcherWishes(log_event=log_event)
         # Called with a start that was replaced or that is announced no longer.
         self.on_start_gone = _ignore
-        self.reach = Reachability()
-        self.on_reach = None  # ReachWatch, if there is one
+        self.reach = SearcherReach()
+        self.reach_watch = None  # ReachWatch, if there is one
 
     # ---- Known searchers ----------------------------------------------------------
 
--- a/src/plantainstage/_gateway/reach_watch.py
+++ b/src/plantainstage/_gateway/reach_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from plantainstage._serving.reachability import Reachability, silent_after_s
+from plantainstage._serving.searcher_reach import SearcherReach, silent_after_s
 
 CHECK_INTERVAL_S = 0.1
 # One searcher at a time is asked while the host is cut off.
@@ -26,10 +26,10 @@
         self.on_cut_off = _do_nothing
         self.cut_off_at = 0.0
         self.probed = 0
-        fleet.on_reach = self
+        fleet.reach_watch = self
 
     @property
-    def reach(self) -> Reachability:
+    def reach(self) -> SearcherReach:
         """What the host knows of the searchers that it reaches."""
         return self.fleet.reach
 
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -76,7 +76,9 @@
         elif not self.over:
             may_have_run = self._may_have_run()
             self._close(0.0)
-            self._helped(answers.unfinished(may_have_run=may_have_run, reason=reason))
+            self._reply_and_log(
+                answers.unfinished(may_have_run=may_have_run, reason=reason)
+            )
 
     # ---- Passing on to a helper -----------------------------------------------------
 
@@ -138,11 +140,11 @@
             end_at=self.end_at,
             may_have_run=may_have_run,
             counted=counted,
-            finish=self._helped,
+            finish=self._reply_and_log,
         )
         self.passed.start()
 
-    def _helped(self, answer):
+    def _reply_and_log(self, answer):
         self.reply(answer)
         self._log(answer.reason, status=answer.status)
 
--- a/src/plantainstage/_limits/owner_queue.py
+++ b/src/plantainstage/_limits/owner_queue.py
@@ -28,6 +28,7 @@
     Queued,
     Running,
 )
+from plantainstage._limits.service_times import ServiceTimes
 from plantainstage._limits.silence import Reachability, SilenceDetector
 from plantainstage._messages.forward import SubOutcome, SubResult
 
@@ -44,9 +45,6 @@
     "WakeQueueAt",
 ]
 
-INITIAL_SERVICE_S = 0.005
-SERVICE_GAIN = 0.05
-MEDIAN_STEP = 0.02
 # An exchange that runs longer than this many medians counts as a straggler.
 STRAGGLER_MEDIANS = 2.0
 # After an exchange without a reply, the searcher may run the sub-request until its
@@ -103,8 +101,7 @@
         self.running = {}
         self.held_slots = []  # heap of times at which held slots become free
         self.epoch = None
-        self.service_s = INITIAL_SERVICE_S  # mean, for the expected wait in the queue
-        self.median_s = INITIAL_SERVICE_S  # expected time of the sub-request itself
+        self.times = ServiceTimes()
         self.wake_at = math.inf
         self.any_suspect = False  # may remain true after the last one has ended
         self.probe_profile = ""  # profile of the exchange suspected last
@@ -288,7 +285,7 @@
         if busy < self.slots and not self.waiting:
             return 0.0
         ahead = self.waiting.ahead(profile) + 1
-        return ahead * self.service_s / self.slots
+        return ahead * self.times.mean_s / self.slots
 
     def _reason_to_refuse(self, item, now):
         sub_request = item.sub_request
@@ -298,7 +295,7 @@
             return "lease_expired"
         if self.quarantines.is_quarantined(sub_request.fingerprint, now):
             return "quarantined"
-        if now + self.median_s > item.deadline:
+        if now + self.times.median_s > item.deadline:
             return "deadline"
         return ""
 
@@ -311,7 +308,7 @@
         wait = self.expected_wait_s(item.profile, now)
         if wait > 0 and item.sub_request.alternatives > 0 and self._declines(now):
             return BUSY
-        if now + wait + self.median_s > item.deadline:
+        if now + wait + self.times.median_s > item.deadline:
             return "queue_full"
         return ""
 
@@ -321,7 +318,7 @@
         The slot of an exchange that has run for several medians is not expected to
         become free soon.
         """
-        threshold = now - STRAGGLER_MEDIANS * self.median_s
+        threshold = now - STRAGGLER_MEDIANS * self.times.median_s
         free_soon = self.slots - len(self.held_slots)
         for running in self.running.values():
             if running.started_at < threshold:
@@ -398,9 +395,7 @@
     def _observe_outcome(self, running, outcome, reason, elapsed, actions, now):
         match outcome:
             case SubOutcome.ANSWERED:
-                self.service_s += SERVICE_GAIN * (elapsed - self.service_s)
-                step = MEDIAN_STEP if elapsed > self.median_s else -MEDIAN_STEP
-                self.median_s *= 1 + step
+                self.times.observe(elapsed)
                 self.silence.observe(elapsed)
                 self.silence.replied(now)
                 sub_request = running.queued.sub_request
@@ -474,7 +469,9 @@
 
     def _drop_late(self, actions, now):
         late = [
-            item for item in self.by_id.values() if item.deadline - self.median_s <= now
+            item
+            for item in self.by_id.values()
+            if item.deadline - self.times.median_s <= now
         ]
         for item in late:
             self.waiting.remove(item)
@@ -493,7 +490,7 @@
             threshold = self.silence.suspect_after_s
             time = min(time, suspects.next_suspect_at(self.running.values(), threshold))
         if self.waiting:
-            latest_start = self.waiting.earliest_deadline() - self.median_s
+            latest_start = self.waiting.earliest_deadline() - self.times.median_s
             time = min(time, max(latest_start, now))
         if self._needs_probe():
             time = min(time, self.silence.next_probe or now)
--- a/src/plantainstage/_serving/reachability.py
+++ b/src/plantainstage/_serving/searcher_reach.py
@@ -25,7 +25,7 @@
     return max(SILENT_S, SILENT_FACTOR * usual_s)
 
 
-class Reachability:
+class SearcherReach:
     """Which starts of searchers gave no reply since the last reply of any of them.
 
     For example::
