Play a request that ends searchers in the model of routed requests

Searchers of the model end 20 ms after they begin one certain request, reset their connections, refuse others for 2 s and start anew; hosts learn from each other through a CrashRegister.

--- a/bench/routed_load.py
+++ b/bench/routed_load.py
@@ -35,6 +35,7 @@
     """Prints a row for each deployment and scenario."""
     print(
         "deployment   scenario        credit  least   late failed missing  extra  limit"
+        "  ended"
     )
     groups = {}
     for item in results:
@@ -43,7 +44,7 @@
         credits = [item.credit for item in items]
         means = [
             statistics.fmean(getattr(item, name) for item in items)
-            for name in ("late", "failed", "missing", "extra", "limit_use")
+            for name in ("late", "failed", "missing", "extra", "limit_use", "ended")
         ]
         print(
             f"{deployment:<12} {scenario:<15} {statistics.fmean(credits):.3f}  "
--- a/bench/routed_model/pool.py
+++ b/bench/routed_model/pool.py
@@ -19,6 +19,7 @@
 NAMES = HeaderNames()
 OPEN_TIMEOUT_S = 0.3
 RECORD = b"r" * 16
+ENDING_TARGET = b"/ends-searchers "
 _DEADLINE = re.compile(rf"{NAMES.deadline}: (\d+)".encode())
 
 
@@ -28,6 +29,7 @@
     def __init__(self, pool):
         self.pool = pool
         self.job = None
+        self.on_done = None  # of the request that it carries
         self.closed = False
 
     def close(self):
@@ -35,6 +37,7 @@
         if self.closed:
             return
         self.closed = True
+        self.pool.open_connections.pop(self, None)
         self.pool.count -= 1
         self.pool.model.connections -= 1
         if self in self.pool.idle:
@@ -53,7 +56,9 @@
         self.delay_s = delay_s
         self.mean_service_s = mean_service_s  # request id -> seconds
         self.idle = []
+        self.open_connections = {}  # in the order of their opening
         self.count = 0
+        model.pools.append(self)
 
     # ---- Queries ------------------------------------------------------------------
 
@@ -72,7 +77,7 @@
     @property
     def is_connected(self):
         """Whether a connection is open."""
-        return self.count > 0
+        return bool(self.open_connections)
 
     # ---- Commands -----------------------------------------------------------------
 
@@ -92,17 +97,32 @@
         except asyncio.CancelledError:
             self.count -= 1
             raise
-        if self.model.connections >= self.model.spec.connections:
+        if self.model.is_down or self.model.connections >= self.model.spec.connections:
             self.count -= 1
             return None
         self.model.connections += 1
-        return ModelConnection(self)
+        connection = ModelConnection(self)
+        self.open_connections[connection] = None
+        return connection
+
+    def reset_connections(self):
+        """Resets all connections, since the searcher has ended."""
+        for connection in list(self.open_connections):
+            job, connection.job = connection.job, None
+            connection.close()
+            if job is not None and not job.finished:
+                job.finished = True
+                if job.timer is not None:
+                    job.timer.cancel()
+                failure = CallFailure(kind=FailureKind.BROKEN, reason="reset")
+                connection.on_done(failure)
 
     async def probe(self):
         """Opens a connection; returns why that failed, or None."""
         connection = await self.open()
         if connection is None:
-            return "connection_timed_out"
+            down = self.model.is_down
+            return "connection_refused" if down else "connection_timed_out"
         self.put_back(connection, None)
         return None
 
@@ -124,7 +144,9 @@
             service_s=model.draw_service_s(self.mean_service_s(request_id)),
             expires_at=loop.time() + remaining_s,
             reply=done,
+            ends_searcher=ENDING_TARGET in request,
         )
+        connection.on_done = on_done
         loop.call_later(self.delay_s, model.receive, connection.job)
 
     def _reply(self, connection, executed, load, on_done):
--- a/bench/routed_model/scenarios.py
+++ b/bench/routed_model/scenarios.py
@@ -10,6 +10,7 @@
 WARM_UP_S = 3.0
 SETTLE_S = 3.0  # after the last request was sent
 LIMIT_SETTLE_S = 4.0  # after a limit is stated first
+ENDING_SETTLE_S = 4.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -25,6 +26,7 @@
     limited_shards: float = 0.0  # share of the shards whose searchers state limits
     limited_searchers: int = 0  # of each of these shards
     limit_share: float = 0.5  # of the requests that a searcher usually gets
+    ending_requests: bool = False  # a request of each kind ends searchers
 
 
 SCENARIOS = {
@@ -35,6 +37,7 @@
     "dark": Fault(unresponsive_share=0.1),
     "limited": Fault(limited_shards=0.3, limited_searchers=2),
     "all-limited": Fault(limited_shards=0.3, limited_searchers=3),
+    "ending": Fault(ending_requests=True),
 }
 
 
@@ -47,6 +50,8 @@
     shards that answers lack. ``extra`` is the number of arrivals at searchers of shards
     beyond the first of each request, as a share of these. ``limit_use`` is the largest
     number of arrivals at a searcher within a span, as a share of what its limit allows.
+    ``ended`` is the number of searchers that a request ended, and ``ending_late`` that
+    of its arrivals later than ``ENDING_SETTLE_S`` after the third, a kind of request.
     """
 
     scenario: str
@@ -61,6 +66,8 @@
     extra: float
     p99_ms: dict[str, float]
     limit_use: float
+    ended: int
+    ending_late: float
 
 
 def run_scenario(
@@ -85,7 +92,7 @@
     await asyncio.sleep(WARM_UP_S)
     arrived = _shard_arrivals(tier)
     first = sum(tier.first_sends[shard] for shard in tier.shards)
-    _inject(tier, SCENARIOS[name])
+    _inject(tier, SCENARIOS[name], seconds)
     await asyncio.sleep(seconds + SETTLE_S)
     extra = _shard_arrivals(tier) - arrived
     first = sum(tier.first_sends[shard] for shard in tier.shards) - first
@@ -96,7 +103,7 @@
     return sum(m.arrivals for shard in tier.shards for m in tier.models[shard])
 
 
-def _inject(tier, fault):
+def _inject(tier, fault, seconds):
     """Starts the faults; each searcher has at most one of them."""
     models = [model for shard in tier.shards for model in tier.models[shard]]
     tier.random.shuffle(models)
@@ -115,6 +122,8 @@
     for model in draw(fault.shed_share):
         model.shed_share = fault.shed_rate
     _limit(tier, fault)
+    if fault.ending_requests:
+        tier.start_ending_requests(asyncio.get_running_loop().time() + seconds)
 
 
 def _limit(tier, fault):
@@ -158,9 +167,27 @@
         extra=extra,
         p99_ms=p99_ms,
         limit_use=_limit_use(tier),
+        ended=len(_all_times(tier, "ends")),
+        ending_late=_late_endings(tier),
     )
 
 
+def _all_times(tier, name):
+    models = (model for models in tier.models.values() for model in models)
+    return sorted(at for model in models for at in getattr(model, name))
+
+
+def _late_endings(tier):
+    """Returns the late arrivals of requests that end searchers, a kind of request."""
+    ends = _all_times(tier, "ends")
+    kinds = len(tier.deployment.kinds)
+    if len(ends) < 3 * kinds:
+        return 0.0
+    settled_at = ends[3 * kinds - 1] + ENDING_SETTLE_S
+    late = [at for at in _all_times(tier, "ending_arrivals") if at > settled_at]
+    return len(late) / kinds
+
+
 def _limit_use(tier):
     """Returns the use of the worst searcher, once its limit is known for a while."""
     settled_at = WARM_UP_S + LIMIT_SETTLE_S
--- a/bench/routed_model/searchers.py
+++ b/bench/routed_model/searchers.py
@@ -5,11 +5,16 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+import msgspec
+
 from plantainstage._serving.searchers import Searcher
 
 SERVICE_SIGMA = 0.35  # standard deviation of the logarithm
 LONG_SHARE = 0.01  # share of the requests that take LONG_FACTOR times as long
 LONG_FACTOR = 5.0
+# Of a request that ends each searcher which runs it.
+RUN_BEFORE_END_S = 0.02
+DOWN_S = 2.0
 
 
 @dataclass(kw_only=True)
@@ -21,6 +26,7 @@
     reply: object
     timer: object = None
     finished: bool = False
+    ends_searcher: bool = False
 
 
 @dataclass(kw_only=True)
@@ -40,6 +46,11 @@
     rate_limit: float | None = None  # requests a second, stated in replies
     limited_arrivals: list = field(default_factory=list)  # times, while limited
     paused: bool = False
+    is_down: bool = False
+    ends: list = field(default_factory=list)  # times at which a request ended it
+    ending_arrivals: list = field(default_factory=list)  # times of such requests
+    pools: list = field(default_factory=list)  # of the hosts that connect to it
+    on_restart: object = None  # called with the model once it is up again
     queue: deque = field(default_factory=deque)
 
     def start_pauses(self):
@@ -60,6 +71,8 @@
         if self.unresponsive:
             return
         self.arrivals += 1
+        if job.ends_searcher:
+            self.ending_arrivals.append(asyncio.get_running_loop().time())
         if self.rate_limit is not None:
             self.limited_arrivals.append(asyncio.get_running_loop().time())
         full = len(self.queue) >= self.spec.queue
@@ -101,9 +114,33 @@
                 job.reply(False)
                 continue
             self.running += 1
+            if job.ends_searcher:
+                job.timer = loop.call_later(RUN_BEFORE_END_S, self._end)
+                continue
             service_s = job.service_s * self.slowdown
             job.timer = loop.call_later(service_s, self._done, job)
 
+    def _end(self):
+        """Ends the searcher, which resets its connections, until it restarts."""
+        if self.is_down:
+            return
+        loop = asyncio.get_running_loop()
+        self.is_down = True
+        self.ends.append(loop.time())
+        self.queue.clear()
+        self.running = 0
+        for pool in self.pools:
+            pool.reset_connections()
+        loop.call_later(DOWN_S, self._restart)
+
+    def _restart(self):
+        self.is_down = False
+        started_at_ms = self.searcher.started_at_ms + 1
+        self.searcher = msgspec.structs.replace(
+            self.searcher, started_at_ms=started_at_ms
+        )
+        self.on_restart(self)
+
     def _done(self, job):
         job.finished = True
         self.running -= 1
--- a/bench/routed_model/tier.py
+++ b/bench/routed_model/tier.py
@@ -12,6 +12,7 @@
 from plantainstage._gateway.messages import CallerRequest
 from plantainstage._gateway.requests import start_request
 from plantainstage._gateway.router import Router
+from plantainstage._registry.crash_register import CrashRegister
 from plantainstage._serving.configuration import (
     AllOf,
     OneOf,
@@ -25,12 +26,15 @@
 from plantainstage._serving.retry_budget import RetryBudgetLimits
 from plantainstage._serving.searchers import Searcher
 
-from .pool import ModelPool
+from .pool import ENDING_TARGET, ModelPool
 from .searchers import SearcherModel
 
 IN_DATA_CENTRE_HOP_S = 0.0001
 # Limit of the requests that an owner has at a searcher, in multiples of its slots.
 OWNER_REQUESTS_PER_SLOT = 2
+CONTROL_POLL_S = 0.35
+ENDING_INTERVAL_S = 0.25
+RETRIED = 2  # attempts after which a caller gives up
 NAMES = HeaderNames()
 SINGLE = "single"
 
@@ -110,6 +114,7 @@
         self._add_searchers(SINGLE, deployment.single, 0)
         self.hosts = [self._make_host(number) for number in range(deployment.hosts)]
         self.first_sends = defaultdict(int)  # service -> requests for it
+        self.crashes = CrashRegister()
 
     # ---- Construction -------------------------------------------------------------
 
@@ -226,6 +231,41 @@
         for kind in self.deployment.kinds:
             self._schedule_next(kind, until)
 
+    def start_ending_requests(self, until: float):
+        """Sends one request of each kind again and again that ends searchers."""
+        for models in self.models.values():
+            for model in models:
+                model.on_restart = self._announce
+        for host in self.hosts:
+            self._poll_control(host, 0)
+        for kind in self.deployment.kinds:
+            self._send_ending(kind, until)
+
+    def _announce(self, model):
+        loop = asyncio.get_running_loop()
+        for host in self.hosts:
+            delay_s = self.random.random() * CONTROL_POLL_S
+            loop.call_later(delay_s, host.fleet.update_searcher, model.searcher)
+
+    def _poll_control(self, host, confirmed):
+        """Passes on what a host found, and what all hosts found together."""
+        loop = asyncio.get_running_loop()
+        reports, last = host.evidence.reports_after(confirmed, loop.time())
+        self.crashes.record_from_host(reports, loop.time())
+        suspected = self.crashes.suspected(loop.time())
+        host.end_checks.apply(host.evidence.apply_suspected(suspected, loop.time()))
+        loop.call_later(CONTROL_POLL_S, self._poll_control, host, last)
+
+    def _send_ending(self, kind, until):
+        now = asyncio.get_running_loop().time()
+        if now >= until:
+            return
+        record = CallerRecord(kind=kind, started_at=now, attempts=RETRIED)
+        self._attempt(record, target=f"/{kind.name}{ENDING_TARGET.decode().strip()}")
+        asyncio.get_running_loop().call_later(
+            ENDING_INTERVAL_S, self._send_ending, kind, until
+        )
+
     def remove(self, model):
         """Removes a searcher, so that hosts send it no new requests."""
         self.models[model.searcher.service].remove(model)
@@ -245,7 +285,7 @@
         self.records.append(record)
         self._attempt(record)
 
-    def _attempt(self, record):
+    def _attempt(self, record, target=None):
         now = asyncio.get_running_loop().time()
         record.attempts += 1
         record.attempt_at = now
@@ -257,7 +297,7 @@
         router = self.random.choice(self.hosts)
         request = CallerRequest(
             method="GET",
-            target=f"/{record.kind.name}/x",
+            target=target or f"/{record.kind.name}/x",
             headers=httputil.HTTPHeaders({"Host": "model.example"}),
             body=b"",
             request_id=request_id,
@@ -282,7 +322,7 @@
         if answer.status == 503:
             waited_s = loop.time() - record.started_at
             record.refused_early = waited_s < record.kind.aim_ms / 4000
-        if record.attempts < 2:
+        if record.attempts < RETRIED:
             retry_delay_s = float(answer.headers.get("Retry-After", "0"))
             retry_delay_s += 2 * self.deployment.caller_hop_ms / 1000
             loop.call_later(retry_delay_s, self._attempt, record)
--- a/features/behaviour/routed_load.feature
+++ b/features/behaviour/routed_load.feature
@@ -44,6 +44,19 @@
       | etain-grave       |
       | etain-grave-grown |
 
+  Scenario Outline: A request that ends searchers soon reaches none of a deployment
+    # Guards against a request of one caller that takes the searchers of all others.
+    Given the deployment "<deployment>" with its usual load
+    When it runs for 8 s of virtual time with seed 2 and the fault scenario "ending"
+    Then at least 3 searchers have ended
+    And such a request arrives at most 3 times later than 4 s after the third end
+
+    Examples:
+      | deployment        |
+      | kogi-basin        |
+      | etain-grave       |
+      | etain-grave-grown |
+
   Scenario: Searchers of a shard that all state limits get what these allow
     # Guards against requests beyond the limits when no other searcher is left.
     Given the deployment "etain-grave" with its usual load
--- a/features/steps/routed_load_steps.py
+++ b/features/steps/routed_load_steps.py
@@ -66,3 +66,15 @@
     urgent, other = sorted(kinds, key=lambda kind: kind.priority)
     shares = context.measures.answered_by_kind
     assert shares[urgent.name] >= shares[other.name] - PRIORITY_TOLERANCE, shares
+
+
+@then("at least {count:d} searchers have ended")
+def step_ended(context, count):
+    assert context.measures.ended >= count, context.measures
+
+
+@then(
+    "such a request arrives at most {count:d} times later than 4 s after the third end"
+)
+def step_ending_late(context, count):
+    assert context.measures.ending_late <= count, context.measures
