--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -15,7 +15,7 @@
     ServiceRequest,
 )
 from plantainstage._serving import gathering
-from plantainstage._serving.configuration import Route, RouteKind
+from plantainstage._serving.configuration import Route
 
 # Calls that are still running when the answer is sent may end within this time, so
 # that their connections can be reused.
@@ -118,8 +118,8 @@
             return False
         if self.router.end_checks.remaining_s(self.request):
             return False
-        is_idempotent = self.route.kind is RouteKind.IDEMPOTENT
-        return is_idempotent or not self._may_have_run()
+        # A helper has all attempts of the route, so none may have been used here.
+        return not self._may_have_run()
 
     def _may_have_run(self):
         return any(
