--- a/src/plantainstage/_gateway/passed_request.py
+++ b/src/plantainstage/_gateway/passed_request.py
@@ -32,18 +32,15 @@
     """Passes one request to a helper and its answer back to the caller.
 
     A request that may run once at most goes to another helper only if the first one has
-    not run it. ``may_have_run`` tells that a searcher may have run the request already,
-    so that no refusal may say otherwise. ``finish(answer)`` is called once.
+    not run it. No searcher can have run it before. ``finish(answer)`` is called once.
     """
 
-    def __init__(
-        self, *, router, route, request, end_at, may_have_run, counted, finish
-    ):
+    def __init__(self, *, router, route, request, end_at, counted, finish):
         self.router = router
         self.route = route
         self.request = request
         self.end_at = end_at
-        self.may_have_run = may_have_run
+        self.may_have_run = False  # behind a helper that failed
         self.finish = finish
         self.origin = RelayOrigin(
             host_id=router.fleet.host_id,
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -128,7 +128,6 @@
         )
 
     def _pass_on(self):
-        may_have_run = self._may_have_run()
         counted = any(part.decisions for part in self.parts)
         self._close(0.0)
         for part in self.parts:
@@ -138,7 +137,6 @@
             route=self.route,
             request=self.request,
             end_at=self.end_at,
-            may_have_run=may_have_run,
             counted=counted,
             finish=self._reply_and_log,
         )
