--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,7 +21,8 @@
 
 # The successor has had its time to catch up before the old machine is stopped.
 SUCCESSOR_LEAD_S = BOUNDS["catchUpS"] + 1.0
-LOSS_S = 2.0  # after the old machine has ended
+# After the old machine has ended: catchUpS and a little more.
+LOSS_S = BOUNDS["catchUpS"] + 0.5
 # With TROUBLE=spaced the loss comes when the repair has long ended.
 SPACED_S = 5.0 * BOUNDS["catchUpS"]
 # With TROUBLE=unplanned the old machine is gone first, and the loss comes as soon as
