Bound the values of announcements and configurations where they arrive

Callers of a route that had just been added got 404 from all entry hosts, and later 503 for all routes, while another writer announced a searcher whose sequence number was 2^64.

Cause: the JSON decoder takes whole numbers of any length, msgpack none above 2^64 - 1. RpcServer encoded its reply outside of the guarded part, so each reply that named the entry ended a worker for good and silently; after 64 polls no host and no replica was answered. RecursionError of deep nesting and ValueError of numbers with thousands of digits had the same effect elsewhere.

Fix: one range for each kind of number, checked for all formats; one function that decodes foreign bytes and raises one type of error; replies are encoded inside of the guarded part; failures are counted and logged once; silent searchers are forgotten.

--- a/features/behaviour/control_calls.feature
+++ b/features/behaviour/control_calls.feature
@@ -26,6 +26,14 @@
     Then each of them has an unknown outcome
     And a request for version 7 is answered
 
+  Scenario: A reply that cannot be encoded does not end the server
+    # Guards against a server that loses a worker with each reply that holds a number
+    # above 64 bits, and in the end replies to nobody.
+    Given a server whose handler fails on each request but those for version 7
+    When 200 requests get a reply that cannot be encoded
+    Then each of them has an unknown outcome
+    And a request for version 7 is answered
+
   Scenario Outline: Bytes that are no request do not end the server
     # Guards against a process that one malformed message takes down.
     Given a server whose handler fails on each request but those for version 7
@@ -36,6 +44,7 @@
       | kind              | seed |
       | random bytes      | 1    |
       | altered requests  | 2    |
+      | deep nesting      | 3    |
 
   Scenario Outline: Bytes that are no frame do not end the link between replicas
     # Guards against a replica that no longer hears its group after a malformed frame.
--- a/features/behaviour/platform_folder.feature
+++ b/features/behaviour/platform_folder.feature
@@ -13,7 +13,8 @@
     Then neither program of the folder loads a plotting library
 
   Scenario Outline: A heartbeat with <fault> is refused
-    # Guards against searchers that a forged or malformed heartbeat adds.
+    # Guards against searchers that a forged or malformed heartbeat adds, and against
+    # a value that a later message cannot carry, which ends all replies that name it.
     Then a heartbeat with <fault> is refused
 
     Examples:
@@ -25,6 +26,26 @@
       | an address without a port |
       | no slots                  |
       | bytes that are not JSON   |
+      | a sequence above 64 bits  |
+      | a start above 64 bits     |
+      | slots above 64 bits       |
+      | warm-up above 64 bits     |
+      | deep nesting              |
+      | a port out of range       |
+      | a port of 5000 digits     |
+      | a zone of 60000 letters   |
+
+  Scenario Outline: A configuration with <fault> is refused by the platform's format
+    # Guards against a reply 500 to an operator, and against a document that is stored
+    # though no message can carry it.
+    Then a platform's configuration with <fault> is refused
+
+    Examples:
+      | fault                    |
+      | deep nesting             |
+      | a version above 64 bits  |
+      | a timeout above 64 bits  |
+      | a weight of 1e300        |
 
   Scenario: A configuration of the platform is converted to the product's types
     # Guards against a field that is decoded as another one.
--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -30,6 +30,8 @@
       | an unknown service         |
       | two routes for one prefix  |
       | weights that add up to 0   |
+      | deep nesting               |
+      | a version above 64 bits    |
       | a timeout of 0             |
       | a prefix without a slash   |
 
@@ -111,6 +113,18 @@
       | a missing field           |
       | slots given as text       |
       | an unknown state          |
+      | a sequence above 64 bits  |
+      | deep nesting              |
+      | an id of 60000 letters    |
+
+  Scenario: Searchers that stay silent are forgotten, and sooner in a full register
+    # Guards against a replica whose memory and replies grow with each new id that
+    # another writer announces once.
+    Given a register in which 1000 searchers were announced once
+    When 130 s have passed with one of them announcing itself
+    Then only this one is known
+    When as many searchers are announced as the register takes
+    Then another one is refused until silent ones make room
 
   Scenario: The operator's command publishes, shows and refuses a configuration
     # Guards against an exit code that reports a refusal as a success, or an unknown
--- a/features/steps/malformed_message_steps.py
+++ b/features/steps/malformed_message_steps.py
@@ -15,6 +15,7 @@
 from support.processes import free_address
 
 GOOD_VERSION = 7
+UNENCODABLE_VERSION = 8  # its reply holds a number above 64 bits
 LIMIT_S = 10.0
 encoder = msgspec.msgpack.Encoder()
 error_decoder = msgspec.msgpack.Decoder(
@@ -37,6 +38,8 @@
     """Returns random messages, or valid ones of which some bytes are changed."""
     if kind == "random bytes":
         return [source.randbytes(source.randrange(200)) for _ in range(count)]
+    if kind == "deep nesting":
+        return [b"\x91" * 60_000] * count
     if kind == "valid content":
         return [valid] * count
     altered = []
@@ -54,6 +57,8 @@
 
 
 async def fail_unless_good(request):
+    if request.version == UNENCODABLE_VERSION:
+        return serving.SyncReply(version=2**64)
     if request.version != GOOD_VERSION:
         raise RuntimeError("unexpected")
     return serving.SyncReply(version=GOOD_VERSION)
@@ -85,6 +90,11 @@
     context.replies = asyncio.run(ask_server([poll(1)] * count))
 
 
+@when("{count:d} requests get a reply that cannot be encoded")
+def step_replies_unencodable(context, count):
+    context.replies = asyncio.run(ask_server([poll(UNENCODABLE_VERSION)] * count))
+
+
 @when("{count:d} messages of {kind} are sent to it, with seed {seed:d}")
 def step_send_messages(context, count, kind, seed):
     source = random.Random(seed)
--- a/features/steps/platform_folder_steps.py
+++ b/features/steps/platform_folder_steps.py
@@ -35,6 +35,7 @@
     "PLANTAINSTAGE_BOOT",
     "internalPorts",
 )
+ABOVE_64_BITS = 2**64
 HEARTBEAT = {
     "service": "cards",
     "address": "127.0.0.1:80",
@@ -51,11 +52,21 @@
 def run_python(code, folder=ROOT):
     """Runs Python code in a folder and returns its standard output."""
     result = subprocess.run(
-        [sys.executable, "-c", code], cwd=folder, capture_output=True, check=True
+        [sys.executable, "-"],
+        input=code.encode(),
+        cwd=folder,
+        capture_output=True,
+        check=True,
     )
     return result.stdout.decode().strip()
 
 
+def nested(fields):
+    """Returns the fields with one more, whose value is nested too deep to be read."""
+    body = json.dumps(fields).encode()
+    return body[:-1] + b', "other": ' + b"[" * 60_000 + b"]" * 60_000 + b"}"
+
+
 def in_folder(code):
     paths = f"import sys; sys.path[:0] = [{str(FOLDER)!r}, {str(ROOT / 'src')!r}]\n"
     return run_python(paths + code)
@@ -105,6 +116,22 @@
             fields["slots"] = 0
         case "bytes that are not JSON":
             body = b"\xff{"
+        case "a sequence above 64 bits":
+            fields["seq"] = ABOVE_64_BITS
+        case "a start above 64 bits":
+            fields["born"] = ABOVE_64_BITS
+        case "slots above 64 bits":
+            fields["slots"] = ABOVE_64_BITS
+        case "warm-up above 64 bits":
+            fields["warmupLeftMs"] = ABOVE_64_BITS
+        case "deep nesting":
+            body = nested(fields)
+        case "a port out of range":
+            fields["address"] = "127.0.0.1:70000"
+        case "a port of 5000 digits":
+            fields["address"] = "127.0.0.1:" + "0" * 4998 + "80"
+        case "a zone of 60000 letters":
+            fields["zone"] = "z" * 60_000
     body = body or json.dumps(fields).encode()
     code = f"""
 from control_formats import decode_heartbeat
@@ -118,6 +145,36 @@
     assert in_folder(code) == "refused"
 
 
+@then("a platform's configuration with {fault} is refused")
+def step_configuration_refused(context, fault):
+    route = {"name": "a", "host": "h", "pathPrefix": "/a/", "kind": "safe"}
+    route |= {"timeoutMs": 9, "trafficSplit": [{"service": "s", "weight": 1}]}
+    fields = {"version": 7, "routes": [route], "services": [{"name": "s"}]}
+    valid = json.dumps(fields).encode()
+    body = None
+    match fault:
+        case "deep nesting":
+            body = nested(fields)
+        case "a version above 64 bits":
+            fields["version"] = ABOVE_64_BITS
+        case "a timeout above 64 bits":
+            route["timeoutMs"] = ABOVE_64_BITS
+        case "a weight of 1e300":
+            route["trafficSplit"][0]["weight"] = 1e300
+    body = body or json.dumps(fields).encode()
+    code = f"""
+from wire_formats import decode_configuration
+from plantainstage._errors import InvalidConfigurationError
+from plantainstage._serving.configuration_ranges import check_number_ranges
+check_number_ranges(decode_configuration({valid!r}))
+try:
+    check_number_ranges(decode_configuration({body!r}))
+except InvalidConfigurationError:
+    print("refused")
+"""
+    assert in_folder(code) == "refused"
+
+
 @then("the routes of a platform's configuration have the product's types")
 def step_configuration(context):
     routes = [
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -5,8 +5,11 @@
 from behave import given, then, when
 from click.testing import CliRunner
 
+from plantainstage._errors import RegisterFullError
 from plantainstage._messages.serving import SyncRequest
 from plantainstage._programs.ctl import main as ctl
+from plantainstage._registry.register import MAX_SEARCHERS, SearcherRegister
+from plantainstage._serving.searchers import Searcher
 from support.routed_tier import RoutedTier, StandInSearcher
 
 PATH = "/v1/configuration"
@@ -42,6 +45,11 @@
             route["timeout_ms"] = 0
         case "a prefix without a slash":
             route["path_prefix"] = "/x"
+        case "deep nesting":
+            nested = b"[" * 60_000 + b"]" * 60_000
+            return json.dumps(content).encode()[:-1] + b', "other": ' + nested + b"}"
+        case "a version above 64 bits":
+            content["version"] = 2**64
     return json.dumps(content).encode()
 
 
@@ -260,6 +268,13 @@
             body = searcher.announcement(slots="2")
         case "an unknown state":
             body = searcher.announcement(state=9)
+        case "a sequence above 64 bits":
+            body = searcher.announcement(sequence=2**64)
+        case "deep nesting":
+            body = body[:-1] + b', "other": ' + b"[" * 60_000 + b"]" * 60_000 + b"}"
+        case "an id of 60000 letters":
+            searcher.searcher_id = "s" * 60_000
+            body = searcher.announcement()
     context.reply = context.tier.run(context.tier.announce(searcher, body))
 
 
@@ -269,6 +284,61 @@
         assert not daemon.register.entries
 
 
+# ---- Entries of another writer ----------------------------------------------------------
+
+
+def announced(searcher_id):
+    return Searcher(
+        searcher_id=searcher_id,
+        service="cards",
+        address="127.0.0.1:9",
+        data_centre="dc-1",
+        slots=1,
+    )
+
+
+@given("a register in which {count:d} searchers were announced once")
+def step_register(context, count):
+    context.register = SearcherRegister(heartbeat_s=1.0)
+    for number in range(count):
+        context.register.record_announcement(announced(f"s-{number}"), 0.0)
+
+
+@when("{seconds:d} s have passed with one of them announcing itself")
+def step_one_announces(context, seconds):
+    for now in range(1, seconds + 1):
+        context.register.record_announcement(announced("s-0"), float(now))
+        context.register.expire(float(now))
+    context.now = float(seconds)
+
+
+@then("only this one is known")
+def step_one_known(context):
+    assert list(context.register.entries) == ["s-0"]
+
+
+@when("as many searchers are announced as the register takes")
+def step_fill_register(context):
+    for number in range(1, MAX_SEARCHERS):
+        context.register.record_announcement(announced(f"s-{number}"), context.now)
+
+
+@then("another one is refused until silent ones make room")
+def step_register_full(context):
+    try:
+        context.register.record_announcement(announced("late"), context.now)
+    except RegisterFullError as error:
+        assert error.limit == MAX_SEARCHERS
+    else:
+        raise AssertionError("the register took one more searcher")
+    # The first round marks the silent ones, and the next one forgets them.
+    for _ in range(2):
+        context.now += 10.0
+        context.register.expire(context.now)
+    context.register.record_announcement(announced("late"), context.now)
+    assert "late" in context.register.entries
+
+
 # ---- The operator's command -----------------------------------------------------------
 
 
--- a/src/plantainstage/_control/peer_links.py
+++ b/src/plantainstage/_control/peer_links.py
@@ -14,6 +14,7 @@
 import pynng
 from loguru import logger
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._messages.agreement import Envelope, MemberId
 from plantainstage._transport.rpc import RECONNECT_MAX_MS, RECONNECT_MIN_MS, nng_url
 
@@ -197,7 +198,7 @@
         while True:
             try:
                 data = await self.socket.arecv()
-                envelope = _decoder.decode(data)
+                envelope = decode_bytes(_decoder, data)
             except pynng.Closed:
                 return
             except (pynng.NNGException, msgspec.MsgspecError) as error:
--- a/src/plantainstage/_entry/announcements.py
+++ b/src/plantainstage/_entry/announcements.py
@@ -9,6 +9,7 @@
 import msgspec
 from loguru import logger
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._entry.requests import malformed_body
 from plantainstage._errors import ControlUnavailableError, RefusalError
 from plantainstage._messages import control
@@ -192,8 +193,8 @@
 def decode_announcement(data):
     """Returns the Announcement of an encoded body; raises RefusalError."""
     try:
-        return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        return decode_bytes(_decoder, data)
+    except msgspec.MsgspecError as error:
         raise malformed_body(error, "docs/upstreams.md") from error
 
 
--- a/src/plantainstage/_entry/requests.py
+++ b/src/plantainstage/_entry/requests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._errors import RefusalError
 from plantainstage._messages.callers import QueryBody, RunState
 
@@ -41,8 +42,8 @@
     try:
         # The decoder leaves ``query`` raw, without validating its UTF-8.
         data.decode("utf-8")
-        body = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        body = decode_bytes(_decoder, data)
+    except (msgspec.MsgspecError, UnicodeError) as error:
         raise malformed_body(error, "docs/callers.md") from error
     _check_request_id(body)
     _check_partitions(body)
--- a/src/plantainstage/_entry/searcher_owner.py
+++ b/src/plantainstage/_entry/searcher_owner.py
@@ -15,6 +15,7 @@
 import msgspec
 from loguru import logger
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._entry.sub_request_status import statuses_of
 from plantainstage._errors import ExchangeError, check_invariant
 from plantainstage._limits.actions import (
@@ -77,7 +78,7 @@
 def _refusal_matches(body, sub_request):
     """Whether a refusal carries the id of this sub-request."""
     try:
-        refusal = _refusal_decoder.decode(body)
+        refusal = decode_bytes(_refusal_decoder, body)
     except msgspec.MsgspecError:
         return False
     return refusal.sub_request_id == sub_request.sub_request_id
@@ -362,7 +363,7 @@
     def _result_of_answer(self, exchange, body):
         sub_request = exchange.sub_request
         try:
-            answer = _answer_decoder.decode(body)
+            answer = decode_bytes(_answer_decoder, body)
         except msgspec.MsgspecError:
             return self._result(exchange, SubOutcome.INVALID, "undecodable")
         if (
--- a/src/plantainstage/_entry/sub_request_status.py
+++ b/src/plantainstage/_entry/sub_request_status.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._errors import ExchangeError
 from plantainstage._messages.upstreams import StatusAnswer
 
@@ -13,7 +14,7 @@
     if isinstance(outcome, ExchangeError) or outcome.status != 200:
         return None
     try:
-        running = _status_decoder.decode(outcome.body).running
+        running = decode_bytes(_status_decoder, outcome.body).running
     except msgspec.MsgspecError:
         return None
     return {key: key in running for key in sub_request_ids}
--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -105,6 +105,19 @@
         return f"The announcement is refused: {self.detail}. Correct it and resend it."
 
 
+@dataclass(kw_only=True, eq=False)
+class RegisterFullError(PlantainstageError):
+    """A control replica knows too many searchers to take another one."""
+
+    limit: int
+
+    def describe(self):
+        return (
+            f"{self.limit} searchers are known already; this one was not recorded. "
+            "Stop what announces searchers that do not exist, then send it again."
+        )
+
+
 # ---- Requests of callers --------------------------------------------------------
 
 
--- a/src/plantainstage/_gateway/connection.py
+++ b/src/plantainstage/_gateway/connection.py
@@ -13,7 +13,7 @@
 # Used if the searcher states no keep-alive timeout: it still closes connections that
 # have been idle for a while.
 DEFAULT_IDLE_S = 4.0
-_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*([0-9]{1,9})")
 
 
 class SearcherReplyReader(ReplyReader):
--- a/src/plantainstage/_gateway/events.py
+++ b/src/plantainstage/_gateway/events.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from functools import partial
 
 import msgspec
@@ -21,7 +22,10 @@
 
 
 class EventLog:
-    """Writes events as JSON lines with ``put``, a function that must not block."""
+    """Writes events as JSON lines with ``put``, a function that must not block.
+
+    ``counts`` has the number of events by name, dropped lines included.
+    """
 
     def __init__(self, *, program: str, host_id: str, put):
         self.program = program
@@ -32,6 +36,7 @@
         self.in_second = 0
         self.dropped = 0
         self.dropped_total = 0
+        self.counts = Counter()
         self.timer = None
         self.loop = asyncio.get_running_loop()
         self.clock = time.monotonic
@@ -59,6 +64,7 @@
             self.lines = []
 
     def _add(self, event, fields, limit):
+        self.counts[event] += 1
         second = int(self.clock())
         if second != self.second:
             self.second, self.in_second = second, 0
--- a/src/plantainstage/_gateway/messages.py
+++ b/src/plantainstage/_gateway/messages.py
@@ -9,7 +9,7 @@
 from plantainstage._gateway.header_names import HOP_BY_HOP, HeaderNames
 from plantainstage._gateway.relay_headers import RELAY_HEADERS, RelayOrigin
 from plantainstage._limits.quarantine_times import fingerprint_of
-from plantainstage._serving.decimals import StatedNumber
+from plantainstage._serving.decimals import StatedNumber, parse_count
 
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500  # and above
@@ -74,7 +74,8 @@
 def _deadline_of(text):
     if not text.isascii() or not text.isdigit():
         return None
-    return min(int(text), MAX_DEADLINE_MS)
+    stated = parse_count(text)
+    return MAX_DEADLINE_MS if stated is None else min(stated, MAX_DEADLINE_MS)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -88,10 +89,10 @@
     @classmethod
     def parse(cls, text):
         """Parses the header value; returns None if it is malformed."""
-        fields = text.split(",")
-        if len(fields) < 3 or not all(f.strip().isdigit() for f in fields[:3]):
+        counts = [parse_count(field) for field in text.split(",")[:3]]
+        if len(counts) < 3 or None in counts:
             return None
-        running, waiting, slots = (int(field) for field in fields[:3])
+        running, waiting, slots = counts
         return cls(running=running, waiting=waiting, slots=slots)
 
 
--- a/src/plantainstage/_gateway/relay_headers.py
+++ b/src/plantainstage/_gateway/relay_headers.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from plantainstage._serving.decimals import parse_count
+
 RELAYED_BY = "X-Relayed-By"
 RELAYED_VERSION = "X-Relayed-Version"
 # The host that passes the request on has counted it for the retry budgets.
@@ -34,12 +36,12 @@
     def of(cls, headers):
         """Reads the origin from the headers of a request; None if it is malformed."""
         host_id = headers.get(RELAYED_BY, "")
-        version = headers.get(RELAYED_VERSION, "")
-        if not host_id or not version.isascii() or not version.isdigit():
+        version = parse_count(headers.get(RELAYED_VERSION, ""))
+        if not host_id or version is None:
             return None
         counted = headers.get(RELAYED_COUNTED, "") == "1"
         route = headers.get(RELAYED_ROUTE, "")
-        return cls(host_id=host_id, version=int(version), route=route, counted=counted)
+        return cls(host_id=host_id, version=version, route=route, counted=counted)
 
     def lines(self) -> str:
         """Returns the header lines of a request that is passed on."""
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -67,6 +67,7 @@
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
         self.metrics.dropped_lines.set_function(lambda: events.dropped_total)
+        self.metrics.failed_tasks.set_function(lambda: events.counts["task_failed"])
         self.table = None
         self.budgets = {}
         self.work_times = {}
--- a/src/plantainstage/_registry/control_format.py
+++ b/src/plantainstage/_registry/control_format.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._errors import InvalidAnnouncementError
+from plantainstage._serving.announcement_ranges import check_ranges
 from plantainstage._serving.configuration import (
     ConfigurationDecoder,
     decode_configuration,
@@ -21,11 +23,12 @@
     Raises InvalidAnnouncementError.
     """
     try:
-        searcher = _announcement_decoder.decode(body)
+        searcher = decode_bytes(_announcement_decoder, body)
     except msgspec.MsgspecError as error:
         raise InvalidAnnouncementError(detail=str(error)) from error
     if searcher.searcher_id != searcher_id:
         raise InvalidAnnouncementError(detail="path and body name different searchers")
+    check_ranges(searcher)
     return searcher
 
 
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -117,7 +117,7 @@
         self.events.log_event("sync_started", address=self.settings.own.sync_address)
         group_replica, http_api, exposition = await load_modules(DEFERRED_MODULES)
         self.group = self._make_group(group_replica.GroupReplica)
-        self._serve_metrics(exposition)
+        self._serve_metrics(exposition, sync)
         server = http_api.make_server(self)
         await self._listen(
             partial(listen_on, server, self.own_address), "listen", self.own_address
@@ -161,13 +161,15 @@
             events=self.events,
         )
 
-    def _serve_metrics(self, exposition):
+    def _serve_metrics(self, exposition, sync):
         metrics = self.metrics = exposition.RegistryMetrics()
         metrics.version.set_function(lambda: self.machine.newest.version)
         metrics.searchers.set_function(lambda: len(self.register.entries))
         metrics.hosts.set_function(lambda: len(self.sync.hosts))
         metrics.leader_state.set_function(self._leads)
         metrics.dropped_lines.set_function(lambda: self.events.dropped_total)
+        metrics.failed_tasks.set_function(lambda: self.events.counts["task_failed"])
+        metrics.failed_requests.set_function(lambda: sync.failed_requests)
         if self.settings.metrics_listen:
             exposition.serve_metrics(
                 address=self.settings.metrics_listen,
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -11,11 +11,14 @@
     InvalidConfigurationError,
     NotLeaderError,
     OutcomeUnknownError,
+    RegisterFullError,
 )
+from plantainstage._serving.configuration_ranges import check_number_ranges
 
 # Callers turn to another replica after one second without a reply.
 REPLY_TIMEOUT_S = 0.9
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+MAX_LOGGED_ID_CHARACTERS = 80
 JSON = "application/json"
 
 
@@ -46,7 +49,8 @@
         document = self.request.body
         decode = self.control.format.decode_configuration
         try:
-            version = decode(document).version
+            configuration = decode(document)
+            check_number_ranges(configuration)
         except InvalidConfigurationError as error:
             self._count("refused")
             self.control.events.log_event(
@@ -54,6 +58,7 @@
             )
             self._refuse(error)
             return
+        version = configuration.version
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 newest_version = await self.control.put_configuration(version, document)
@@ -101,12 +106,24 @@
         except InvalidAnnouncementError as error:
             self.control.metrics.announcements.labels("refused").inc()
             self.control.events.log_event(
-                "announcement_refused", searcher=searcher_id, reason=str(error)[:200]
+                "announcement_refused",
+                searcher=searcher_id[:MAX_LOGGED_ID_CHARACTERS],
+                reason=str(error)[:200],
             )
             self._refuse(error)
             return
+        try:
+            await self.control.handle_announcement(searcher)
+        except RegisterFullError as error:
+            self.control.metrics.announcements.labels("register_full").inc()
+            self.control.events.log_event(
+                "announcement_refused",
+                searcher=searcher_id[:MAX_LOGGED_ID_CHARACTERS],
+                reason=str(error),
+            )
+            self._reply(503)
+            return
         self.control.metrics.announcements.labels("taken").inc()
-        await self.control.handle_announcement(searcher)
         self._reply(200)
 
 
--- a/src/plantainstage/_registry/recent.py
+++ b/src/plantainstage/_registry/recent.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._errors import StorageError
 from plantainstage._serving.searchers import Searcher
 from plantainstage._storage.files import SystemFiles
@@ -55,7 +56,7 @@
                 self.files.make_folder(self.folder)
             if not self.files.exists(path):
                 return RecentState()
-            return _decoder.decode(read_single_frame(self.files, path))
+            return decode_bytes(_decoder, read_single_frame(self.files, path))
         except (StorageError, OSError, msgspec.MsgspecError) as error:
             self.events.log_event("recent_state_unreadable", reason=str(error)[:300])
             return RecentState()
--- a/src/plantainstage/_registry/register.py
+++ b/src/plantainstage/_registry/register.py
@@ -4,12 +4,19 @@
 
 import msgspec
 
+from plantainstage._errors import RegisterFullError
 from plantainstage._serving.searchers import Searcher, SearcherState, differs, newer
 
 # Heartbeat intervals without an announcement after which a searcher counts as silent.
 MISSED_ANNOUNCEMENTS = 3.5
 # Longer than an announcement may be delayed, so that a late one finds the departure.
 DEPARTURE_RETENTION_S = 120.0
+# Hosts and replicas that were out of reach for so long have dropped what they had of
+# this replica, and get everything anew.
+SILENT_RETENTION_S = 120.0
+# A few times the searchers of the largest deployments; bounds what a writer that uses a
+# new id each time can add.
+MAX_SEARCHERS = 50_000
 
 
 @dataclass(kw_only=True)
@@ -26,7 +33,8 @@
     """Announcements by searcher id, with a cursor for the polls of entry hosts.
 
     Each change that hosts need to know gets the next number; an announcement that
-    repeats known data is not sent to them.
+    repeats known data is not sent to them. Searchers that are silent for long are
+    forgotten, and sooner if more than MAX_SEARCHERS are known.
     """
 
     def __init__(self, *, heartbeat_s: float):
@@ -48,9 +56,14 @@
     # ---- Commands -----------------------------------------------------------------
 
     def record_announcement(self, searcher: Searcher, now: float) -> bool:
-        """Records an announcement; returns whether it is a departure not yet known."""
+        """Records an announcement; returns whether it is a departure not yet known.
+
+        Raises RegisterFullError for a new searcher if too many are known.
+        """
         entry = self.entries.get(searcher.searcher_id)
         if entry is None:
+            if len(self.entries) >= MAX_SEARCHERS:
+                raise RegisterFullError(limit=MAX_SEARCHERS)
             self.entries[searcher.searcher_id] = SearcherEntry(
                 searcher=searcher, announced_at=now, change=self._next_change()
             )
@@ -86,15 +99,20 @@
         return left if self.record_announcement(left, now) else None
 
     def expire(self, now: float):
-        """Marks silent searchers and removes old departures."""
+        """Marks silent searchers; removes old departures and those long silent."""
+        is_full = len(self.entries) >= MAX_SEARCHERS
         for searcher_id, entry in list(self.entries.items()):
             age_s = now - entry.announced_at
-            if entry.searcher.state is SearcherState.READY:
-                if not entry.silent and age_s > self.silent_after_s:
-                    entry.silent = True
-                    entry.change = self._next_change()
-            elif age_s > DEPARTURE_RETENTION_S:
-                del self.entries[searcher_id]
+            if entry.searcher.state is not SearcherState.READY:
+                if age_s > DEPARTURE_RETENTION_S:
+                    del self.entries[searcher_id]
+            elif entry.silent:
+                # Reported as silent in an earlier round, and so to all that poll.
+                if is_full or age_s > SILENT_RETENTION_S:
+                    del self.entries[searcher_id]
+            elif age_s > self.silent_after_s:
+                entry.silent = True
+                entry.change = self._next_change()
 
     def _next_change(self):
         self.cursor += 1
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -85,6 +85,9 @@
         self.dropped_lines = Gauge(
             "dropped_event_lines", "Event lines dropped since the start", **shared
         )
+        self.failed_tasks = Gauge(
+            "failed_tasks", "Failures of tasks since the start", **shared
+        )
 
 
 class RegistryMetrics:
@@ -114,6 +117,14 @@
         self.dropped_lines = Gauge(
             "dropped_event_lines", "Event lines dropped since the start", **shared
         )
+        self.failed_requests = Gauge(
+            "failed_requests",
+            "Requests of hosts and replicas whose handling failed, since the start",
+            **shared,
+        )
+        self.failed_tasks = Gauge(
+            "failed_tasks", "Failures of tasks since the start", **shared
+        )
 
 
 class _MetricsHandler(web.RequestHandler):
--- a/src/plantainstage/_serving/configuration.py
+++ b/src/plantainstage/_serving/configuration.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._errors import ConfigurationProblem, InvalidConfigurationError
 
 MAX_PROBLEMS = 32  # listed in one error
@@ -128,7 +129,7 @@
         decode_configuration(b'{"version": 1, "routes": [], "services": []}')
     """
     try:
-        configuration = _decoder.decode(document)
+        configuration = decode_bytes(_decoder, document)
     except msgspec.MsgspecError as error:
         raise InvalidConfigurationError.unreadable(str(error)) from error
     check_configuration(configuration)
--- /dev/null
+++ b/src/plantainstage/_serving/configuration_ranges.py
@@ -0,0 +1,57 @@
+"""Checks the numbers in a configuration before it is stored.
+
+Entry hosts take any document that control has stored, so that a bound which is added
+here later cannot take an accepted configuration out of force.
+"""
+
+from plantainstage._errors import ConfigurationProblem, InvalidConfigurationError
+from plantainstage._serving import number_ranges as ranges
+from plantainstage._serving.configuration import (
+    MAX_PROBLEMS,
+    AllOf,
+    OneOf,
+    ServingConfiguration,
+)
+
+
+def check_number_ranges(configuration: ServingConfiguration):
+    """Raises InvalidConfigurationError if a number of a configuration is too large."""
+    problems = tuple(_problems(configuration))
+    if problems:
+        raise InvalidConfigurationError(problems=problems[:MAX_PROBLEMS])
+
+
+def _problems(configuration):
+    for place, name, value, allowed in _numbers(configuration):
+        if not allowed.contains(value):
+            yield ConfigurationProblem(place=place, detail=f"{name} must be {allowed}")
+
+
+def _numbers(configuration):
+    """Yields (place, name, value, range) of each number."""
+    yield "document", "version", configuration.version, ranges.VERSION
+    for route in configuration.routes:
+        place = f"route {route.name}"
+        yield place, "the timeout", route.timeout_ms, ranges.DURATION_MS
+        yield place, "the target latency", route.aim_ms, ranges.DURATION_MS
+        yield place, "attempts", route.attempts, ranges.COUNT
+        yield place, "the priority", route.priority, ranges.SIGNED
+        yield from _target_numbers(place, route.target)
+    for service in configuration.services:
+        place = f"service {service.name}"
+        yield place, "connections", service.connections, ranges.SIGNED
+    limits = configuration.limits
+    yield "limits", "the head limit", limits.head_bytes, ranges.SIGNED
+    yield "limits", "the body limit", limits.body_bytes, ranges.SIGNED
+    yield "limits", "the head timeout", limits.head_timeout_ms, ranges.SIGNED
+    yield "limits", "the idle timeout", limits.idle_timeout_ms, ranges.SIGNED
+
+
+def _target_numbers(place, target):
+    match target:
+        case OneOf(shares=shares):
+            for share in shares:
+                yield place, "a weight", share.weight, ranges.WEIGHT
+        case AllOf(top_records=top_records, minimum_coverage=coverage):
+            yield place, "the number of records", top_records, ranges.SIGNED
+            yield place, "the coverage", coverage, ranges.WEIGHT
--- a/src/plantainstage/_settings/base.py
+++ b/src/plantainstage/_settings/base.py
@@ -9,6 +9,8 @@
 
 from plantainstage._errors import SettingError, SettingsError
 
+# Fewer digits than int() takes; an address may come from another program.
+_PORT = re.compile(r"[0-9]{1,5}")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
 
 
@@ -19,9 +21,7 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return (
-        bool(separator) and port.isascii() and port.isdigit() and 0 < int(port) < 2**16
-    )
+    return bool(separator) and bool(_PORT.fullmatch(port)) and 0 < int(port) < 2**16
 
 
 def is_name(value):
--- a/src/plantainstage/_supervision.py
+++ b/src/plantainstage/_supervision.py
@@ -15,18 +15,24 @@
     """Runs ``run()`` until it returns, and restarts it after each failure.
 
     A task handles the failures that it expects. Any other failure is a fault of the
-    program: it is logged with its trace, and the task is restarted, since a host
-    without the task would continue with outdated state. For example::
+    program: it is logged, and the task is restarted, since a host without the task
+    would continue with outdated state. The trace is logged again only if it differs
+    from that of the failure before. For example::
 
         asyncio.create_task(run_supervised(link.run, task="control", events=events))
     """
+    last_trace = ""
     while True:
         try:
             return await run()
         except Exception as error:
             lines = traceback.format_exception(error)
             trace = "".join(lines)[-MAX_TRACE_CHARACTERS:]
-            events.log_event("task_failed", task=task, trace=trace)
+            if trace != last_trace:
+                events.log_event("task_failed", task=task, trace=trace)
+            else:
+                events.log_event("task_failed", task=task, error=type(error).__name__)
+            last_trace = trace
         await asyncio.sleep(RETRY_INTERVAL_S)
 
 
--- a/src/plantainstage/_transport/forward.py
+++ b/src/plantainstage/_transport/forward.py
@@ -14,6 +14,7 @@
 import pynng
 from loguru import logger
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._messages import forward
 from plantainstage._transport.rpc import nng_url
 
@@ -331,7 +332,7 @@
             except (pynng.TryAgain, pynng.Closed):
                 return
             try:
-                message = _decoder.decode(data)
+                message = decode_bytes(_decoder, data)
             except msgspec.MsgspecError as error:
                 logger.warning(
                     "message from a peer could not be decoded", error=str(error)
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -12,6 +12,7 @@
 import pynng
 from loguru import logger
 
+from plantainstage._decoding import decode_bytes
 from plantainstage._errors import ControlUnavailableError
 from plantainstage._messages import control
 
@@ -49,7 +50,9 @@
 
     ``handler`` takes a request that ``request_decoder`` has decoded and returns a
     reply. A request that cannot be decoded gets ``RequestRejected`` and does not
-    affect other requests, and neither does one whose handler fails.
+    affect other requests, and neither does one whose handler fails or whose reply
+    cannot be encoded. ``failed_requests`` counts these; the log has the first of each
+    kind.
     """
 
     def __init__(
@@ -66,6 +69,8 @@
         self.tasks = []
         self.stopping = False
         self.active_requests = 0
+        self.failed_requests = 0
+        self.logged_failures = set()  # (type of the request, type of the error)
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -115,8 +120,7 @@
         self.active_requests += 1
         self.idle.clear()
         try:
-            reply = await self._handle(data)
-            await context.asend(_encoder.encode(reply))
+            await context.asend(await self._reply_to(data))
         except pynng.Closed:
             raise
         except pynng.NNGException as error:
@@ -126,21 +130,30 @@
             if not self.active_requests:
                 self.idle.set()
 
-    async def _handle(self, data):
+    async def _reply_to(self, data) -> bytes:
+        """Returns the encoded reply; one request must not end its worker."""
         try:
-            request = self.request_decoder.decode(data)
+            request = decode_bytes(self.request_decoder, data)
         except msgspec.MsgspecError as error:
-            return control.RequestRejected(
+            reply = control.RequestRejected(
                 code="malformed",
                 message=f"The request could not be decoded: {error}.",
                 remedy="Use the same release of plantainstage on both sides.",
             )
+            return _encoder.encode(reply)
         try:
-            return await self.handler(request)
-        except Exception:
-            # One request must not end a worker, which serves many others.
-            logger.exception("request handler failed", request=type(request).__name__)
-            return control.OutcomeUnknown()
+            return _encoder.encode(await self.handler(request))
+        except Exception as error:
+            self._record_failure(request, error)
+            return _encoder.encode(control.OutcomeUnknown())
+
+    def _record_failure(self, request, error):
+        """Counts a failure; logs the first of its kind, since peers poll often."""
+        self.failed_requests += 1
+        kind = (type(request).__name__, type(error).__name__)
+        if kind not in self.logged_failures:
+            self.logged_failures.add(kind)
+            logger.exception("request handler failed", request=kind[0])
 
 
 class RpcClient:
@@ -236,7 +249,7 @@
             raise
         finally:
             context.close()
-        return self.reply_decoder.decode(data)
+        return decode_bytes(self.reply_decoder, data)
 
 
 class ControlClient:
