Keep a majority of the control group through planned and unplanned replacements

The operator got no read and no acknowledgement any more, for good, after a control machine had been replaced and another one had lost its disk.

Cause: a voter that had stopped stayed one until it had been silent for 6 s, counted anew after each election. With its successor the group had four voters, of which three must be up; the next loss is allowed sooner than that.

Fix: a voter that stops as planned leaves first if the group keeps its size without it, and a lost voter is removed once a learner is ready for its place, before that one is promoted. The request to leave is a new last field of the poll between replicas, which an earlier release ignores.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -45,6 +45,28 @@
     When another replica is stopped permanently
     Then configuration 9 is acknowledged and read back from a running replica
 
+  Scenario: A planned replacement and one lost folder leave a majority
+    # Guards against a group that waits for a replica which has stopped as planned, and
+    # so has no majority after the next loss.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    When a fourth replica starts that knows only the first three
+    Then all 4 replicas become voters
+    When the leader is stopped as planned, and a follower loses its folder at once
+    Then configuration 9 is acknowledged and read back from a running replica
+    And the group has 3 voters again
+
+  Scenario: A restart as planned costs the group nothing
+    # Guards against a replica that leaves a group which needs it, or that is not taken
+    # back after its restart.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    When a follower is stopped as planned
+    Then the group still has 3 voters
+    When a fourth replica starts that knows only the first three
+    And the stopped follower starts again with its folder
+    Then all 4 replicas become voters
+
   Scenario: A replica that lost its folder finds a leader that its settings do not name
     # Guards against a group that stays without a replaced replica, and loses its majority
     # with the next one, since the leader joined after the group was founded.
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -176,6 +176,36 @@
     context.tier.wait_for(is_repaired, "the repair")
 
 
+@when("the leader is stopped as planned, and a follower loses its folder at once")
+def step_planned_then_loss(context):
+    leader = context.tier.leader()
+    context.tier.stop_registry(leader.own_address)
+    context.lost = addresses(context)[0]
+    peer, _ = context.tier.stop_registry(context.lost)
+    context.tier.start_registry(peer, seeds=context.peers, bootstrap=False)
+
+
+@when("a follower is stopped as planned")
+def step_stop_follower(context):
+    leader = context.tier.leader()
+    follower = next(a for a in addresses(context) if a != leader.own_address)
+    context.stopped = context.tier.stop_registry(follower)
+
+
+@then("the group still has {count:d} voters")
+def step_still_voters(context, count):
+    members = context.tier.leader().replica.members()
+    assert [member.voter for member in members] == [True] * count, members
+
+
+@when("the stopped follower starts again with its folder")
+def step_start_again(context):
+    peer, folder = context.stopped
+    context.tier.start_registry(
+        peer, seeds=context.peers, bootstrap=False, folder=folder
+    )
+
+
 @when("another replica is stopped permanently")
 def step_stop_other(context):
     other = next(a for a in addresses(context) if a != context.lost)
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -19,6 +19,7 @@
 from plantainstage._gateway.events import EventLog
 from plantainstage._gateway.header_names import HeaderNames
 from plantainstage._registry.daemon import RegistryDaemon, RegistrySettings
+from plantainstage._registry.group_limits import GroupLimits
 from plantainstage._registry.peers import Peer
 from plantainstage._serving.retry_budget import RetryBudgetLimits
 from support.processes import free_address
@@ -429,6 +430,7 @@
                 sync_address_of=sync_address_of,
                 founders=tuple(seeds) if bootstrap else (),
                 heartbeat_s=0.2,
+                limits=GroupLimits(losses=1, catch_up_s=3.0),
             )
             daemon = RegistryDaemon(settings=settings, events=events)
             stop = asyncio.Event()
--- a/features/support/simulation_self_repair.py
+++ b/features/support/simulation_self_repair.py
@@ -1,7 +1,7 @@
 """A simulated group that adds, promotes and removes members without an operator.
 
 Replaces SimulatedOperator. Each replica that believes it is the leader takes the steps
-from ``next_member_step``; each other replica requests to join while it may not be a
+from ``next_member_steps``; each other replica requests to join while it may not be a
 member. Some machines are lost permanently and replaced by others at new addresses.
 """
 
@@ -10,15 +10,21 @@
 from plantainstage._agreement.membership import MemberChangeRefusedError
 from plantainstage._control.member_statuses import member_statuses
 from plantainstage._errors import NotLeaderError, check_invariant
+from plantainstage._messages.control import MemberAction
 from plantainstage._registry.group import (
-    MIN_VOTERS,
+    GroupView,
+    MemberStep,
+    may_leave,
     needs_to_join,
-    next_member_step,
+    next_member_steps,
 )
+from plantainstage._registry.group_limits import GroupLimits
+from support.simulation_losses import CATCH_UP_S, LossSeries, check_sound
 
 # Number of addresses in the settings of a replica; some may be out of date.
 SEEDS = 3
 LOSS_CHANCE = 0.01  # probability at each round that a machine is lost
+LIMITS = GroupLimits(losses=1, catch_up_s=CATCH_UP_S)
 
 
 class SelfRepair:
@@ -33,8 +39,8 @@
         # address -> replica id -> Member that asked to join
         self.join_requests = defaultdict(dict)
         self.leader_seen_at = defaultdict(float)  # address -> time
-        self.repairs = {}  # address of the new folder -> member id that it replaces
-        self.lost = set()  # member ids whose machine is lost
+        self.repairs = {}  # address of the new folder -> member ids that it replaces
+        self.series = LossSeries(simulation=simulation, repair=self)
 
     # ---- Interface of the fault plan ------------------------------------------------
 
@@ -49,7 +55,7 @@
 
     def replace(self, replica, old):
         """Registers a repair: the replica's new folder has to replace ``old``."""
-        self.repairs[replica.address] = old
+        self.repairs.setdefault(replica.address, set()).add(old)
 
     def leader(self):
         """Returns the running leader with the highest term, if any."""
@@ -65,10 +71,17 @@
                 self._take_member_step(replica)
             else:
                 self.join_requests[replica.address].clear()
-                self._join_if_needed(replica)
+                if replica is not self.series.leaving:
+                    self._join_if_needed(replica)
         self._complete_repairs()
-        may_lose = self.simulation.faults and not self.repairs
-        if may_lose and self.simulation.random.random() < LOSS_CHANCE:
+        self.check_sound_majority()
+        self.series.act()
+        idle = not self.repairs and not self.series.running
+        if (
+            self.simulation.faults
+            and idle
+            and self.simulation.random.random() < LOSS_CHANCE
+        ):
             self._replace_machine()
 
     def _running(self):
@@ -78,21 +91,85 @@
             if replica.up and replica.frozen_until <= self.simulation.now
         ]
 
+    def _view(self, replica):
+        return GroupView(
+            statuses=member_statuses(replica.core),
+            commit_index=replica.core.state.commit_index,
+            join_requests=self.join_requests[replica.address],
+            limits=LIMITS,
+        )
+
     def _take_member_step(self, replica):
-        join_requests = self.join_requests[replica.address]
-        step = next_member_step(member_statuses(replica.core), join_requests)
-        if step is None:
-            return
+        view = self._view(replica)
+        if any(self._change_member(replica, step) for step in next_member_steps(view)):
+            self.simulation.step(replica, lambda core, local: None)
+
+    def _change_member(self, replica, step):
+        """Appends a step at a leader; returns whether it was not refused."""
         counts = self.simulation.counts
+        voters = replica.core.state.voters()
         now = replica.local_time(self.simulation.now)
         try:
             replica.core.change_member(step.action, step.member, now=now)
         except (NotLeaderError, MemberChangeRefusedError):
             counts["member steps refused"] += 1
-        else:
-            join_requests.pop(step.member.member_id.replica_id, None)
-            counts[f"member step: {step.action.value}"] += 1
-        self.simulation.step(replica, lambda core, local: None)
+            return False
+        self._check_size(replica, step, voters)
+        join_requests = self.join_requests[replica.address]
+        asking = join_requests.get(step.member.member_id.replica_id)
+        if asking is not None and asking.member_id == step.member.member_id:
+            del join_requests[asking.member_id.replica_id]
+        counts[f"member step: {step.action.value}"] += 1
+        return True
+
+    def _check_size(self, replica, step, voters):
+        """Checks that a small group shrinks only for a learner that is ready."""
+        removed = step.action is MemberAction.REMOVE and step.member.member_id in voters
+        if not removed or len(voters) > LIMITS.min_voters:
+            return
+        view = self._view(replica)
+        check_invariant(
+            len(voters) == LIMITS.min_voters
+            and any(view.is_caught_up(learner) for learner in view.learners),
+            invariant="a group that repairs itself keeps its size",
+            detail=f"{step.member.member_id} removed from {sorted(map(str, voters))}",
+        )
+
+    # ---- Planned stops --------------------------------------------------------------
+
+    def ask_to_leave(self, replica):
+        """Sends the leader what a replica asks before it stops as planned."""
+        simulation = self.simulation
+        if not replica.up or replica.member_id not in replica.core.state.voters():
+            return
+        if replica.core.is_leader:
+            simulation.step(
+                replica, lambda core, local: core.transfer_leadership(now=local)
+            )
+            return
+        member = simulation.member(replica)
+        leader = replica.core.state.leader
+        if leader is None or simulation.random.random() < simulation.network.loss:
+            return
+
+        def deliver():
+            asked = simulation.replicas[leader.replica_id]
+            if not asked.up or not asked.core.is_leader:
+                return
+            if may_leave(self._view(asked), member.member_id):
+                step = MemberStep(action=MemberAction.REMOVE, member=member)
+                self._change_member(asked, step)
+                simulation.step(asked, lambda core, local: None)
+
+        simulation.call_later(simulation.random.uniform(0.001, 0.05), deliver)
+
+    def check_sound_majority(self):
+        """Checks that the voters that still have their folders are a majority."""
+        leader = self.leader()
+        if leader is not None:
+            replicas = self.simulation.replicas.values()
+            sound = {r.member_id for r in replicas if r.member_id is not None}
+            check_sound(leader.core.state.voters(), sound)
 
     def _join_if_needed(self, replica):
         simulation = self.simulation
@@ -149,7 +226,6 @@
         old = lost.member_id
         lost.crash(simulation.now)
         lost.new_folder()
-        self.lost.add(old)
         new.new_folder()
         simulation.start(new)
         while not new.up and new.member_id is None:
@@ -163,13 +239,8 @@
         state = leader.core.state
         settled = state.commit_index >= state.log.membership_index
         members = {m.member_id: m.voter for m in state.membership.members}
-        check_invariant(
-            sum(members.values()) >= MIN_VOTERS,
-            invariant="a group that repairs itself keeps its size",
-            detail=f"members {members}",
-        )
-        for address, old in list(self.repairs.items()):
+        for address, replaced in list(self.repairs.items()):
             new = self.simulation.replicas[address].member_id
-            if settled and members.get(new) and old not in members:
+            if settled and members.get(new) and not replaced & members.keys():
                 del self.repairs[address]
                 self.simulation.counts["repairs completed"] += 1
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from plantainstage._messages.agreement import Member
+from plantainstage._messages.agreement import Member, MemberId
 from plantainstage._serving.crash_reports import CrashReport, SuspectedRequest
 from plantainstage._serving.searchers import Searcher
 
@@ -96,7 +96,9 @@
 
     It is answered once something has changed since the cursor, or after ``wait_ms``.
     The document is sent only if its version is above ``version``. ``crash_number``
-    numbers the last crash report that the sender has got.
+    numbers the last crash report that the sender has got. ``leaving`` names the
+    sender's data folder when it is about to stop: a leader whose group is large enough
+    removes it before it replies. An older replica ignores the field.
     """
 
     process: str = ""
@@ -104,6 +106,7 @@
     version: int = -1
     wait_ms: int = 0
     crash_number: int = 0
+    leaving: MemberId | None = None
 
 
 class PeerSyncReply(
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -14,6 +14,7 @@
 from plantainstage._messages import serving
 from plantainstage._registry.control_format import ControlFormat
 from plantainstage._registry.crash_register import CrashRegister
+from plantainstage._registry.group_limits import GroupLimits
 from plantainstage._registry.machine import ConfigurationMachine
 from plantainstage._registry.peers import Peer
 from plantainstage._registry.recent import RecentFile, RecentState
@@ -57,6 +58,7 @@
     founders: tuple[Peer, ...] = ()
     data_centre: str = "dc-1"
     heartbeat_s: float = 1.0
+    limits: GroupLimits = GroupLimits()
     metrics_listen: str = ""
     format: ControlFormat = field(default_factory=ControlFormat)
 
@@ -136,8 +138,7 @@
         await stop.wait()
         self.events.log_event("stopping")
         server.stop()
-        if self.replica is not None:
-            await self.replica.stop()
+        await self.group.stop()
         for task in tasks:
             task.cancel()
         await sync.stop()
@@ -158,6 +159,7 @@
             machine=self.machine,
             addresses=self._sync_addresses,
             sync_address_of=settings.sync_address_of,
+            limits=settings.limits,
             events=self.events,
         )
 
@@ -167,6 +169,7 @@
         metrics.searchers.set_function(lambda: len(self.register.entries))
         metrics.hosts.set_function(lambda: len(self.sync.hosts))
         metrics.leader_state.set_function(self._leads)
+        metrics.missing_voters.set_function(self._missing_voters)
         metrics.dropped_lines.set_function(lambda: self.events.dropped_total)
         metrics.failed_tasks.set_function(lambda: self.events.counts["task_failed"])
         metrics.failed_requests.set_function(lambda: sync.failed_requests)
@@ -177,6 +180,12 @@
                 events=self.events,
             )
 
+    def _missing_voters(self):
+        """Returns how many voters the group lacks, as its leader sees it."""
+        if self.group.maintainer is None or not self._leads():
+            return 0
+        return self.group.maintainer.missing_voters
+
     def _leads(self):
         return self.replica is not None and self.replica.is_leader
 
@@ -299,6 +308,11 @@
 
     # ---- Entry hosts and replicas -------------------------------------------------
 
+    async def _release(self, member_id):
+        """Removes a replica that is about to stop from the group, if this one leads."""
+        if self.group is not None and self.group.maintainer is not None:
+            await self.group.maintainer.release(member_id)
+
     def _sync_addresses(self):
         """Returns the sync addresses of all replicas known to this one."""
         addresses = {peer.sync_address for peer in self.settings.peers()}
@@ -318,6 +332,8 @@
             case serving.SyncRequest():
                 return self.sync.reply_to_host(request, now)
             case serving.PeerSyncRequest():
+                if request.leaving is not None:
+                    await self._release(request.leaving)
                 return await self.sync.reply_to_peer(request)
             case serving.SearcherNotice(searcher=searcher):
                 self.register.record_announcement(searcher, now)
--- a/src/plantainstage/_registry/group.py
+++ b/src/plantainstage/_registry/group.py
@@ -2,20 +2,22 @@
 
 The replicas that the settings name at the very first start bootstrap the group. Any
 other replica, and one whose folder was lost, asks to join. The leader adds it as a
-learner, promotes it to a voter once it has the whole log, and then removes the member
-that it replaces. One step is committed at a time, so that the majorities before and
-after it overlap.
+learner. Once the learner has the whole log, the leader removes the lost voter whose
+place it takes, if there is one, and promotes the learner. One step is committed at a
+time, so that the majorities before and after it overlap.
+
+A lost voter is removed before its successor is promoted: the others had to agree
+without it anyway, and the successor may be lost as well at any moment.
 """
 
 from dataclasses import dataclass
 
 from plantainstage._messages.agreement import Member, MemberId
 from plantainstage._messages.control import MemberAction, ReplicaStatus
+from plantainstage._registry.group_limits import GroupLimits
 
-# A voter that has been silent for this long is removed once a replica that joined
-# later has taken its place in the majority. It asks to join again if it returns.
-LOST_AFTER_MS = 6_000
-MIN_VOTERS = 3
+# A member that was heard more recently is running; several heartbeats fit into it.
+HEARD_MS = 1_000
 # A replica that has known no leader for this long may have been removed meanwhile.
 LEADERLESS_S = 3.0
 
@@ -28,20 +30,64 @@
     member: Member
 
 
-def next_member_step(
-    statuses: tuple[ReplicaStatus, ...], join_requests: dict[str, Member]
-) -> MemberStep | None:
-    """Returns the next membership change, or None.
+@dataclass(frozen=True, kw_only=True)
+class GroupView:
+    """What the leader of a group knows of it.
 
-    ``statuses`` are the members as the leader sees them. ``join_requests`` holds the
-    replicas that asked to join, by replica id.
+    ``statuses`` are the members as the leader sees them, ``commit_index`` its own
+    commit index. ``join_requests`` holds the replicas that asked to join, by id.
     """
-    return (
-        _promotion(statuses)
-        or _replacement(statuses)
-        or _addition(statuses, join_requests)
-        or _removal(statuses)
-    )
+
+    statuses: tuple[ReplicaStatus, ...]
+    commit_index: int
+    join_requests: dict[str, Member]
+    limits: GroupLimits
+
+    @property
+    def voters(self) -> list[ReplicaStatus]:
+        """The members that vote."""
+        return [status for status in self.statuses if status.voter]
+
+    @property
+    def learners(self) -> list[ReplicaStatus]:
+        """The members that do not vote yet."""
+        return [status for status in self.statuses if not status.voter]
+
+    @property
+    def lost_voters(self) -> list[ReplicaStatus]:
+        """The voters that count as lost, the one that was silent longest first."""
+        lost = [status for status in self.voters if self.is_lost(status)]
+        return sorted(lost, key=lambda status: -status.last_heard_ms)
+
+    def is_lost(self, status: ReplicaStatus) -> bool:
+        """Whether a member has been silent for too long."""
+        return not status.leader and status.last_heard_ms > self.limits.lost_after_ms
+
+    def is_caught_up(self, status: ReplicaStatus) -> bool:
+        """Whether a learner runs and has all that is committed."""
+        heard = 0 <= status.last_heard_ms < HEARD_MS
+        return heard and status.match_index >= self.commit_index
+
+
+def next_member_steps(view: GroupView) -> list[MemberStep]:
+    """Returns the membership changes that may be taken now, the most urgent first.
+
+    Only one can be committed at a time.
+    """
+    return [
+        *_replacements(view),
+        *_additions(view),
+        *_removals_of_lost(view),
+    ]
+
+
+def may_leave(view: GroupView, member_id: MemberId) -> bool:
+    """Whether a voter that stops may be removed first.
+
+    The group then needs no time to find out that the voter is gone.
+    """
+    is_voter = any(_member(status).member_id == member_id for status in view.voters)
+    return is_voter and len(view.voters) > view.limits.min_voters
 
 
 def needs_to_join(*, is_member: bool, leaderless_s: float) -> bool:
@@ -53,25 +99,34 @@
     return not is_member or leaderless_s > LEADERLESS_S
 
 
-def _promotion(statuses):
-    for status in statuses:
-        if not status.voter and status.last_heard_ms >= 0:
-            return MemberStep(action=MemberAction.PROMOTE, member=_member(status))
-    return None
+def _replacements(view):
+    """Returns the steps that put learners in the places of lost voters."""
+    removals = list(_removals_of_replaced(view))
+    promotions = list(_promotions(view))
+    if len(view.voters) < view.limits.min_voters:
+        return [*promotions, *removals]
+    return [*removals, *promotions]
+
+
+def _removals_of_replaced(view):
+    """Yields the lost voters whose places learners are ready to take."""
+    ready = [learner for learner in view.learners if view.is_caught_up(learner)]
+    newcomers = [*ready, *view.voters]
+    for voter in view.voters:
+        if any(_succeeds(newcomer, voter) for newcomer in newcomers):
+            yield _step(MemberAction.REMOVE, voter)
+    if ready:
+        for voter in view.lost_voters:
+            yield _step(MemberAction.REMOVE, voter)
 
 
-def _replacement(statuses):
-    """Removes a member whose folder was lost, once its new incarnation is a voter."""
-    for new in statuses:
-        for old in statuses:
-            same = old.replica_id == new.replica_id
-            replaced = same and old.incarnation != new.incarnation and new.voter
-            if replaced and _heard_more_recently(new, old):
-                return MemberStep(action=MemberAction.REMOVE, member=_member(old))
-    return None
+def _succeeds(new, old):
+    """Whether ``new`` is a later folder at the address of ``old``."""
+    same = old.replica_id == new.replica_id
+    return same and old.incarnation != new.incarnation and _heard_last(new, old)
 
 
-def _heard_more_recently(new, old):
+def _heard_last(new, old):
     """Whether ``new`` answered last, of two incarnations with the same replica id."""
     if new.leader:
         return True
@@ -80,24 +135,29 @@
     return old.last_heard_ms < 0 or new.last_heard_ms < old.last_heard_ms
 
 
-def _addition(statuses, join_requests):
-    known = {(s.replica_id, s.incarnation) for s in statuses}
-    for member in join_requests.values():
-        identity = (member.member_id.replica_id, member.member_id.incarnation)
-        if identity not in known:
-            return MemberStep(action=MemberAction.ADD_LEARNER, member=member)
-    return None
-
-
-def _removal(statuses):
-    voters = [status for status in statuses if status.voter]
-    lost = [s for s in voters if not s.leader and s.last_heard_ms > LOST_AFTER_MS]
-    live = len(voters) - len(lost)
-    # A lost voter is removed only when a new one replaces it: the group never shrinks
-    # below MIN_VOTERS.
-    if lost and live >= MIN_VOTERS and len(voters) > MIN_VOTERS:
-        return MemberStep(action=MemberAction.REMOVE, member=_member(lost[0]))
-    return None
+def _promotions(view):
+    for learner in view.learners:
+        if learner.last_heard_ms >= 0:
+            yield _step(MemberAction.PROMOTE, learner)
+
+
+def _additions(view):
+    known = {_member(status).member_id for status in view.statuses}
+    for member in view.join_requests.values():
+        if member.member_id not in known:
+            yield MemberStep(action=MemberAction.ADD_LEARNER, member=member)
+
+
+def _removals_of_lost(view):
+    """Yields a lost voter of a group that is larger than it has to be."""
+    lost = view.lost_voters
+    live = len(view.voters) - len(lost)
+    if lost and live >= view.limits.min_voters:
+        yield _step(MemberAction.REMOVE, lost[0])
+
+
+def _step(action, status):
+    return MemberStep(action=action, member=_member(status))
 
 
 def _member(status):
--- a/src/plantainstage/_registry/group_maintainer.py
+++ b/src/plantainstage/_registry/group_maintainer.py
@@ -9,13 +9,24 @@
 from plantainstage._control.replica import Replica
 from plantainstage._errors import PlantainstageError
 from plantainstage._messages import serving
-from plantainstage._messages.agreement import Member
-from plantainstage._registry.group import needs_to_join, next_member_step
+from plantainstage._messages.agreement import Member, MemberId
+from plantainstage._messages.control import MemberAction
+from plantainstage._registry.group import (
+    GroupView,
+    MemberStep,
+    may_leave,
+    needs_to_join,
+    next_member_steps,
+)
+from plantainstage._registry.group_limits import GroupLimits
 from plantainstage._transport.rpc import RpcClient
 
 STEP_INTERVAL_S = 0.2
 JOIN_INTERVAL_S = 0.3
 JOIN_TIMEOUT_S = 0.5
+# A small part of the time that a planned stop has.
+LEAVE_TIMEOUT_S = 1.5
+LEAVE_PAUSE_S = 0.05
 
 
 class GroupMaintainer:
@@ -32,6 +43,7 @@
         own_address: str,
         addresses: Callable[[], tuple[str, ...]],
         sync_address_of: Callable[[str], str],
+        limits: GroupLimits,
         events,
     ):
         self.replica = replica
@@ -39,7 +51,12 @@
         self.addresses = addresses
         self.sync_address_of = sync_address_of
         self.events = events
+        self.limits = limits
         self.join_requests = {}  # replica id -> Member that asked to join
+        self.logged_refusals = set()
+        self.logged_losses = ((), 0)  # lost voters, number of missing ones
+        self.stopping = False  # then it does not ask to join again
+        self.missing_voters = 0  # voters that are lost or not there, as leader
         self.leader_seen_at = asyncio.get_running_loop().time()
 
     # ---- Queries ------------------------------------------------------------------
@@ -48,14 +65,13 @@
     def needs_to_join(self):
         """Whether this replica may not be a member of the group."""
         core = self.replica.core
-        if core is None:
+        if core is None or self.stopping:
             return False
         now = asyncio.get_running_loop().time()
         if core.state.leader is not None:
             self.leader_seen_at = now
-        members = {m.member_id for m in core.state.membership.members}
         return needs_to_join(
-            is_member=self.replica.member_id in members,
+            is_member=self._is_member,
             leaderless_s=now - self.leader_seen_at,
         )
 
@@ -77,22 +93,124 @@
             if not self.replica.is_leader:
                 self.join_requests.clear()
                 continue
-            step = next_member_step(self.replica.members(), self.join_requests)
-            if step is None:
-                continue
+            self._report_losses(self._view())
+            while await self._take_step():
+                # A group between two steps bears less than before and after them.
+                pass
+
+    def _view(self) -> GroupView:
+        """Returns what this replica knows of the group as its leader."""
+        return GroupView(
+            statuses=self.replica.members(),
+            commit_index=self.replica.commit_index,
+            join_requests=dict(self.join_requests),
+            limits=self.limits,
+        )
+
+    async def _take_step(self) -> bool:
+        """Commits the first step; returns whether it was not refused."""
+        refusals = set()
+        for step in next_member_steps(self._view()):
             try:
                 await self.replica.change_member(step.action, step.member)
             except PlantainstageError as error:
                 # An earlier step may still be in progress; the next round retries.
-                reason = type(error).__name__
-                self.events.log_event("member_step_put_off", reason=reason)
-                continue
-            self.join_requests.pop(step.member.member_id.replica_id, None)
-            self.events.log_event(
-                "group_changed",
-                action=step.action.value,
-                replica=str(step.member.member_id),
-            )
+                refusals.add(f"{step.action.value}: {type(error).__name__}")
+                break
+            self._log_refusals(set())
+            self._record_step(step)
+            return True
+        self._log_refusals(refusals)
+        return False
+
+    def _log_refusals(self, refusals):
+        if refusals - self.logged_refusals:
+            reason = ", ".join(sorted(refusals))
+            self.events.log_event("member_step_put_off", reason=reason)
+        self.logged_refusals = refusals
+
+    def _record_step(self, step):
+        asking = self.join_requests.get(step.member.member_id.replica_id)
+        if asking is not None and asking.member_id == step.member.member_id:
+            del self.join_requests[asking.member_id.replica_id]
+        self.events.log_event(
+            "group_changed",
+            action=step.action.value,
+            replica=str(step.member.member_id),
+        )
+
+    def _report_losses(self, view):
+        """Logs a group that bears fewer losses than it should, and its recovery."""
+        lost = tuple(f"{s.replica_id}/{s.incarnation[:8]}" for s in view.lost_voters)
+        voters = len(view.voters)
+        missing = max(0, view.limits.min_voters - voters)
+        self.missing_voters = missing + len(lost)
+        if (lost, missing) != self.logged_losses:
+            self.logged_losses = (lost, missing)
+            event = "group_degraded" if lost or missing else "group_whole"
+            self.events.log_event(event, voters=voters, lost=lost, missing=missing)
+
+    # ---- A planned stop -----------------------------------------------------------
+
+    async def leave(self):
+        """Leaves the group before this replica stops, if the group is large enough.
+
+        Otherwise the others would need one more vote until they take this replica for
+        lost, and the next loss could leave them without a majority.
+        """
+        self.stopping = True
+        loop = asyncio.get_running_loop()
+        give_up_at = loop.time() + LEAVE_TIMEOUT_S
+        while self._may_leave() and loop.time() < give_up_at:
+            if self.replica.is_leader:
+                await self._transfer_leadership()
+            elif self.replica.leader_address:
+                await self._ask_to_leave(self.replica.leader_address)
+            await asyncio.sleep(LEAVE_PAUSE_S)
+        left = not self._is_member
+        self.events.log_event("left_group" if left else "stays_in_group")
+
+    def _may_leave(self):
+        return may_leave(self._view(), self.replica.member_id)
+
+    @property
+    def _is_member(self):
+        members = self.replica.core.state.membership.members
+        return self.replica.member_id in {m.member_id for m in members}
+
+    async def _transfer_leadership(self):
+        try:
+            await self.replica.transfer_leadership()
+        except PlantainstageError as error:
+            self._log_leave_put_off(error)
+
+    async def _ask_to_leave(self, leader):
+        address = self.sync_address_of(leader)
+        client = RpcClient(address=address, reply_decoder=serving.REPLY_DECODER)
+        request = serving.PeerSyncRequest(leaving=self.replica.member_id)
+        try:
+            await client.call(request, timeout_s=JOIN_TIMEOUT_S)
+        except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
+            self._log_leave_put_off(error)
+        finally:
+            client.close()
+
+    async def release(self, member_id: MemberId):
+        """Removes a voter that is about to stop, if this replica leads the group."""
+        if not self.replica.is_leader or not may_leave(self._view(), member_id):
+            return
+        member = Member(member_id=member_id)
+        try:
+            await self.replica.change_member(MemberAction.REMOVE, member)
+        except PlantainstageError as error:
+            self._log_leave_put_off(error)
+            return
+        self._record_step(MemberStep(action=MemberAction.REMOVE, member=member))
+
+    def _log_leave_put_off(self, error):
+        self.events.log_event("leave_put_off", reason=type(error).__name__)
+
+    # ---- Joining ------------------------------------------------------------------
 
     async def _join(self):
         while True:
--- a/src/plantainstage/_registry/group_replica.py
+++ b/src/plantainstage/_registry/group_replica.py
@@ -10,6 +10,7 @@
 from plantainstage._control.replica import Replica
 from plantainstage._control.replica_settings import InitialMember, ReplicaSettings
 from plantainstage._errors import BootstrapRefusedError, PlantainstageError
+from plantainstage._registry.group_limits import GroupLimits
 from plantainstage._registry.group_maintainer import GroupMaintainer
 from plantainstage._registry.machine import ConfigurationMachine
 from plantainstage._registry.peers import Peer
@@ -42,6 +43,7 @@
         machine: ConfigurationMachine,
         addresses: Callable[[], tuple[str, ...]],
         sync_address_of: Callable[[str], str],
+        limits: GroupLimits,
         events,
     ):
         self.own = own
@@ -50,6 +52,7 @@
         self.machine = machine
         self.addresses = addresses
         self.sync_address_of = sync_address_of
+        self.limits = limits
         self.events = events
         self.replica = None
         self.maintainer = None
@@ -66,6 +69,15 @@
                 self.replica = self.maintainer = None
             await asyncio.sleep(REPLICA_RETRY_S)
 
+    async def stop(self):
+        """Leaves the group if it is large enough, then stops the replica."""
+        replica = self.replica
+        if replica is None:
+            return
+        if replica.core is not None:
+            await self.maintainer.leave()
+        await replica.stop()
+
     async def _run_once(self):
         try:
             replica = await self._start(self.bootstrap_peers)
@@ -76,6 +88,7 @@
             own_address=self.own.sync_address,
             addresses=self.addresses,
             sync_address_of=self.sync_address_of,
+            limits=self.limits,
             events=self.events,
         )
         self.replica = replica
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -114,6 +114,11 @@
         self.leader_state = Gauge(
             "leader", "1 on the leader, 0 on other replicas", **shared
         )
+        self.missing_voters = Gauge(
+            "missing_voters",
+            "Voters that the control group lacks or has lost; 0 if not the leader",
+            **shared,
+        )
         self.dropped_lines = Gauge(
             "dropped_event_lines", "Event lines dropped since the start", **shared
         )
