Remove learners that are lost, and try every step that may be taken

The operator got no read and no acknowledgement any more, for good, after a control machine had lost its disk twice within 2 s and, 12 s later, another machine its own.

Cause: the learner of the first repair could never have the whole log. Its promotion was tried first in each round and refused, so the machine's next folder was not added, and the group went on with two of three voters.

Fix: a learner is promoted only once it has the log, one that is silent or superseded by another folder of its replica is removed, and a step that is refused does not keep the others from being taken.

The simulation now loses a folder at any moment of its repair, up to three times in a row.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -67,6 +67,15 @@
     And the stopped follower starts again with its folder
     Then all 4 replicas become voters
 
+  Scenario: A folder that is lost again during its repair does not end the repairs
+    # Guards against a learner that never catches up and keeps all other members out.
+    Given a control group of 3 replicas for routed requests
+    And configuration 7 was acknowledged
+    When a follower loses its folder, and loses it again once it is a learner
+    Then the group has 3 voters again
+    When another replica is stopped permanently
+    Then configuration 9 is acknowledged and read back from a running replica
+
   Scenario: A replica that lost its folder finds a leader that its settings do not name
     # Guards against a group that stays without a replaced replica, and loses its majority
     # with the next one, since the leader joined after the group was founded.
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -206,6 +206,19 @@
     )
 
 
+@when("a follower loses its folder, and loses it again once it is a learner")
+def step_lose_folder_twice(context):
+    step_lose_folder(context)
+
+    def is_learner():
+        members = context.tier.leader().replica.members()
+        return any(m.replica_id == context.lost and not m.voter for m in members)
+
+    context.tier.wait_for(is_learner, "the learner")
+    peer, _ = context.tier.stop_registry(context.lost)
+    context.tier.start_registry(peer, seeds=context.peers, bootstrap=False)
+
+
 @when("another replica is stopped permanently")
 def step_stop_other(context):
     other = next(a for a in addresses(context) if a != context.lost)
--- a/features/support/simulation_losses.py
+++ b/features/support/simulation_losses.py
@@ -81,7 +81,7 @@
 
     def _lose_folder(self, replica):
         self._take_folder(replica)
-        losses_again = 0
+        losses_again = self.random.choice([0, 0, 1, 2])
         self.simulation.call_later(RESTART_S, lambda: self._back(replica, losses_again))
 
     def _take_folder(self, replica):
--- a/src/plantainstage/_registry/group.py
+++ b/src/plantainstage/_registry/group.py
@@ -72,9 +72,11 @@
 def next_member_steps(view: GroupView) -> list[MemberStep]:
     """Returns the membership changes that may be taken now, the most urgent first.
 
-    Only one can be committed at a time.
+    Only one can be committed at a time, but one that is refused does not keep the
+    others from being taken.
     """
     return [
+        *_removals_of_learners(view),
         *_replacements(view),
         *_additions(view),
         *_removals_of_lost(view),
@@ -99,6 +101,19 @@
     return not is_member or leaderless_s > LEADERLESS_S
 
 
+def _removals_of_learners(view):
+    """Yields learners that are lost, or whose folder was lost before they caught up."""
+    for learner in view.learners:
+        asking = view.join_requests.get(learner.replica_id)
+        superseded = (
+            asking is not None
+            and asking.member_id.incarnation != learner.incarnation
+            and learner.last_heard_ms > HEARD_MS
+        )
+        if superseded or view.is_lost(learner):
+            yield _step(MemberAction.REMOVE, learner)
+
+
 def _replacements(view):
     """Returns the steps that put learners in the places of lost voters."""
     removals = list(_removals_of_replaced(view))
@@ -137,7 +152,7 @@
 
 def _promotions(view):
     for learner in view.learners:
-        if learner.last_heard_ms >= 0:
+        if view.is_caught_up(learner):
             yield _step(MemberAction.PROMOTE, learner)
 
 
--- a/src/plantainstage/_registry/group_maintainer.py
+++ b/src/plantainstage/_registry/group_maintainer.py
@@ -108,7 +108,7 @@
         )
 
     async def _take_step(self) -> bool:
-        """Commits the first step; returns whether it was not refused."""
+        """Commits the first step that is not refused; returns whether there was one."""
         refusals = set()
         for step in next_member_steps(self._view()):
             try:
@@ -116,7 +116,7 @@
             except PlantainstageError as error:
                 # An earlier step may still be in progress; the next round retries.
                 refusals.add(f"{step.action.value}: {type(error).__name__}")
-                break
+                continue
             self._log_refusals(set())
             self._record_step(step)
             return True
--- a/tools/self_repair_mutations.py
+++ b/tools/self_repair_mutations.py
@@ -22,7 +22,7 @@
     Mutation(
         name="a learner is never promoted",
         file=GROUP,
-        old="        if learner.last_heard_ms >= 0:\n            yield",
+        old="        if view.is_caught_up(learner):\n            yield",
         new="        if False:\n            yield",
         self_repair=True,
     ),
@@ -33,6 +33,13 @@
         new="return False",
         self_repair=True,
     ),
+    Mutation(
+        name="a learner that is lost stays",
+        file=GROUP,
+        old="if superseded or view.is_lost(learner):",
+        new="if False:",
+        self_repair=True,
+    ),
     Mutation(
         name="a successor is promoted before the lost voter is removed",
         file=GROUP,
