Save what is known of requests that end searchers

After a kill of all processes a request that ends each searcher which runs it reached searchers in eight retries, where three are allowed.

Cause: hosts have no disk, and control replicas kept the reports in memory.

Fix: replicas write the reports to the file of their recent state and pass them on when they start, to hosts in the reply that brings the configuration. Times are Unix times; if the clock was set back, the newest report is taken for one of the moment and the others keep their distance to it.

--- a/features/behaviour/crash_evidence.feature
+++ b/features/behaviour/crash_evidence.feature
@@ -56,3 +56,26 @@
     When it hears at 9 s that a searcher has answered the request
     And it hears at 10 s of 3 ends under the request that are 2 s old
     Then it reports no end of a searcher under the request
+
+  Scenario Outline: A quarantine is known after a restart, <case>
+    # Guards against a request that ends searchers again after all processes were killed,
+    # and against a quarantine without an end.
+    Given a replica of control
+    When it hears of ends under the request at 96 s, 98 s and 100 s
+    And it restarts at <restart> s, by which its clock has advanced by <clock> s
+    Then it calls the request <standing>, with at least <remaining> s to go
+
+    Examples:
+      | case                         | restart | clock | standing    | remaining |
+      | at once                      | 101     | 1     | quarantined | 590       |
+      | with its clock set back      | 101     | -30   | quarantined | 590       |
+      | after five minutes           | 400     | 300   | quarantined | 290       |
+      | after the quarantine         | 750     | 650   | clear       | 0         |
+
+  Scenario: A quarantine that an operator has ended is not back after a restart
+    # Guards against a request that is refused again though its cause was removed.
+    Given a replica of control
+    When it hears of ends under the request at 96 s, 98 s and 100 s
+    And an operator ends the quarantine at 101 s
+    And it restarts at 110 s, by which its clock has advanced by 9 s
+    Then it calls the request clear, with at least 0 s to go
--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -93,6 +93,13 @@
     Then it reports version 7 and "s-1" to entry hosts
     But it answers a read of the configuration with 503
 
+  Scenario: A quarantine outlives a restart of all replicas
+    # Guards against a request that ends searchers again after all processes were killed.
+    Given a control group of 3 replicas for routed requests
+    And 3 searchers have ended under a request
+    When all replicas are stopped and one starts again alone
+    Then it reports to entry hosts that the request is quarantined
+
   Scenario: A searcher that leaves is remembered by the other replicas
     # Guards against a departure that is lost with the replica that received it.
     Given a control group of 3 replicas for routed requests
--- a/features/steps/crash_evidence_steps.py
+++ b/features/steps/crash_evidence_steps.py
@@ -1,9 +1,11 @@
 """Steps for the evidence that a request ends searchers."""
 
+import msgspec
 from behave import given, then, when
 
-from plantainstage._limits.quarantine_times import fingerprint_of
+from plantainstage._limits.quarantine_times import QUARANTINE_S, fingerprint_of
 from plantainstage._registry.crash_register import CrashRegister
+from plantainstage._registry.recent import RecentState
 from plantainstage._serving.crash_evidence import CrashEvidence, Standing
 from plantainstage._serving.crash_reports import (
     CrashReport,
@@ -11,6 +13,7 @@
     SuspectedRequest,
 )
 
+UNIX_MS = 1_700_000_000_000
 REQUEST = fingerprint_of(b"a.example", b"GET", b"/x")
 
 
@@ -128,3 +131,40 @@
 def step_nothing(context):
     suspected = context.register.suspected(context.now)
     assert all(entry.ends == 0 for entry in suspected), suspected
+
+
+@when("it hears of ends under the request at {first:d} s, {second:d} s and {third:d} s")
+def step_heard_apart(context, first, second, third):
+    for at in (first, second, third):
+        report = CrashReport(
+            fingerprint=REQUEST, kind=CrashReportKind.ENDED, searcher=f"s-{at}"
+        )
+        context.register.record_from_host((report,), float(at))
+    context.now = float(third)
+
+
+@when("an operator ends the quarantine at {now:d} s")
+def step_lifted(context, now):
+    context.register.lift(REQUEST, float(now))
+    context.now = float(now)
+
+
+@when("it restarts at {now:d} s, by which its clock has advanced by {seconds:d} s")
+def step_restarts(context, now, seconds):
+    """Saves at the time of the last event, then starts with a new monotonic clock."""
+    saved = context.register.to_save(context.now, unix_ms=UNIX_MS)
+    state = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(RecentState(crashes=saved)), type=RecentState
+    )
+    context.register = CrashRegister()
+    context.now = 0.5
+    context.register.restore(state.crashes, context.now, UNIX_MS + seconds * 1000)
+
+
+@then("it calls the request {standing}, with at least {remaining:d} s to go")
+def step_standing(context, standing, remaining):
+    host = CrashEvidence()
+    rulings = host.apply_suspected(context.register.suspected(context.now), context.now)
+    assert host.standing(REQUEST, context.now).value == standing, rulings
+    left = host.remaining_s(REQUEST, context.now)
+    assert remaining <= left <= QUARANTINE_S, left
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -9,6 +9,7 @@
 from plantainstage._messages.serving import SyncRequest
 from plantainstage._programs.ctl import main as ctl
 from plantainstage._registry.register import MAX_SEARCHERS, SearcherRegister
+from plantainstage._serving.crash_reports import CrashReport, CrashReportKind
 from plantainstage._serving.searchers import Searcher
 from support.routed_tier import RoutedTier, StandInSearcher
 
@@ -247,10 +248,7 @@
 def step_restart_one(context):
     saved = [daemon for daemon, *_ in context.tier.registries.values()]
     context.tier.wait_for(
-        lambda: all(
-            d.saved_cursor == d.register.cursor and not d.save_due.is_set()
-            for d in saved
-        ),
+        lambda: all(d.is_saved and not d.save_due.is_set() for d in saved),
         "the saved state",
     )
     stopped = [context.tier.stop_registry(address) for address in addresses(context)]
@@ -260,6 +258,33 @@
     )
 
 
+@given("{count:d} searchers have ended under a request")
+def step_ended(context, count):
+    """Each end is reported to another replica, and all replicas hear of it."""
+    daemons = [daemon for daemon, *_ in context.tier.registries.values()]
+    for number in range(count):
+        report = CrashReport(
+            fingerprint="ab" * 16,
+            kind=CrashReportKind.ENDED,
+            searcher=f"s-{number}",
+            age_ms=1000 * number,
+        )
+        poll = SyncRequest(host_id=f"h-{number}", crash_reports=(report,))
+        work = daemons[number % len(daemons)]._handle_request(poll)
+        context.tier.run(work)
+    context.tier.wait_for(
+        lambda: all(d.crashes.records.is_proven("ab" * 16) for d in daemons),
+        "the quarantine",
+    )
+
+
+@then("it reports to entry hosts that the request is quarantined")
+def step_reports_quarantine(context):
+    daemon = context.tier.registries[addresses(context)[0]][0]
+    reply = context.tier.run(daemon._handle_request(SyncRequest(host_id="h")))
+    assert [entry.proven for entry in reply.suspected or ()] == [True], reply
+
+
 @then('it reports version {version:d} and "{searcher_id}" to entry hosts')
 def step_reports_recent_state(context, version, searcher_id):
     daemon = context.tier.registries[addresses(context)[0]][0]
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import secrets
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -63,6 +64,10 @@
     format: ControlFormat = field(default_factory=ControlFormat)
 
 
+def _unix_ms():
+    return round(time.time() * 1000)
+
+
 class RegistryDaemon:
     """Serves operators, searchers and entry hosts until it is stopped."""
 
@@ -81,6 +86,7 @@
         self.recent = RecentFile(folder=settings.data_folder, events=events)
         self.save_due = asyncio.Event()
         self.saved_cursor = 0
+        self.saved_crashes = 0  # revision of the crash register
         self.peer_clients = {}
         self.relay = PeerRelay(
             own_address=settings.own.sync_address,
@@ -210,7 +216,9 @@
             )
         for searcher in state.searchers:
             self.register.record_announcement(searcher, now)
+        self.crashes.restore(state.crashes, now, _unix_ms())
         self.saved_cursor = self.register.cursor
+        self.saved_crashes = self.crashes.revision
         self.machine.on_change = self.save_due.set
 
     async def _save_recent(self):
@@ -219,19 +227,27 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SAVE_INTERVAL_S):
                     await self.save_due.wait()
-            if self.save_due.is_set() or self.register.cursor > self.saved_cursor:
+            if self.save_due.is_set() or not self.is_saved:
                 self.save_due.clear()
                 await self._write_recent()
 
+    @property
+    def is_saved(self):
+        """Whether the file has the searchers and the crash reports of this moment."""
+        known = (self.register.cursor, self.crashes.revision)
+        return known == (self.saved_cursor, self.saved_crashes)
+
     async def _write_recent(self):
-        cursor = self.register.cursor
+        cursor, crashes = self.register.cursor, self.crashes.revision
+        now = asyncio.get_running_loop().time()
         state = RecentState(
             version=self.machine.newest.version,
             document=self.machine.newest.document,
             searchers=self.register.searchers(),
+            crashes=self.crashes.to_save(now, _unix_ms()),
         )
         if await self.recent.write(state, timeout_s=SAVE_TIMEOUT_S):
-            self.saved_cursor = cursor
+            self.saved_cursor, self.saved_crashes = cursor, crashes
 
     # ---- Configuration ------------------------------------------------------------
 
--- a/src/plantainstage/_registry/recent.py
+++ b/src/plantainstage/_registry/recent.py
@@ -2,9 +2,9 @@
 
 After a power loss of all machines the group first has to elect a leader, and
 searchers announce themselves again only after a while. Until then entry hosts are
-answered from this file: the last committed configuration, and the searchers with
-their known departures. The file is only a hint; the durable state is in the replica's
-log.
+answered from this file: the last committed configuration, the searchers with their
+known departures, and what is known of requests that end searchers. The file is only a
+hint; the durable state is in the replica's log.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 
 from plantainstage._decoding import decode_bytes
 from plantainstage._errors import StorageError
+from plantainstage._registry.crash_register import SavedReport
 from plantainstage._serving.searchers import Searcher
 from plantainstage._storage.files import SystemFiles
 from plantainstage._storage.folder import read_single_frame, write_atomically
@@ -24,11 +25,15 @@
 
 
 class RecentState(msgspec.Struct, frozen=True, kw_only=True):
-    """The content of the file; version -1 means that there is no configuration."""
+    """The content of the file; version -1 means that there is no configuration.
+
+    Releases before ``crashes`` ignore it and write files without it.
+    """
 
     version: int = -1
     document: bytes = b""
     searchers: tuple[Searcher, ...] = ()
+    crashes: tuple[SavedReport, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/plantainstage/_serving/crash_records.py
+++ b/src/plantainstage/_serving/crash_records.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+import msgspec
+
 from plantainstage._limits.quarantine_times import QUARANTINE_S
 from plantainstage._serving.crash_reports import CrashReport, CrashReportKind
 
@@ -72,6 +74,19 @@
             return False
         return record.was_suspected or record.cleared_by is CrashReportKind.LIFTED
 
+    def reports(self, now: float) -> tuple[CrashReport, ...]:
+        """Returns reports from which the same is known again, the oldest first."""
+        observed = [
+            seen
+            for fingerprint, record in self.records.items()
+            for seen in _observations(fingerprint, record)
+        ]
+        observed.sort(key=lambda seen: seen[0])
+        return tuple(
+            msgspec.structs.replace(report, age_ms=max(0, round((now - at) * 1000)))
+            for at, report in observed
+        )
+
     # ---- Commands -----------------------------------------------------------------
 
     def record(self, report: CrashReport, at: float) -> bool:
@@ -101,6 +116,21 @@
         self.records.popitem(last=False)
 
 
+def _observations(fingerprint, record):
+    """Yields (time, report) of what is known of a fingerprint."""
+    if record.cleared_by is not None:
+        report = CrashReport(fingerprint=fingerprint, kind=record.cleared_by)
+        yield record.cleared_at, report
+    for (searcher, started_at_ms), at in record.ends.items():
+        report = CrashReport(
+            fingerprint=fingerprint,
+            kind=CrashReportKind.ENDED,
+            searcher=searcher,
+            started_at_ms=started_at_ms,
+        )
+        yield at, report
+
+
 def _apply(record, report, at):
     if report.kind is not CrashReportKind.ENDED:
         if at <= record.cleared_at:
