Acknowledge a departure only if those who send requests can hear of it

Requests reached a searcher later than drainMs after its departure had been acknowledged, while another writer's entry kept replicas from replying.

A replica also acknowledged a departure that no peer had taken, and one of a searcher that it did not know.

A departure is acknowledged if a peer has it, there is none, or entry hosts poll this replica; otherwise the searcher gets 503 and the next call notifies the peers again. A departure may name the start of its searcher, and one of an earlier start changes nothing.

--- a/src/plantainstage/_errors.py
+++ b/src/plantainstage/_errors.py
@@ -105,6 +105,19 @@
         return f"The announcement is refused: {self.detail}. Correct it and resend it."
 
 
+@dataclass(kw_only=True, eq=False)
+class DepartureNotHeardError(PlantainstageError):
+    """Nobody who sends requests can hear of a departure from this replica now."""
+
+    searcher_id: str
+
+    def describe(self):
+        return (
+            f"The departure of {self.searcher_id} cannot be passed on to those that "
+            "send requests. Report it to another replica."
+        )
+
+
 @dataclass(kw_only=True, eq=False)
 class RegisterFullError(PlantainstageError):
     """A control replica knows too many searchers to take another one."""
--- a/src/plantainstage/_registry/control_format.py
+++ b/src/plantainstage/_registry/control_format.py
@@ -7,7 +7,7 @@
 
 from plantainstage._decoding import decode_bytes
 from plantainstage._errors import InvalidAnnouncementError
-from plantainstage._serving.announcement_ranges import check_ranges
+from plantainstage._serving.announcement_ranges import check_ranges, check_start
 from plantainstage._serving.configuration import (
     ConfigurationDecoder,
     decode_configuration,
@@ -32,6 +32,29 @@
     return searcher
 
 
+class _Departure(msgspec.Struct):
+    started_at_ms: int | None = None
+
+
+_departure_decoder = msgspec.json.Decoder(_Departure)
+
+
+def decode_departure(body: bytes, *, decoder=_departure_decoder) -> int | None:
+    """Returns the start time that a departure states, None without one.
+
+    The body may be empty. ``decoder`` reads it as an object with the attribute
+    ``started_at_ms``. Raises InvalidAnnouncementError.
+    """
+    if not body:
+        return None
+    try:
+        started_at_ms = decode_bytes(decoder, body).started_at_ms
+    except msgspec.MsgspecError as error:
+        raise InvalidAnnouncementError(detail=str(error)) from error
+    check_start(started_at_ms)
+    return started_at_ms
+
+
 @dataclass(frozen=True, kw_only=True)
 class ControlFormat:
     """Paths and body formats; the defaults are the project's own.
@@ -48,3 +71,4 @@
     lift_quarantine: str = "/v1/quarantined-requests/([0-9a-f]{32})/lift"
     decode_configuration: ConfigurationDecoder = decode_configuration
     decode_announcement: Callable[[str, bytes], Searcher] = decode_announcement
+    decode_departure: Callable[[bytes], int | None] = decode_departure
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -11,7 +11,7 @@
 import msgspec
 import pynng
 
-from plantainstage._errors import NotLeaderError
+from plantainstage._errors import DepartureNotHeardError, NotLeaderError
 from plantainstage._messages import serving
 from plantainstage._registry.control_format import ControlFormat
 from plantainstage._registry.crash_register import CrashRegister
@@ -88,6 +88,7 @@
         self.saved_cursor = 0
         self.saved_crashes = 0  # revision of the crash register
         self.peer_clients = {}
+        self.unheard_departures = set()  # ids of searchers; an answer is still due
         self.relay = PeerRelay(
             own_address=settings.own.sync_address,
             addresses=self._sync_addresses,
@@ -203,6 +204,7 @@
             self.register.expire(now)
             self.crashes.expire(now)
             self.sync.expire(now)
+            self.unheard_departures &= self.register.entries.keys()
 
     # ---- State from before a restart ----------------------------------------------
 
@@ -281,36 +283,65 @@
     async def handle_announcement(self, searcher: Searcher):
         """Records an announcement; returns after notifying the peers of a departure.
 
-        The searcher takes the reply as a promise that no new requests will follow,
-        and this replica may be lost right after it.
+        Raises DepartureNotHeardError, see ``_pass_on_departure``.
         """
         now = asyncio.get_running_loop().time()
-        if self.register.record_announcement(searcher, now):
-            self.events.log_event(
-                "searcher_leaves",
-                searcher=searcher.searcher_id,
-                state=searcher.state.name.lower(),
-            )
-            await asyncio.gather(self._notify_peers(searcher), self._write_recent())
+        is_departure = self.register.record_announcement(searcher, now)
+        if is_departure or searcher.searcher_id in self.unheard_departures:
+            await self._pass_on_departure(searcher)
+
+    async def handle_departure(self, searcher_id: str, started_at_ms: int | None):
+        """Records the departure of a searcher and notifies the peers of it.
 
-    async def handle_departure(self, searcher_id: str):
-        """Records the departure of a searcher and notifies the peers of it."""
+        ``started_at_ms`` tells which start leaves, None that it was not stated. Raises
+        DepartureNotHeardError, see ``_pass_on_departure``.
+        """
         now = asyncio.get_running_loop().time()
         left = self.register.record_departure(
-            searcher_id, now, heard_elsewhere=self.relay.find(searcher_id)
+            searcher_id,
+            now,
+            started_at_ms=started_at_ms,
+            heard_elsewhere=self.relay.find(searcher_id),
         )
+        known = self.register.find(searcher_id)
+        if known is None and not self.relay.is_complete(now):
+            # Another replica may know it, and hosts send it requests.
+            raise DepartureNotHeardError(searcher_id=searcher_id)
+        if left is None and searcher_id in self.unheard_departures:
+            left = known
         if left is not None:
-            self.events.log_event("searcher_leaves", searcher=searcher_id, state="left")
-            await asyncio.gather(self._notify_peers(left), self._write_recent())
+            await self._pass_on_departure(left)
+
+    async def _pass_on_departure(self, searcher):
+        """Notifies the peers; raises DepartureNotHeardError if nobody can know of it.
 
-    async def _notify_peers(self, searcher):
+        The searcher takes the reply as a promise that no new requests will follow, and
+        this replica may be lost right after it. A replica that hears neither a peer nor
+        an entry host cannot make that promise; the searcher asks another one then.
+        """
+        searcher_id = searcher.searcher_id
+        self.events.log_event(
+            "searcher_leaves", searcher=searcher_id, state=searcher.state.name.lower()
+        )
+        heard, _ = await asyncio.gather(
+            self._notify_peers(searcher), self._write_recent()
+        )
+        if heard or self.sync.hosts:
+            self.unheard_departures.discard(searcher_id)
+            return
+        self.unheard_departures.add(searcher_id)
+        raise DepartureNotHeardError(searcher_id=searcher_id)
+
+    async def _notify_peers(self, searcher) -> bool:
+        """Returns whether a peer has taken the notice, or there is none."""
         others = set(self._sync_addresses()) - {self.settings.own.sync_address}
         notice = serving.SearcherNotice(searcher=searcher)
-        await asyncio.gather(
+        taken = await asyncio.gather(
             *(self._notify_peer(address, notice) for address in others)
         )
+        return any(taken) or not others
 
-    async def _notify_peer(self, address, notice):
+    async def _notify_peer(self, address, notice) -> bool:
         client = self.peer_clients.get(address)
         if client is None:
             client = RpcClient(address=address, reply_decoder=serving.REPLY_DECODER)
@@ -321,6 +352,8 @@
             # Entry hosts poll this replica too: the notice matters only after its loss.
             reason = type(error).__name__
             self.events.log_event("notice_not_taken", replica=address, reason=reason)
+            return False
+        return True
 
     # ---- Entry hosts and replicas -------------------------------------------------
 
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -7,6 +7,7 @@
 from tornado.httpserver import HTTPServer
 
 from plantainstage._errors import (
+    DepartureNotHeardError,
     InvalidAnnouncementError,
     InvalidConfigurationError,
     NotLeaderError,
@@ -34,6 +35,30 @@
     def _refuse(self, error):
         self._reply(400, msgspec.json.encode({"error": str(error)}))
 
+    def _refuse_announcement(self, searcher_id, error):
+        self._log_refusal(error, searcher_id)
+        self._refuse(error)
+
+    async def _reply_to_searcher(self, handling):
+        """Replies 200 once what a searcher said was recorded, 503 if it cannot be."""
+        try:
+            await handling
+        except (RegisterFullError, DepartureNotHeardError) as error:
+            self._log_refusal(error, self.path_args[0])
+            self._reply(503)
+            return
+        self.control.metrics.announcements.labels("taken").inc()
+        self._reply(200)
+
+    def _log_refusal(self, error, searcher_id):
+        self.control.metrics.announcements.labels("refused").inc()
+        self.control.events.log_event(
+            "announcement_refused",
+            searcher=searcher_id[:MAX_LOGGED_ID_CHARACTERS],
+            error=type(error).__name__,
+            reason=str(error)[:200],
+        )
+
     def _redirect_to_leader(self):
         """Redirects the caller to the leader, or replies 503 if no other leads."""
         leader = self.control.leader_address()
@@ -104,33 +129,21 @@
         try:
             searcher = decode(searcher_id, self.request.body)
         except InvalidAnnouncementError as error:
-            self.control.metrics.announcements.labels("refused").inc()
-            self.control.events.log_event(
-                "announcement_refused",
-                searcher=searcher_id[:MAX_LOGGED_ID_CHARACTERS],
-                reason=str(error)[:200],
-            )
-            self._refuse(error)
+            self._refuse_announcement(searcher_id, error)
             return
-        try:
-            await self.control.handle_announcement(searcher)
-        except RegisterFullError as error:
-            self.control.metrics.announcements.labels("register_full").inc()
-            self.control.events.log_event(
-                "announcement_refused",
-                searcher=searcher_id[:MAX_LOGGED_ID_CHARACTERS],
-                reason=str(error),
-            )
-            self._reply(503)
-            return
-        self.control.metrics.announcements.labels("taken").inc()
-        self._reply(200)
+        await self._reply_to_searcher(self.control.handle_announcement(searcher))
 
 
 class _RemoveSearcher(_Handler):
     async def post(self, searcher_id):
-        await self.control.handle_departure(searcher_id)
-        self._reply(200)
+        decode = self.control.format.decode_departure
+        try:
+            started_at_ms = decode(self.request.body)
+        except InvalidAnnouncementError as error:
+            self._refuse_announcement(searcher_id, error)
+            return
+        work = self.control.handle_departure(searcher_id, started_at_ms)
+        await self._reply_to_searcher(work)
 
 
 class _ListQuarantines(_Handler):
--- a/src/plantainstage/_registry/register.py
+++ b/src/plantainstage/_registry/register.py
@@ -53,6 +53,11 @@
         """Returns the newest announcement of each searcher."""
         return tuple(entry.searcher for entry in self.entries.values())
 
+    def find(self, searcher_id: str) -> Searcher | None:
+        """Returns the newest announcement of a searcher."""
+        entry = self.entries.get(searcher_id)
+        return entry.searcher if entry is not None else None
+
     # ---- Commands -----------------------------------------------------------------
 
     def record_announcement(self, searcher: Searcher, now: float) -> bool:
@@ -81,13 +86,19 @@
         return changed and searcher.state is not SearcherState.READY
 
     def record_departure(
-        self, searcher_id: str, now: float, *, heard_elsewhere: Searcher | None
+        self,
+        searcher_id: str,
+        now: float,
+        *,
+        heard_elsewhere: Searcher | None,
+        started_at_ms: int | None = None,
     ) -> Searcher | None:
         """Records that a searcher has left; returns it if that was not yet known.
 
         ``heard_elsewhere`` is its newest announcement to another replica, since a
         searcher may report its departure to a replica to which it never announced
-        itself.
+        itself. ``started_at_ms`` tells which start leaves: one that is late, after the
+        searcher has started again, changes nothing.
         """
         entry = self.entries.get(searcher_id)
         known = entry.searcher if entry is not None else heard_elsewhere
@@ -95,7 +106,11 @@
             return None
         if heard_elsewhere is not None:
             known = newer(known, heard_elsewhere)
-        left = msgspec.structs.replace(known, state=SearcherState.LEFT)
+        if started_at_ms is None:
+            started_at_ms = known.started_at_ms
+        left = msgspec.structs.replace(
+            known, state=SearcherState.LEFT, started_at_ms=started_at_ms
+        )
         return left if self.record_announcement(left, now) else None
 
     def expire(self, now: float):
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -79,6 +79,12 @@
             for address in mirror.report.helpers
         ]
 
+    def is_complete(self, now: float) -> bool:
+        """Whether all other replicas are in contact with this one."""
+        others = set(self.addresses()) - {self.own_address}
+        mirrors = [self.mirrors.get(address) for address in others]
+        return all(mirror and mirror.is_current(now) for mirror in mirrors)
+
     def find(self, searcher_id: str) -> Searcher | None:
         """Returns the newest announcement of a searcher that another replica heard."""
         newest = None
--- a/src/plantainstage/_serving/announcement_ranges.py
+++ b/src/plantainstage/_serving/announcement_ranges.py
@@ -26,3 +26,9 @@
         if len(getattr(searcher, name)) > MAX_TEXT_CHARACTERS:
             detail = f"{name} is longer than {MAX_TEXT_CHARACTERS} characters"
             raise InvalidAnnouncementError(detail=detail)
+
+
+def check_start(started_at_ms: int | None):
+    """Raises InvalidAnnouncementError if a stated start time is out of range."""
+    if started_at_ms is not None and not COUNTER.contains(started_at_ms):
+        raise InvalidAnnouncementError(detail=f"the start must be {COUNTER}")
