Forget searchers in mirrors of other replicas as the replicas do

A replica forgets searchers that are silent or have left, but does not report that, so mirrors kept them for good and new hosts got all their ids.

--- a/src/plantainstage/_registry/mirror.py
+++ b/src/plantainstage/_registry/mirror.py
@@ -5,11 +5,14 @@
 import msgspec
 
 from plantainstage._messages import serving
-from plantainstage._serving.searchers import Searcher
+from plantainstage._registry.register import DEPARTURE_RETENTION_S, SILENT_RETENTION_S
+from plantainstage._serving.searchers import Searcher, SearcherState
 
 # Entry hosts poll a replica themselves when the one that they poll was not in contact
 # with it for so long.
 MIRROR_VALIDITY_S = 1.4
+GONE_RETENTION_S = max(DEPARTURE_RETENTION_S, SILENT_RETENTION_S)
+FORGET_INTERVAL_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -22,6 +25,12 @@
     searcher: Searcher | None
     change: int
     silent: bool
+    changed_at: float
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether no requests are sent to the searcher on account of this replica."""
+        return self.silent or self.searcher.state is not SearcherState.READY
 
 
 class SourceMirror:
@@ -35,6 +44,7 @@
         self.report = None  # the newest SourceReport, without its searchers
         self.searchers = {}  # searcher id -> MirroredSearcher
         self.updated_at = float("-inf")
+        self.forgotten_at = float("-inf")  # time of the last _forget_old
         self.crash_number = 0  # of the last crash report that was fetched
 
     @property
@@ -61,15 +71,32 @@
             self.searchers.clear()
         for searcher in report.searchers:
             self.searchers[searcher.searcher_id] = MirroredSearcher(
-                searcher=searcher, change=report.cursor, silent=False
+                searcher=searcher,
+                change=report.cursor,
+                silent=False,
+                changed_at=now,
             )
         for searcher_id in report.silent:
             self.searchers[searcher_id] = MirroredSearcher(
-                searcher=self.find(searcher_id), change=report.cursor, silent=True
+                searcher=self.find(searcher_id),
+                change=report.cursor,
+                silent=True,
+                changed_at=now,
             )
+        if now - self.forgotten_at > FORGET_INTERVAL_S:
+            self._forget_old(now)
         self.report = msgspec.structs.replace(report, searchers=(), silent=())
         self.updated_at = now
 
+    def _forget_old(self, now):
+        """Forgets what the replica itself has forgotten, as it does not report that."""
+        self.forgotten_at = now
+        self.searchers = {
+            searcher_id: entry
+            for searcher_id, entry in self.searchers.items()
+            if not entry.is_gone or now - entry.changed_at < GONE_RETENTION_S
+        }
+
     def report_since(
         self, *, process: str, cursor: int, now: float
     ) -> serving.SourceReport | None:
