Free the body of a reply when its exchange ends

A host that calls searchers which send bodies without end used more than four times the memory that its machine has.

Cause: the limit for all replies held, but a closed connection, its stream and the coroutine that reads refer to each other, so that up to 16 MiB of body stay until the garbage collector runs, which counts objects and not bytes.

Fix: the reader drops the body when its exchange ends.

--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -82,6 +82,35 @@
     Then the caller gets 502
     And the host has held at most 48 MiB of replies
 
+  Scenario: The memory of replies without end is free as soon as they have ended
+    # Guards against a host that runs out of memory before the garbage collector finds
+    # what it has closed.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And the searcher "s-1" sends a body without end
+    When 8 callers send GET "/read/x", and no garbage is collected
+    Then none of them gets an answer
+    And the process holds at most 24 MiB more than before
+
+  Scenario Outline: A <client> reads at most one reply of <kind>
+    # Guards against a client of its own that keeps bytes without end.
+    Given a routed tier with a searcher "s-1" of "cards"
+    And the searcher "s-1" sends <kind>
+    When a <client> is sent to "s-1"
+    Then it ends without a reply
+    And it has read at most 24 MiB a reply from "s-1"
+    And the host holds no memory for replies
+
+    Examples:
+      | client         | kind                     |
+      | health check   | a line without end       |
+      | health check   | a head without end       |
+      | health check   | a body without end       |
+      | health check   | chunks without end       |
+      | passed request | a line without end       |
+      | passed request | a head without end       |
+      | passed request | a body without end       |
+      | passed request | chunks without end       |
+
   Scenario: A reply without a length is complete when its connection closes cleanly
     # Guards against the rejection of replies that are delimited by the connection.
     Given a routed tier with a searcher "s-1" of "cards"
--- a/src/plantainstage/_gateway/connection.py
+++ b/src/plantainstage/_gateway/connection.py
@@ -44,7 +44,11 @@
         super().data_received(chunk)
 
     def release_memory(self):
-        """Returns the memory of the reply; called once the exchange has ended."""
+        """Returns the memory of the reply; called once the exchange has ended.
+
+        The reader may be referred to until the next garbage collection.
+        """
+        self.chunks = []
         self.memory.release(self.taken_bytes)
         self.taken_bytes = 0
 
