Limit the bodies that control receives, by kind and all together

Callers that send bodies without end let a control replica use more memory than its machine has, and end.

Cause: up to 16 MiB were buffered for each connection, for announcements too.

Fix: bodies are limited by kind, all of a kind together, and in time.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -155,6 +155,21 @@
       | deep nesting              |
       | an id of 60000 letters    |
 
+  Scenario Outline: Bodies without end to <path> do not fill the memory of a replica
+    # Guards against a replica that ends, or that nobody else can use, since callers
+    # send bodies without end.
+    Given a control group of 1 replicas for routed requests
+    When 12 callers send bodies without end to <path>
+    Then each of their connections is closed after at most 24 MiB
+    And the replica has held at most 40 MiB of bodies and holds none
+    And configuration 9 is acknowledged, and a searcher can announce itself
+
+    Examples:
+      | path                        |
+      | /v1/configuration           |
+      | /v1/searchers/s/announcement |
+      | /v1/searchers/s/departure   |
+
   Scenario: Searchers that stay silent are forgotten, and sooner in a full register
     # Guards against a replica whose memory and replies grow with each new id that
     # another writer announces once.
--- a/features/steps/connection_share_steps.py
+++ b/features/steps/connection_share_steps.py
@@ -9,9 +9,9 @@
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.header_names import HeaderNames
 from plantainstage._gateway.pool import SearcherPool
-from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._serving.connection_shares import HostCounts
 from plantainstage._serving.searchers import Searcher
+from plantainstage._transport.buffer_memory import BufferMemory
 
 SERVICE = "shard-1"
 
@@ -94,7 +94,7 @@
 
 def pool_of(searcher):
     return SearcherPool(
-        address=searcher.address, names=HeaderNames(), memory=ReplyMemory()
+        address=searcher.address, names=HeaderNames(), memory=BufferMemory(limit=1024)
     )
 
 
--- a/features/steps/serving_decision_steps.py
+++ b/features/steps/serving_decision_steps.py
@@ -11,7 +11,6 @@
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.header_names import HeaderNames
 from plantainstage._gateway.pool import SearcherPool
-from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._serving import placement
 from plantainstage._serving.configuration import (
     OneOf,
@@ -27,6 +26,7 @@
 from plantainstage._serving.routes import RouteTable
 from plantainstage._serving.searchers import Searcher, SearcherState, newer
 from plantainstage._serving.splitting import WeightedRoundRobin
+from plantainstage._transport.buffer_memory import BufferMemory
 
 WINDOW_S = 10.0
 STEP_S = 0.02
@@ -358,7 +358,7 @@
 def new_pool(searcher):
     """Returns the connection pool for a searcher."""
     return SearcherPool(
-        address=searcher.address, names=HeaderNames(), memory=ReplyMemory()
+        address=searcher.address, names=HeaderNames(), memory=BufferMemory(limit=1024)
     )
 
 
--- a/src/plantainstage/_gateway/pool.py
+++ b/src/plantainstage/_gateway/pool.py
@@ -5,7 +5,7 @@
 from plantainstage._errors import ExchangeError
 from plantainstage._gateway.connection import SearcherConnection, SearcherReplyReader
 from plantainstage._gateway.messages import CallFailure, FailureKind
-from plantainstage._gateway.reply_memory import ReplyMemory
+from plantainstage._transport.buffer_memory import BufferMemory
 
 # Opening a connection takes 6 ms plus a round trip between regions.
 CONNECT_TIMEOUT_S = 0.3
@@ -16,12 +16,15 @@
 # How long a connection beyond those that are kept may be idle. Requests often come in
 # short succession, and a connection counts at its searcher until it is closed.
 EXTRA_IDLE_S = 0.8
+# Of all replies that a host is receiving. Together with the largest request that is
+# being received, a fraction of the memory of the smallest hosts.
+MAX_REPLY_BYTES = 32 * 1024 * 1024
 
 
 class SearcherPool:
     """Idle and busy connections to one start of a searcher, or to an entry host."""
 
-    def __init__(self, *, address: str, names, memory: ReplyMemory):
+    def __init__(self, *, address: str, names, memory: BufferMemory):
         self.address = address
         self.names = names
         self.memory = memory  # shared by all pools of a host
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -6,9 +6,8 @@
 from plantainstage._gateway.end_checks import EndChecks
 from plantainstage._gateway.fleet import Fleet
 from plantainstage._gateway.helpers import Helpers
-from plantainstage._gateway.pool import SearcherPool
+from plantainstage._gateway.pool import MAX_REPLY_BYTES, SearcherPool
 from plantainstage._gateway.reach_watch import ReachWatch
-from plantainstage._gateway.reply_memory import ReplyMemory
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.configuration import Service, ServingConfiguration
 from plantainstage._serving.connection_shares import HostCounts
@@ -18,6 +17,7 @@
 from plantainstage._serving.routes import RouteTable
 from plantainstage._serving.splitting import WeightedRoundRobin
 from plantainstage._serving.work_times import WorkTime
+from plantainstage._transport.buffer_memory import BufferMemory
 
 
 class Router:
@@ -40,7 +40,7 @@
         self.budget_limits = budget_limits
         self.events = events
         self.metrics = GatewayMetrics()
-        self.reply_memory = ReplyMemory()
+        self.reply_memory = BufferMemory(limit=MAX_REPLY_BYTES)
         make_pool = make_pool or self._make_pool
         self.fleet = Fleet(
             data_centre=data_centre,
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -24,6 +24,7 @@
 from plantainstage._registry.sync import SyncService
 from plantainstage._serving.searchers import Searcher
 from plantainstage._supervision import load_modules, run_supervised
+from plantainstage._transport.buffer_memory import BufferMemory
 from plantainstage._transport.listening import listen_on, listen_when_free
 from plantainstage._transport.rpc import RpcClient, RpcServer
 
@@ -32,6 +33,8 @@
 # The state that is restored after a restart may be this old, except for departures.
 SAVE_INTERVAL_S = 0.5
 SAVE_TIMEOUT_S = 0.3
+DOCUMENTS_BYTES = 32 * 1024 * 1024
+ANNOUNCEMENTS_BYTES = 8 * 1024 * 1024
 # Imported once the sync server has started. Their import takes most of the start time
 # on a small host, and entry hosts without a configuration wait only for the sync
 # server, which needs none of them.
@@ -42,6 +45,17 @@
 )
 
 
+class BodyMemory:
+    """Memory for the bodies that are being received from operators and searchers.
+
+    Bodies of one kind do not keep those of the other kind out.
+    """
+
+    def __init__(self):
+        self.documents = BufferMemory(limit=DOCUMENTS_BYTES)
+        self.others = BufferMemory(limit=ANNOUNCEMENTS_BYTES)
+
+
 @dataclass(frozen=True, kw_only=True)
 class RegistrySettings:
     """Settings of one control replica of routed requests.
@@ -87,6 +101,7 @@
         self.save_due = asyncio.Event()
         self.saved_cursor = 0
         self.saved_crashes = 0  # revision of the crash register
+        self.body_memory = BodyMemory()
         self.peer_clients = {}
         self.unheard_departures = set()  # ids of searchers; an answer is still due
         self.relay = PeerRelay(
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -15,10 +15,14 @@
     RegisterFullError,
 )
 from plantainstage._serving.configuration_ranges import check_number_ranges
+from plantainstage._transport.bounded_bodies import BodyLimit, BoundedBodies
 
 # Callers turn to another replica after one second without a reply.
 REPLY_TIMEOUT_S = 0.9
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+# Callers turn to another replica long before; a slow body must not hold memory.
+BODY_TIMEOUT_S = 10.0
 MAX_LOGGED_ID_CHARACTERS = 80
 JSON = "application/json"
 
@@ -184,4 +188,24 @@
         (paths.lift_quarantine, _LiftQuarantine, arguments),
     ]
     application = web.Application(routes, log_function=lambda handler: None)
-    return HTTPServer(application, max_body_size=MAX_DOCUMENT_BYTES)
+    bodies = _bounded_bodies(application, control)
+    return HTTPServer(
+        bodies, max_body_size=MAX_DOCUMENT_BYTES, body_timeout=BODY_TIMEOUT_S
+    )
+
+
+def _bounded_bodies(application, control):
+    memory = control.body_memory
+    documents = BodyLimit(longest_bytes=MAX_DOCUMENT_BYTES, memory=memory.documents)
+    others = BodyLimit(longest_bytes=MAX_ANNOUNCEMENT_BYTES, memory=memory.others)
+    put_path = control.format.put_configuration
+
+    def log_refusal(path):
+        name = path[:MAX_LOGGED_ID_CHARACTERS]
+        control.events.log_event("body_refused", path=name)
+
+    return BoundedBodies(
+        application=application,
+        limit_of=lambda path: documents if path == put_path else others,
+        on_refused=log_refusal,
+    )
--- a/src/plantainstage/_transport/buffer_memory.py
+++ b/src/plantainstage/_transport/buffer_memory.py
@@ -1,24 +1,25 @@
-"""Limits the memory for the replies that an entry host is receiving."""
+"""Limits the memory for what a program is receiving at the same time."""
 
-# Together with the largest request that is being received, a fraction of the memory
-# of the smallest hosts.
-MAX_REPLY_BYTES = 32 * 1024 * 1024
 
+class BufferMemory:
+    """The bytes of all messages that are being received; ``peak`` is their maximum.
 
-class ReplyMemory:
-    """The bytes of all replies that are being received; ``peak`` is their maximum.
+    A sender in trouble may send bytes without end. Each message is limited, but many of
+    them together could use up the memory of a small host. For example::
 
-    A searcher in trouble may send bytes without end. Each reply is limited, but many
-    of them together could use up the memory of a small host.
+        memory = BufferMemory(limit=1024)
+        memory.take(1000)      # True
+        memory.take(1000)      # False, and nothing was taken
+        memory.release(1000)
     """
 
-    def __init__(self, *, limit: int = MAX_REPLY_BYTES):
+    def __init__(self, *, limit: int):
         self.limit = limit
         self.used = 0
         self.peak = 0
 
     def take(self, count: int) -> bool:
-        """Adds bytes of a reply; false if they exceed the limit."""
+        """Adds bytes that have arrived; false if they exceed the limit."""
         if self.used + count > self.limit:
             return False
         self.used += count
@@ -26,5 +27,5 @@
         return True
 
     def release(self, count: int):
-        """Removes the bytes of a reply that has ended."""
+        """Removes the bytes of a message that is no longer held."""
         self.used -= count
