--- a/src/plantainstage/_programs/registry.py
+++ b/src/plantainstage/_programs/registry.py
@@ -48,6 +48,19 @@
     show_default=True,
     help="Interval of the searchers' announcements, in seconds (0.05 to 60).",
 )
+@click.option(
+    "--losses",
+    default="1",
+    show_default=True,
+    help="Replicas that may be lost at a time, with their folders (1 to 8).",
+)
+@click.option(
+    "--catch-up",
+    default="12",
+    show_default=True,
+    help="Time that a replica has after its start before the next one may be lost, in "
+    "seconds (1 to 600).",
+)
 def main(**options):
     """Store the configuration and accept announcements of searchers.
 
--- a/src/plantainstage/_settings/serving.py
+++ b/src/plantainstage/_settings/serving.py
@@ -2,6 +2,7 @@
 
 from plantainstage._gateway.daemon import GatewaySettings
 from plantainstage._registry.daemon import RegistrySettings
+from plantainstage._registry.group_limits import GroupLimits
 from plantainstage._registry.peers import Peer
 from plantainstage._serving.retry_budget import RetryBudgetLimits
 from plantainstage._settings.base import SettingsCheck
@@ -87,6 +88,8 @@
     seed,
     found,
     heartbeat,
+    losses,
+    catch_up,
 ) -> RegistrySettings:
     """Checks all flags; raises SettingsError with every error."""
     check = SettingsCheck()
@@ -107,6 +110,12 @@
     heartbeat_s = check.number(
         flag="--heartbeat", value=heartbeat, low=0.05, high=60.0, unit="s"
     )
+    loss_count = check.number(
+        flag="--losses", value=losses, low=1, high=8, unit="replicas"
+    )
+    catch_up_s = check.number(
+        flag="--catch-up", value=catch_up, low=1.0, high=600.0, unit="s"
+    )
     check.raise_errors()
     seeds = tuple(map(peer_from_address, seed))
     return RegistrySettings(
@@ -118,5 +127,6 @@
         sync_address_of=sync_address_of,
         founders=seeds if found else (),
         heartbeat_s=heartbeat_s,
+        limits=GroupLimits(losses=round(loss_count), catch_up_s=catch_up_s),
         metrics_listen=metrics_listen,
     )
