Keep a cancellation that arrives while a socket closes

Cause: pynng drops the cancellation of a task whose socket closes at the same moment and raises its own error, and the close of the context raised another one. The relay to the other replicas takes such errors and asks again, so its task never ended, and neither did asyncio.run.

Fix: a call raises CancelledError if its task was cancelled, whatever pynng raised, and an error of closing the context does not replace it.

--- a/features/behaviour/control_calls.feature
+++ b/features/behaviour/control_calls.feature
@@ -18,6 +18,18 @@
     When the first is called with an attempt timeout as long as the timeout of the call
     Then the reply is from the second one
 
+  Scenario Outline: A task that is cancelled while its socket closes ends, <order>
+    # Guards against a process that never ends after a planned stop, since a task that
+    # goes on after errors has lost its cancellation.
+    Given a task that calls a server which never replies, again after each error
+    When it is cancelled and its socket is closed at the same moment, <order>
+    Then the task ends
+
+    Examples:
+      | order              |
+      | the socket first   |
+      | the task first     |
+
   Scenario: A handler that fails on a request does not end the server
     # Guards against a server that loses a worker with each unexpected error and in the
     # end replies to nobody, and against a failed request that is taken as not executed.
--- a/features/steps/malformed_message_steps.py
+++ b/features/steps/malformed_message_steps.py
@@ -1,6 +1,7 @@
 """Steps for malformed messages between processes, and for handlers that fail."""
 
 import asyncio
+import contextlib
 import random
 
 import msgspec
@@ -10,7 +11,7 @@
 from plantainstage._control.peer_links import PeerLinks
 from plantainstage._messages import serving
 from plantainstage._messages.agreement import Envelope, MemberId, TimeoutNow
-from plantainstage._transport.rpc import RpcServer, nng_url
+from plantainstage._transport.rpc import RpcClient, RpcServer, nng_url
 from plantainstage.messages import control
 from support.processes import free_address
 
@@ -112,6 +113,61 @@
     assert context.replies[-1] == serving.SyncReply(version=GOOD_VERSION)
 
 
+# ---- Cancelled calls ------------------------------------------------------------------
+
+
+async def call_again_and_again(client):
+    while True:
+        with contextlib.suppress(TimeoutError, pynng.NNGException):
+            await client.call(serving.SyncRequest(host_id="h"), timeout_s=LIMIT_S)
+        await asyncio.sleep(0)
+
+
+async def cancel_while_closing(order):
+    """Returns whether the task ends after it was cancelled."""
+    called = asyncio.Event()
+
+    async def never_reply(request):
+        called.set()
+        await asyncio.Event().wait()
+
+    server = RpcServer(
+        address=free_address(),
+        handler=never_reply,
+        request_decoder=serving.REQUEST_DECODER,
+    )
+    server.start()
+    client = RpcClient(address=server.address, reply_decoder=serving.REPLY_DECODER)
+    task = asyncio.create_task(call_again_and_again(client))
+    await called.wait()
+    endings = [client.close, task.cancel]
+    for end in endings if order == "the socket first" else reversed(endings):
+        end()
+    done, _ = await asyncio.wait([task], timeout=LIMIT_S)
+    if not done:
+        # Cancelled while it does not wait for the socket.
+        client.call = asyncio.Event().wait
+        task.cancel()
+    client.close()
+    await server.stop()
+    return bool(done)
+
+
+@given("a task that calls a server which never replies, again after each error")
+def step_calling_task(context):
+    context.ended = None
+
+
+@when("it is cancelled and its socket is closed at the same moment, {order}")
+def step_cancel_while_closing(context, order):
+    context.ended = asyncio.run(cancel_while_closing(order))
+
+
+@then("the task ends")
+def step_task_ends(context):
+    assert context.ended
+
+
 # ---- Links between replicas -----------------------------------------------------------
 
 
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -156,6 +156,16 @@
             logger.exception("request handler failed", request=kind[0])
 
 
+def _raise_if_cancelled():
+    """Raises CancelledError if pynng has dropped a cancellation of this task.
+
+    It does so if the cancellation arrives together with a result, or with the error of
+    a socket that closes. A caller that goes on after errors would never end.
+    """
+    if asyncio.current_task().cancelling():
+        raise asyncio.CancelledError
+
+
 class RpcClient:
     """Calls the server at one address; several calls may be pending at once.
 
@@ -241,14 +251,16 @@
                 await context.asend(_encoder.encode(request))
             async with asyncio.timeout_at(limit):
                 data = await context.arecv()
-            if asyncio.current_task().cancelling():
-                raise asyncio.CancelledError
-        except TimeoutError:
-            if self.socket is socket:
+            _raise_if_cancelled()
+        except (TimeoutError, pynng.NNGException) as error:
+            if isinstance(error, TimeoutError) and self.socket is socket:
                 self.close()
+            _raise_if_cancelled()
             raise
         finally:
-            context.close()
+            # Closed with its socket already; the error would hide a cancellation.
+            with contextlib.suppress(pynng.Closed):
+                context.close()
         return decode_bytes(self.reply_decoder, data)
 
 
