Promote no learner while a voter may be lost

A control group has no majority if a voter is lost and its successor is lost again right after it was promoted.

Cause: the successor could be promoted while the lost voter was silent, but not yet for as long as it takes to count as lost. Four voters need three.

Fix: a learner waits until such a voter is heard again, or is lost and removed. The voter was removed after the same time before.

Evidence: the simulation of the self-repair now also loses a replica as soon as it votes.

--- a/features/support/simulation_losses.py
+++ b/features/support/simulation_losses.py
@@ -27,6 +27,8 @@
         self.remaining = 0  # losses of the current series
         self.running = False
         self.leaving = None  # replica that stops as planned
+        self.watched = None  # replica that is lost again once it is a voter
+        self.lose_watched = None
 
     @property
     def random(self):
@@ -36,6 +38,8 @@
         """Starts a series now and then; a replica that stops asks to leave."""
         if self.leaving is not None:
             self.repair.ask_to_leave(self.leaving)
+        if self.watched is not None and self._is_voter(self.watched):
+            self._end_watch()
         idle = not self.running and self.simulation.faults and not self.repair.repairs
         if idle and self.random.random() < START_CHANCE:
             self._start()
@@ -66,6 +70,30 @@
         self.simulation.counts["series: " + kind.__name__.strip("_")] += 1
         kind(self.random.choice(victims))
 
+    def _is_voter(self, replica):
+        leader = self.repair.leader()
+        return leader is not None and replica.member_id in leader.core.state.voters()
+
+    def _lose_again_later(self, replica, lose):
+        """Loses a folder at a random moment, or as soon as its replica is a voter."""
+        self.simulation.counts["series: lost again"] += 1
+        if self.random.random() < 0.5:
+            delay = self.random.uniform(0, SECOND_LOSS_S)
+            self.simulation.call_later(delay, lose)
+            return
+        self.watched, self.lose_watched = replica, lose
+        self.simulation.call_later(2 * SECOND_LOSS_S, lambda: self._give_up(lose))
+
+    def _give_up(self, lose):
+        """Loses a folder whose replica has not become a voter."""
+        if self.lose_watched is lose:
+            self._end_watch()
+
+    def _end_watch(self):
+        lose = self.lose_watched
+        self.watched = self.lose_watched = None
+        lose()
+
     def _sound_voters(self):
         leader = self.repair.leader()
         if leader is None:
@@ -92,8 +120,9 @@
         self.repair.replace(replica, old)
         self.repair.check_sound_majority()
 
-    def _back(self, replica, losses_again):
-        self.simulation.start(replica)
+    def _back(self, replica, losses_again, *, started=False):
+        if not started:
+            self.simulation.start(replica)
         if not losses_again:
             self._continue_after(CATCH_UP_S)
             return
@@ -104,8 +133,7 @@
                 RESTART_S, lambda: self._back(replica, losses_again - 1)
             )
 
-        self.simulation.counts["series: lost again"] += 1
-        self.simulation.call_later(self.random.uniform(0, SECOND_LOSS_S), lose_again)
+        self._lose_again_later(replica, lose_again)
 
     # ---- Whole machines -------------------------------------------------------------
 
@@ -133,7 +161,7 @@
         def start():
             self._start_successor(successor)
             self.repair.replace(successor, gone)
-            self._continue_after(CATCH_UP_S)
+            self._back(successor, self.random.choice([0, 1]), started=True)
 
         delay = self.random.uniform(RESTART_S, SUCCESSOR_DELAY_S)
         self.simulation.call_later(delay, start)
--- a/src/plantainstage/_registry/group.py
+++ b/src/plantainstage/_registry/group.py
@@ -63,6 +63,11 @@
         """Whether a member has been silent for too long."""
         return not status.leader and status.last_heard_ms > self.limits.lost_after_ms
 
+    def is_in_doubt(self, status: ReplicaStatus) -> bool:
+        """Whether a member was silent for a while, but does not count as lost yet."""
+        silent = not status.leader and status.last_heard_ms > HEARD_MS
+        return silent and not self.is_lost(status)
+
     def is_caught_up(self, status: ReplicaStatus) -> bool:
         """Whether a learner runs and has all that is committed."""
         heard = 0 <= status.last_heard_ms < HEARD_MS
@@ -120,6 +125,10 @@
     promotions = list(_promotions(view))
     if len(view.voters) < view.limits.min_voters:
         return [*promotions, *removals]
+    if any(map(view.is_in_doubt, view.voters)):
+        # A learner takes the place of such a voter, or is promoted if that is back. If
+        # the voter stayed as well, a second loss would leave no majority.
+        return removals
     return [*removals, *promotions]
 
 
--- a/tools/self_repair_mutations.py
+++ b/tools/self_repair_mutations.py
@@ -68,4 +68,11 @@
         new="return self.catch_up_s * 1000 * 2",
         self_repair=True,
     ),
+    Mutation(
+        name="a learner is promoted while a voter may be lost",
+        file=GROUP,
+        old="    if any(map(view.is_in_doubt, view.voters)):",
+        new="    if False:",
+        self_repair=True,
+    ),
 )
