Leave a silent voter in the group longer if nobody takes its place

In a group that is larger than it has to be, a voter that was silent for half of the time to catch up was removed, and had to join again when it returned, though no learner waited for its place.

--- a/src/plantainstage/_registry/group.py
+++ b/src/plantainstage/_registry/group.py
@@ -173,11 +173,16 @@
 
 
 def _removals_of_lost(view):
-    """Yields a lost voter of a group that is larger than it has to be."""
+    """Yields a lost voter of a group that is larger than it has to be.
+
+    Without a learner that is ready for its place there is no hurry, and a voter that
+    returns would have to join again.
+    """
     lost = view.lost_voters
     live = len(view.voters) - len(lost)
-    if lost and live >= view.limits.min_voters:
-        yield _step(MemberAction.REMOVE, lost[0])
+    gone = [s for s in lost if s.last_heard_ms > view.limits.gone_after_ms]
+    if gone and live >= view.limits.min_voters:
+        yield _step(MemberAction.REMOVE, gone[0])
 
 
 def _step(action, status):
--- a/src/plantainstage/_registry/group_limits.py
+++ b/src/plantainstage/_registry/group_limits.py
@@ -29,3 +29,8 @@
         Leaves the other half of the time to put a successor in its place.
         """
         return self.catch_up_s * 1000 / 2
+
+    @property
+    def gone_after_ms(self) -> float:
+        """The silence after which a lost voter is removed without a successor."""
+        return self.catch_up_s * 1000
--- a/tools/self_repair_mutations.py
+++ b/tools/self_repair_mutations.py
@@ -15,8 +15,8 @@
     Mutation(
         name="the group shrinks below its size",
         file=GROUP,
-        old="if lost and live >= view.limits.min_voters:",
-        new="if lost:",
+        old="if gone and live >= view.limits.min_voters:",
+        new="if gone:",
         self_repair=True,
     ),
     Mutation(
