Correct the comment on a notice that a peer has not taken

It said that the notice matters only after the loss of the replica. Since the acknowledgement of a departure depends on it, unless entry hosts poll this replica. No code has changed; lint and the five scenarios of features/failures/departures.feature pass.

--- a/src/plantainstage/_registry/announcements.py
+++ b/src/plantainstage/_registry/announcements.py
@@ -116,7 +116,7 @@
         try:
             await client.call(notice, timeout_s=NOTICE_TIMEOUT_S)
         except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
-            # Entry hosts poll this replica too: the notice matters only after its loss.
+            # Another peer may have taken it, or entry hosts poll this replica.
             reason = type(error).__name__
             self.events.log_event("notice_not_taken", replica=address, reason=reason)
             return False
