--- /dev/null
+++ b/review/stand_ins2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: platform, operator, searchers and clients."""
