--- a/review/stand_ins2/cuts.py
+++ b/review/stand_ins2/cuts.py
@@ -7,22 +7,28 @@
 import os
 
 
-def _inode_of(ip, port):
-    """Returns the inode of the socket with this local address, or an empty string."""
+def _packed(address):
+    """Returns an address as the kernel's table writes it."""
+    ip, port = address
     packed = "".join(f"{int(part):02X}" for part in reversed(ip.split(".")))
-    wanted = f"{packed}:{port:04X}"
+    return f"{packed}:{port:04X}"
+
+
+def _inode_of(local, remote):
+    """Returns the inode of the socket between two addresses, or an empty string."""
+    wanted = [_packed(local), _packed(remote)]
     with open("/proc/net/tcp", encoding="ascii") as table:
         next(table)
         for line in table:
             fields = line.split()
-            if fields[1] == wanted:
+            if fields[1:3] == wanted:
                 return fields[9]
     return ""
 
 
-def opened_by(peer, machine) -> bool:
-    """Whether the process of ``machine`` opened the connection from ``peer``."""
-    inode = _inode_of(peer[0], peer[1])
+def opened_by(peer, own, machine) -> bool:
+    """Whether ``machine`` opened the connection from ``peer`` to ``own``."""
+    inode = _inode_of(peer, own)
     if inode in ("", "0"):
         return False
     folder = f"/proc/{machine.process.pid}/fd"
--- a/review/stand_ins2/searchers.py
+++ b/review/stand_ins2/searchers.py
@@ -31,8 +31,8 @@
     """One searcher: it serves requests and sends heartbeats until it is stopped.
 
     ``answer(run)`` returns the body of its answers. ``controls`` are the addresses of
-    the machines that serve control. ``is_cut_off(peer)`` tells of a new connection that
-    a cut resets it.
+    the machines that serve control. ``is_cut_off(peer, own)`` tells of a
+    connection between two addresses that a cut resets it.
     """
 
     numbers = itertools.count(1)
@@ -62,7 +62,7 @@
         self.searcher_id = searcher_id or f"i-{secrets.token_hex(4)}"
         self.answer = answer or (lambda run: b"the server's bytes")
         self.runs = record if record is not None else []
-        self.is_cut_off = is_cut_off or (lambda peer: False)
+        self.is_cut_off = is_cut_off or (lambda peer, own: False)
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.seq = 0
@@ -99,9 +99,13 @@
     def reset_cut_off(self):
         """Resets the connections of machines from which it is cut off."""
         for writer in list(self.writers):
-            if self.is_cut_off(writer.get_extra_info("peername")):
+            if self._is_cut(writer):
                 writer.transport.abort()
 
+    def _is_cut(self, writer):
+        names = ("peername", "sockname")
+        return self.is_cut_off(*(writer.get_extra_info(name) for name in names))
+
     # ---- Heartbeats ---------------------------------------------------------------
 
     async def _beat(self):
@@ -136,7 +140,7 @@
     # ---- Requests -----------------------------------------------------------------
 
     async def _serve(self, reader, writer):
-        if self.is_cut_off(writer.get_extra_info("peername")):
+        if self._is_cut(writer):
             writer.transport.abort()
             return
         task = asyncio.current_task()
