--- a/review/stand_ins2/case.py
+++ b/review/stand_ins2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 import traceback
@@ -27,6 +28,13 @@
         self.file.flush()
 
 
+async def _run(case, limit_s):
+    """Runs the case; SIGTERM cancels it, so that it ends what it has started."""
+    task = asyncio.ensure_future(case)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, limit_s)
+
+
 def run_case(main, *, folder, limit_s=115.0):
     """Runs ``main(record, trouble)`` and exits with 0 if it returns whether it held.
 
@@ -36,8 +44,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if trouble else 'no'}")
     try:
-        held = asyncio.run(asyncio.wait_for(main(record, trouble), limit_s))
-    except (CannotRun, TimeoutError, OSError) as error:
+        held = asyncio.run(_run(main(record, trouble), limit_s))
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
     except Exception:
--- a/review/stand_ins2/deployment.py
+++ b/review/stand_ins2/deployment.py
@@ -9,14 +9,15 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-FRONT_PORT, READY_PORT, CONTROL_PORT = 18226, 18227, 18224
-INTERNAL_PORTS = (17740, 17755)
+PORTS = 20  # in a row, below those that the kernel gives to outgoing connections
+FIRST_PORTS = range(20_000, 30_000, PORTS)
 PROGRAMS = {"front": "platform/front.py", "core": "platform/core.py"}
 # As the deployment etain-search has them.
 BOUNDS = {
@@ -42,6 +43,29 @@
     """The case could not be set up, which says nothing of the rule."""
 
 
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("0.0.0.0", port))
+        except OSError:
+            return False
+    return True
+
+
+def _first_free_port():
+    """Returns the first of ``PORTS`` ports that are free on all addresses."""
+    choices = random.SystemRandom().sample(FIRST_PORTS, len(FIRST_PORTS))
+    for first in choices:
+        if all(map(_is_free, range(first, first + PORTS))):
+            return first
+    raise CannotRun("no free ports")
+
+
+FRONT_PORT = _first_free_port()
+READY_PORT, CONTROL_PORT = FRONT_PORT + 1, FRONT_PORT + 2
+INTERNAL_PORTS = (FRONT_PORT + 3, FRONT_PORT + 18)
+
+
 class Machine:
     """One machine with one program; it can be started again after its end."""
 
