--- a/review/stand_ins2/deployment.py
+++ b/review/stand_ins2/deployment.py
@@ -46,14 +46,14 @@
 def _is_free(port):
     with socket.socket() as probe:
         try:
-            probe.bind(("0.0.0.0", port))
+            probe.bind(("127.0.0.1", port))
         except OSError:
             return False
     return True
 
 
 def _first_free_port():
-    """Returns the first of ``PORTS`` ports that are free on all addresses."""
+    """Returns the first of ``PORTS`` ports in a row that are free on loopback."""
     choices = random.SystemRandom().sample(FIRST_PORTS, len(FIRST_PORTS))
     for first in choices:
         if all(map(_is_free, range(first, first + PORTS))):
