Let a replica without a membership have its start recorded by any sender

Cause: a process with an empty folder learnt whom to ask for a record of its start from a SnapshotChunk alone. The leader sends one on request, and drops the request of a process whose start it has not recorded if it has recorded an earlier one.

Change: while it knows no members, a process asks any sender to record its start; the reply names the members. That members drop all else of a process which is not the recorded one stays: an acknowledgement from before a rollback must not count.

--- /dev/null
+++ b/features/behaviour/joining.feature
@@ -0,0 +1,24 @@
+Feature: A replica with an empty folder becomes a member whatever disturbs its start
+
+  Scenario: A folder that a stop left without members joins at its next start
+    # Guards against a start that nobody can record: the members know an earlier start of
+    # the folder, and the folder does not know whom to ask. A leader of an earlier release
+    # ignores its requests for a snapshot.
+    Given the cores A, B and C of which A leads
+    When D is added whose earlier start all members have recorded
+    And its requests for a snapshot are lost until its start is recorded
+    Then D has joined with the membership of A
+
+  Scenario: A leader offers a snapshot to a start that is not recorded
+    # Guards against a replica of an earlier release that never joins, since it learns
+    # from a snapshot only which members have to record its start.
+    Given the cores A, B and C of which A leads
+    When D is added whose earlier start all members have recorded
+    And only its requests for a snapshot arrive
+    Then A sends D a snapshot and has noted no reply of D
+
+  Scenario: A late request for a snapshot changes nothing for a member that has the log
+    # Guards against replies from before a rollback that count for the process after it.
+    Given the cores A, B and C of which A leads
+    When A gets a request for a snapshot of another process of B
+    Then A sends B no snapshot and has noted no reply of B
--- a/features/randomised/agreement.feature
+++ b/features/randomised/agreement.feature
@@ -29,3 +29,19 @@
       | 202  | 20000 |
       | 203  | 20000 |
       | 204  | 20000 |
+
+  Scenario Outline: A replica that is disturbed while it joins becomes a voter once it is left alone
+    # Guards against a step between an empty folder and a voter at which a stop, a freeze
+    # or a change of leader keeps the replica out for good, so that the next loss leaves
+    # no majority.
+    Given a simulated group whose joining replicas are disturbed, with seed <seed>
+    When it runs <steps> steps with faults
+    Then every check held and the group makes progress after the faults
+
+    Examples:
+      | seed | steps |
+      | 301  | 40000 |
+      | 308  | 40000 |
+      | 312  | 40000 |
+      | 313  | 40000 |
+      | 320  | 40000 |
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -5,7 +5,7 @@
 from plantainstage._agreement.log import Log
 from plantainstage._messages.agreement import Entry, EntryKind
 from support.agreement_simulation import AgreementSimulation
-from support.simulation_self_repair import SelfRepair
+from support.simulation_self_repair import DisturbedJoins, SelfRepair
 
 
 @given("a simulated group of control replicas with seed {seed:d}")
@@ -18,6 +18,11 @@
     context.simulation = AgreementSimulation(seed=seed, operator_class=SelfRepair)
 
 
+@given("a simulated group whose joining replicas are disturbed, with seed {seed:d}")
+def simulate_disturbed_joins(context, seed):
+    context.simulation = AgreementSimulation(seed=seed, operator_class=DisturbedJoins)
+
+
 @when("it runs {steps:d} steps with faults")
 def run_simulation(context, steps):
     context.simulation.run(steps)
--- /dev/null
+++ b/features/steps/joining_steps.py
@@ -0,0 +1,135 @@
+"""Steps for the start of a replica that joins with an empty folder."""
+
+from behave import then, when
+
+from plantainstage._messages import agreement as messages
+from plantainstage._messages.control import MemberAction
+from support.core_group import make_member_id
+
+ROUND_S = 0.05
+ROUNDS = 60
+BOOTS = (messages.BootRequest, messages.BootReply)
+
+
+def change_members(context, action, name, *, without=()):
+    group = context.group
+    member = messages.Member(member_id=make_member_id(name))
+    group.cores["A"].change_member(MemberAction(action), member, now=group.now)
+    group.run_actions("A")
+    run(group, without=without)
+
+
+def run(group, *, rounds=ROUNDS, without=()):
+    """Advances the group; drops messages from or to ``without``."""
+    for _ in range(rounds):
+        group.advance(ROUND_S)
+        group.deliver_all(without=without)
+
+
+def record_of(name, *, boot):
+    return messages.PeerRecord(
+        member_id=make_member_id(name), boot=boot, boot_nonce=f"{name}-{boot}"
+    )
+
+
+@when("D is added whose earlier start all members have recorded")
+def add_learner_with_record(context):
+    group = context.group
+    for name in "ABC":
+        group.state(name).peers[make_member_id("D")] = record_of("D", boot=1)
+    change_members(context, "add_learner", "D")
+    group.take()
+    group.add("D", boot=2)
+
+
+@then("D has joined with the membership of {leader:w}")
+def check_joined(context, leader):
+    group = context.group
+    run(group)
+    state = group.state("D")
+    assert state.joined
+    assert state.membership == group.state(leader).membership
+    progress = group.state(leader).progress[make_member_id("D")]
+    assert progress.match_index == group.state(leader).log.last.index
+
+
+@when("its requests for a snapshot are lost until its start is recorded")
+def lose_requests(context):
+    group = context.group
+    for _ in range(ROUNDS):
+        group.advance(ROUND_S)
+        while queued := group.take():
+            group.deliver(
+                item
+                for item in queued
+                if item.sender != "D"
+                or not isinstance(item.message, messages.AppendReply)
+            )
+    assert group.state("D").joined
+
+
+@when("only its requests for a snapshot arrive")
+def deliver_requests_alone(context):
+    group = context.group
+    group.advance(0.1, ["A"])
+    context.asked = make_member_id("D")
+    context.heard_at = group.state("A").progress[context.asked].heard_at
+    group.deliver(group.take(messages.AppendRequest, receiver="D"))
+    requests = group.take(messages.AppendReply, sender="D")
+    assert [item.message.needs_snapshot for item in requests] == [True]
+    group.take()
+    group.deliver(requests)
+
+
+@when("A gets a request for a snapshot of another process of B")
+def late_request(context):
+    group = context.group
+    state = group.state("A")
+    context.asked = make_member_id("B")
+    context.heard_at = state.progress[context.asked].heard_at
+    group.take()
+    group.now += 0.01
+    request = messages.AppendReply(
+        term=state.term, accepted=False, index=0, round=9, needs_snapshot=True
+    )
+    group.cores["A"].receive(
+        sender=context.asked, process="B-0", message=request, now=group.now
+    )
+    group.run_actions("A")
+
+
+def check_nothing_noted(context):
+    progress = context.group.state("A").progress[context.asked]
+    assert progress.heard_at == context.heard_at
+    return progress
+
+
+@then("A sends D a snapshot and has noted no reply of D")
+def check_offered(context):
+    progress = check_nothing_noted(context)
+    assert (progress.match_index, progress.round) == (0, 0)
+    chunks = context.group.take(messages.SnapshotChunk, receiver="D")
+    assert [item.message.membership for item in chunks] == [
+        context.group.state("A").snapshot.membership
+    ]
+
+
+@then("A sends B no snapshot and has noted no reply of B")
+def check_not_offered(context):
+    progress = check_nothing_noted(context)
+    assert progress.snapshot_transfer is None
+    assert not context.group.take(messages.SnapshotChunk)
+
+
+def deliver_boots(group, *, asked, rounds):
+    """Advances; of the requests to record a start only those to ``asked`` arrive."""
+    for _ in range(rounds):
+        group.advance(ROUND_S)
+        while group.queue:
+            queued = group.take()
+            group.deliver(
+                item
+                for item in queued
+                if not isinstance(item.message, BOOTS)
+                or {item.sender, item.receiver} <= {*asked, "D"}
+            )
--- a/features/support/agreement_simulation.py
+++ b/features/support/agreement_simulation.py
@@ -24,7 +24,6 @@
 
 ADDRESSES = ("control-1", "control-2", "control-3", "control-4", "control-5")
 INITIAL_ADDRESSES = ADDRESSES[:3]
-CLIENT_INTERVAL_S = 0.01
 OPERATOR_INTERVAL_S = 0.1
 MAX_BATCH = 6
 RECOVERY_S = 60.0  # simulated time within which a group without faults must recover
@@ -82,6 +81,7 @@
             for address in ADDRESSES
         }
         self.operator = operator_class(simulation=self)
+        self.client_interval_s = operator_class.CLIENT_INTERVAL_S
         self.plan = FaultPlan(simulation=self)
         self.faults = faults
         self.fault_interval_s = self.random.choice(operator_class.FAULT_INTERVALS_S)
@@ -168,6 +168,7 @@
         """Schedules the next timer; hands a replica that has ended to the fault plan."""
         if replica.up:
             self.schedule_timer(replica)
+            self.operator.after_step(replica)
         else:
             self.counts["ended: " + (replica.stop_reason or "crash")] += 1
             self.plan.on_down(replica)
@@ -263,7 +264,8 @@
 
     def _send_client_request(self):
         self.call_later(
-            self.random.expovariate(1 / CLIENT_INTERVAL_S), self._send_client_request
+            self.random.expovariate(1 / self.client_interval_s),
+            self._send_client_request,
         )
         leaders = [
             replica
--- a/features/support/simulation_losses.py
+++ b/features/support/simulation_losses.py
@@ -3,10 +3,11 @@
 While a series runs there are no other faults, so that one machine is lost at a time:
 its folder, also again while it is taken back in, or the whole machine, planned or
 unplanned, with a successor at another address. A machine counts as lost until it, or
-its successor, has run for CATCH_UP_S.
+its successor, has run undisturbed for CATCH_UP_S; then it has to be a voter.
 """
 
 from plantainstage._errors import check_invariant
+from support.simulation_joining import JoinDisturbances
 
 CATCH_UP_S = 4.0
 SETTLING_S = 2 * CATCH_UP_S  # after the faults before a series
@@ -15,20 +16,29 @@
 SECOND_LOSS_S = 2.5  # longest time until a folder is lost again
 LEAVE_S = 1.5  # a machine that stops as planned asks for so long to leave
 LONGEST_SERIES = 4
+LONGEST_SERIES_OF_JOINS = 100
 START_CHANCE = 0.02  # at each round
 
 
 class LossSeries:
-    """Plays one series of losses after the other; ``repair`` is the SelfRepair."""
+    """Plays one series of losses after the other; ``repair`` is the SelfRepair.
 
-    def __init__(self, *, simulation, repair):
+    With ``only_joins`` all losses are of folders whose replicas are disturbed while
+    they join.
+    """
+
+    def __init__(self, *, simulation, repair, only_joins=False):
         self.simulation = simulation
         self.repair = repair
+        self.only_joins = only_joins
         self.remaining = 0  # losses of the current series
         self.running = False
         self.leaving = None  # replica that stops as planned
         self.watched = None  # replica that is lost again once it is a voter
         self.lose_watched = None
+        self.disturbances = JoinDisturbances(
+            simulation=simulation, leader=repair.leader
+        )
 
     @property
     def random(self):
@@ -48,6 +58,8 @@
         simulation = self.simulation
         self.running = True
         self.remaining = self.random.randrange(2, LONGEST_SERIES + 1)
+        if self.only_joins:
+            self.remaining = LONGEST_SERIES_OF_JOINS
         simulation.plan.end_all()
         simulation.network.loss = 0.02
         simulation.plan.faults_paused_until = float("inf")
@@ -65,7 +77,13 @@
             self._end()
             return
         self.remaining -= 1
-        kinds = [self._lose_folder, self._replace_planned, self._replace_unplanned]
+        kinds = [self._disturb_return]
+        if not self.only_joins:
+            kinds += [
+                self._lose_folder,
+                self._replace_planned,
+                self._replace_unplanned,
+            ]
         kind = self.random.choice(kinds)
         self.simulation.counts["series: " + kind.__name__.strip("_")] += 1
         kind(self.random.choice(victims))
@@ -112,6 +130,29 @@
         losses_again = self.random.choice([0, 0, 1, 2])
         self.simulation.call_later(RESTART_S, lambda: self._back(replica, losses_again))
 
+    def _disturb_return(self, replica):
+        """Loses a folder, and disturbs the replica while it joins again."""
+        self._take_folder(replica)
+
+        def back():
+            self.simulation.start(replica)
+            self.disturbances.start(replica, lambda: self._expect_voter(replica))
+
+        self.simulation.call_later(RESTART_S, back)
+
+    def _expect_voter(self, replica):
+        """Checks in time that a replica that is left alone has become a voter."""
+
+        def check():
+            check_invariant(
+                self._is_voter(replica),
+                invariant="a replica that is left alone becomes a voter in time",
+                detail=f"{replica.member_id} after {CATCH_UP_S} s",
+            )
+            self._continue_after(0.0)
+
+        self.simulation.call_later(CATCH_UP_S, check)
+
     def _take_folder(self, replica):
         old = replica.member_id
         if replica.up:
--- a/features/support/simulation_operator.py
+++ b/features/support/simulation_operator.py
@@ -23,6 +23,7 @@
     # Each run draws one: rare faults allow long logs and many snapshots, frequent
     # ones cause elections with diverging logs.
     FAULT_INTERVALS_S = (0.08, 0.15, 0.3, 0.6)
+    CLIENT_INTERVAL_S = 0.01  # mean time between requests of clients
 
     def __init__(self, *, simulation):
         self.simulation = simulation
@@ -48,6 +49,9 @@
         ]
         return max(leaders, key=lambda r: r.core.state.term, default=None)
 
+    def after_step(self, replica):
+        """Does nothing: an operator sees no single step of a replica."""
+
     def act(self):
         """Takes the next step of the first task, or perhaps adds a new task."""
         leader = self.leader()
--- a/features/support/simulation_self_repair.py
+++ b/features/support/simulation_self_repair.py
@@ -33,14 +33,18 @@
     # A repair takes seconds, so faults are rarer than with an operator: several
     # repairs must complete in one run.
     FAULT_INTERVALS_S = (0.15, 0.4, 1.0, 2.5)
+    CLIENT_INTERVAL_S = 0.01
+    ONLY_JOINS = False  # see LossSeries
 
     def __init__(self, *, simulation):
         self.simulation = simulation
         # address -> replica id -> Member that asked to join
         self.join_requests = defaultdict(dict)
-        self.leader_seen_at = defaultdict(float)  # address -> time
+        self.leader_seen_at = {}  # process -> time
         self.repairs = {}  # address of the new folder -> member ids that it replaces
-        self.series = LossSeries(simulation=simulation, repair=self)
+        self.series = LossSeries(
+            simulation=simulation, repair=self, only_joins=self.ONLY_JOINS
+        )
 
     # ---- Interface of the fault plan ------------------------------------------------
 
@@ -62,6 +66,10 @@
         leaders = [replica for replica in self._running() if replica.core.is_leader]
         return max(leaders, key=lambda r: r.core.state.term, default=None)
 
+    def after_step(self, replica):
+        """Disturbs a replica that joins at the step that it has reached."""
+        self.series.disturbances.after_step(replica)
+
     # ---- Rounds ---------------------------------------------------------------------
 
     def act(self):
@@ -174,13 +182,14 @@
     def _join_if_needed(self, replica):
         simulation = self.simulation
         state = replica.core.state
+        now = simulation.now
+        seen_at = self.leader_seen_at.setdefault(replica.process, now)
         if state.leader is not None:
-            self.leader_seen_at[replica.address] = simulation.now
-        members = {member.member_id for member in state.membership.members}
-        if not needs_to_join(
-            is_member=replica.member_id in members,
-            leaderless_s=simulation.now - self.leader_seen_at[replica.address],
-        ):
+            seen_at = self.leader_seen_at[replica.process] = now
+        is_member = replica.member_id in {
+            member.member_id for member in state.membership.members
+        }
+        if not needs_to_join(is_member=is_member, leaderless_s=now - seen_at):
             return
         known = {m.member_id.replica_id for m in state.membership.members}
         seeds = simulation.random.sample(list(simulation.replicas), SEEDS)
@@ -244,3 +253,14 @@
             if settled and members.get(new) and not replaced & members.keys():
                 del self.repairs[address]
                 self.simulation.counts["repairs completed"] += 1
+
+
+class DisturbedJoins(SelfRepair):
+    """A self-repair whose replicas lose their folders and are disturbed as they join.
+
+    Other faults are rare and requests few, so that a run has many joins.
+    """
+
+    FAULT_INTERVALS_S = (600.0,)
+    CLIENT_INTERVAL_S = 0.05
+    ONLY_JOINS = True
--- a/src/plantainstage/_agreement/boot.py
+++ b/src/plantainstage/_agreement/boot.py
@@ -81,9 +81,14 @@
 
 
 def request_record_if_unknown(state: CoreState, sender):
-    """Requests a boot record from a sender outside the known membership."""
+    """Requests a boot record from a sender outside the known membership.
+
+    A folder without a membership knows no members at all: an earlier process of it may
+    have stopped before it had one, and members that have recorded that process drop
+    everything else that this one sends. The reply names the members.
+    """
     known = {member.member_id for member in state.boot_members.members}
-    if known and sender not in known and sender not in state.boot_recorded_by:
+    if sender not in known and sender not in state.boot_recorded_by:
         _request_record(state, sender)
 
 
@@ -158,12 +163,22 @@
         state.boot_recorded_by.add(sender)
         state.boot_highest_term = max(state.boot_highest_term, reply.term)
         if not state.joined:
-            if reply.last > state.boot_members_position and reply.membership.members:
-                state.boot_members_position = reply.last
-                state.boot_members = reply.membership
+            _learn_members(state, reply)
             _join_if_recorded(state)
 
 
+def _learn_members(state, reply):
+    """Adopts the membership of a peer whose log is more advanced than those so far."""
+    if not reply.membership.members:
+        return
+    if not state.boot_members.members:
+        state.boot_members_position = reply.last
+        _begin_boot_requests(state, reply.membership)
+    elif reply.last > state.boot_members_position:
+        state.boot_members_position = reply.last
+        state.boot_members = reply.membership
+
+
 def merge_peer_records(state: CoreState, sender, records):
     """Merges the leader's records of the members into the local ones."""
     for record in records:
--- a/src/plantainstage/_agreement/core.py
+++ b/src/plantainstage/_agreement/core.py
@@ -146,7 +146,8 @@
             case messages.BootReply():
                 boot.on_boot_reply(state, sender, message)
             case _ if not boot.is_recorded_process(state, sender, process):
-                return
+                if state.joined:
+                    self._receive_unrecorded(state, sender, message)
             case _ if state.joined:
                 self._receive_joined(state, sender, message)
             case messages.AppendRequest() if not state.membership.members:
@@ -154,6 +155,12 @@
             case messages.SnapshotChunk() if not state.membership.members:
                 boot.on_offered_snapshot(state, message.membership)
 
+    def _receive_unrecorded(self, state, sender, message):
+        """Handles what a process may send before its start is recorded here."""
+        match message:
+            case messages.AppendReply(needs_snapshot=True):
+                replication.offer_snapshot(state, sender, message)
+
     def _receive_joined(self, state, sender, message):
         match message:
             case messages.AppendRequest():
--- a/src/plantainstage/_agreement/replication.py
+++ b/src/plantainstage/_agreement/replication.py
@@ -175,6 +175,20 @@
     send_entries(state, sender)
 
 
+def offer_snapshot(state: CoreState, sender, reply: AppendReply):
+    """Sends a snapshot to a process whose start is not recorded, and notes nothing.
+
+    The snapshot names the members that have to record the start. The request may also
+    be a late one of an earlier process, so it is no sign of the present one.
+    """
+    progress = state.progress.get(sender)
+    if state.role is not Role.LEADER or reply.term < state.term or progress is None:
+        return
+    if progress.match_index == 0 and progress.snapshot_transfer is None:
+        snapshots.start_snapshot_transfer(state, progress)
+        snapshots.send_chunk(state, sender, heartbeat=False)
+
+
 def on_snapshot_reply(state: CoreState, sender, reply: SnapshotReply):
     """Continues at the offset that the member has acknowledged."""
     if reply.term > state.term:
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -28,6 +28,7 @@
 BOOT = "_agreement/boot.py"
 LOG = "_agreement/log.py"
 CORE_SCENARIOS = "features/behaviour/agreement_core.feature"
+JOINING_SCENARIOS = "features/behaviour/joining.feature"
 STORAGE_SCENARIOS = "features/failures/replica_storage.feature"
 REPLICA_SCENARIOS = "features/failures/control_replicas.feature"
 
@@ -180,11 +181,38 @@
     Mutation(
         name="a starting replica asks only the members that it knows",
         file=BOOT,
-        old="    if known and sender not in known and sender not in "
-        "state.boot_recorded_by:",
+        old="    if sender not in known and sender not in state.boot_recorded_by:",
         new="    if False:",
         feature=CORE_SCENARIOS,
     ),
+    Mutation(
+        name="a folder without members asks no sender to record its boot",
+        file=BOOT,
+        old="    if sender not in known and sender not in state.boot_recorded_by:",
+        new="    if known and sender not in known:",
+        feature=JOINING_SCENARIOS,
+    ),
+    Mutation(
+        name="a request for a snapshot by an unrecorded process is ignored",
+        file="_agreement/core.py",
+        old="                replication.offer_snapshot(state, sender, message)\n",
+        new="                pass\n",
+        feature=JOINING_SCENARIOS,
+    ),
+    Mutation(
+        name="a request for a snapshot by an unrecorded process counts as a reply",
+        file="_agreement/core.py",
+        old="                replication.offer_snapshot(state, sender, message)\n",
+        new="                replication.on_append_reply(state, sender, message)\n",
+        feature=JOINING_SCENARIOS,
+    ),
+    Mutation(
+        name="a late request restarts a snapshot for a member that has the log",
+        file=REPLICATION,
+        old="    if progress.match_index == 0 and progress.snapshot_transfer",
+        new="    if progress.snapshot_transfer",
+        feature=JOINING_SCENARIOS,
+    ),
     Mutation(
         name="acknowledgements are compared by the last entry's term",
         file=BOOT,
--- a/tools/run_agreement.py
+++ b/tools/run_agreement.py
@@ -17,7 +17,7 @@
 
 from support.agreement_simulation import AgreementSimulation  # noqa: E402
 from support.simulation_operator import SimulatedOperator  # noqa: E402
-from support.simulation_self_repair import SelfRepair  # noqa: E402
+from support.simulation_self_repair import DisturbedJoins, SelfRepair  # noqa: E402
 
 
 @click.command()
@@ -33,12 +33,20 @@
     is_flag=True,
     help="Let the group change its members without an operator.",
 )
-def main(seed, steps, no_faults, self_repair):
+@click.option(
+    "--disturbed-joins",
+    is_flag=True,
+    help="As --self-repair, with replicas that are disturbed while they join.",
+)
+def main(seed, steps, no_faults, self_repair, disturbed_joins):
     """Run the simulation once."""
+    operator_class = SelfRepair if self_repair else SimulatedOperator
+    if disturbed_joins:
+        operator_class = DisturbedJoins
     simulation = AgreementSimulation(
         seed=seed,
         faults=not no_faults,
-        operator_class=SelfRepair if self_repair else SimulatedOperator,
+        operator_class=operator_class,
     )
     started = time.monotonic()
     try:
