Go on asking members until a start has a membership

Found by drawing the states of a start; shown by scenarios on single messages, not by real processes.

Causes: (1) A start that waits for a majority asked each member only until it had answered once, so it never learnt that the others had been replaced meanwhile.

Change: a process asks all members that it knows until it has joined, and those that have not recorded its start, and unknown senders, until it has a membership.

The messages are those of before.

--- a/features/behaviour/joining.feature
+++ b/features/behaviour/joining.feature
@@ -22,3 +22,23 @@
     Given the cores A, B and C of which A leads
     When A gets a request for a snapshot of another process of B
     Then A sends B no snapshot and has noted no reply of B
+
+  Scenario Outline: A start that is recorded joins under a leader that <leader>
+    # Guards against a replica that waits for a snapshot of a leader which ignores it.
+    Given the cores A, B and C of which A leads
+    When D is added whose earlier start all members have recorded
+    And D is recorded by A and B alone and C becomes the leader, which <known>
+    Then C records the start of D although no snapshot arrives
+    And D has joined with the membership of C
+
+    Examples:
+      | leader                  | known           |
+      | has not recorded it     | D knows         |
+      | was added after D asked | D does not know |
+
+  Scenario: A start that waits for members that were removed asks the present ones
+    # Guards against a replica that waits for good for a majority that no longer exists.
+    Given the cores A, B and C of which A leads
+    When D is added whose earlier start all members have recorded
+    And D is recorded by A alone before E and F take the places of B and C
+    Then D has joined with the membership of A
--- a/features/steps/joining_steps.py
+++ b/features/steps/joining_steps.py
@@ -133,3 +133,63 @@
                 if not isinstance(item.message, BOOTS)
                 or {item.sender, item.receiver} <= {*asked, "D"}
             )
+
+
+@when("D is recorded by A and B alone and C becomes the leader, which D knows")
+def change_leader_while_recorded(context):
+    group = context.group
+    deliver_boots(group, asked="AB")
+    state = group.state("D")
+    assert state.joined and not state.membership.members
+    group.state("C").peers[state.member_id] = record_of("D", boot=1)
+    group.elect("C", only=(messages.VoteRequest, messages.VoteReply))
+
+
+@when("D is recorded by A and B alone and C becomes the leader, which D does not know")
+def change_to_unknown_leader(context):
+    change_leader_while_recorded(context)
+    state = context.group.state("D")
+    known = [m for m in state.boot_members.members if m.member_id.replica_id != "C"]
+    state.boot_members = messages.Membership(members=tuple(known))
+
+
+def deliver_boots(group, *, asked):
+    """Lets D's start be recorded by ``asked`` alone; no snapshot arrives."""
+    for _ in range(ROUNDS):
+        group.advance(ROUND_S)
+        while queued := group.take():
+            group.deliver(item for item in queued if _arrives(item, asked))
+
+
+def _arrives(item, asked):
+    match item.message:
+        case messages.BootRequest() | messages.BootReply():
+            return {item.sender, item.receiver} <= {*asked, "D"}
+        case messages.SnapshotChunk():
+            return False
+    return True
+
+
+@then("C records the start of D although no snapshot arrives")
+def check_recorded(context):
+    group = context.group
+    deliver_boots(group, asked="ABC")
+    assert make_member_id("C") in group.state("D").boot_recorded_by
+    assert not group.state("D").membership.members
+
+
+@when("D is recorded by A alone before E and F take the places of B and C")
+def replace_other_members(context):
+    group = context.group
+    deliver_boots(group, asked="A")
+    start = group.state("D")
+    assert start.boot_recorded_by == {make_member_id("A")} and not start.joined
+    for new, old in (("E", "B"), ("F", "C")):
+        group.add(new)
+        change_members(context, "add_learner", new, without=("D",))
+        change_members(context, "promote", new, without=("D",))
+        change_members(context, "remove", old, without=("D",))
+        del group.cores[old]
+    for name in "EF":
+        # They ask D for nothing, so that D hears of them through A alone.
+        group.state(name).boot_recorded_by.add(start.member_id)
--- a/src/plantainstage/_agreement/boot.py
+++ b/src/plantainstage/_agreement/boot.py
@@ -58,25 +58,37 @@
 
 
 def _members_without_record(state):
-    membership = state.membership if state.joined else state.boot_members
-    members = membership.members
-    ids = {member.member_id for member in members}
+    has_membership = state.joined and state.membership.members
+    membership = state.membership if has_membership else state.boot_members
+    ids = {member.member_id for member in membership.members}
     return ids - state.boot_recorded_by - {state.member_id}
 
 
+def _members_to_ask(state):
+    """Returns the members that have to record this boot, or may know later members."""
+    if state.joined:
+        return _members_without_record(state)
+    ids = {member.member_id for member in state.boot_members.members}
+    return ids - {state.member_id}
+
+
 def needs_timer(state: CoreState):
     """Whether this boot still has to be recorded by some member."""
     return not state.joined or bool(_members_without_record(state))
 
 
 def on_timer(state: CoreState):
-    """Repeats the request to the members that have not recorded the boot yet."""
+    """Repeats the request to the members that have not recorded the boot yet.
+
+    Until the replica joins all are asked, since those that it waits for may have been
+    removed; a reply names the members that replaced them.
+    """
     if state.now < state.boot_retry_at:
         return
     state.boot_retry_at = state.now + state.timing.boot_retry_s
     if not state.joined:
         _join_if_recorded(state)
-    for member_id in sorted(_members_without_record(state)):
+    for member_id in sorted(_members_to_ask(state)):
         _request_record(state, member_id)
 
 
@@ -136,7 +148,9 @@
 
 def on_boot_reply(state: CoreState, sender, reply: BootReply):
     """Joins once enough peers have recorded the boot; stops if data was lost."""
-    if reply.boot_nonce != state.boot_nonce or sender in state.boot_recorded_by:
+    if reply.boot_nonce != state.boot_nonce:
+        return
+    if state.joined and sender in state.boot_recorded_by:
         return
     known = reply.known
     # A late reply may include what this process has acknowledged since it joined.
--- a/src/plantainstage/_agreement/core.py
+++ b/src/plantainstage/_agreement/core.py
@@ -138,7 +138,7 @@
         state = self._advance(now)
         if state.stopped:
             return
-        if not state.joined:
+        if not state.joined or not state.membership.members:
             boot.request_record_if_unknown(state, sender)
         match message:
             case messages.BootRequest():
--- a/tools/agreement_mutations.py
+++ b/tools/agreement_mutations.py
@@ -192,6 +192,27 @@
         new="    if known and sender not in known:",
         feature=JOINING_SCENARIOS,
     ),
+    Mutation(
+        name="a replica that has joined without a membership asks no members",
+        file=BOOT,
+        old="    has_membership = state.joined and state.membership.members\n",
+        new="    has_membership = state.joined\n",
+        feature=JOINING_SCENARIOS,
+    ),
+    Mutation(
+        name="a replica without a membership asks no leader that was added later",
+        file="_agreement/core.py",
+        old="        if not state.joined or not state.membership.members:\n",
+        new="        if not state.joined:\n",
+        feature=JOINING_SCENARIOS,
+    ),
+    Mutation(
+        name="a starting replica asks no member twice",
+        file=BOOT,
+        old="    return ids - {state.member_id}\n",
+        new="    return ids - {state.member_id} - state.boot_recorded_by\n",
+        feature=JOINING_SCENARIOS,
+    ),
     Mutation(
         name="a request for a snapshot by an unrecorded process is ignored",
         file="_agreement/core.py",
