Let a replica ask to join until its own log lists it as a voter

Shown by the simulation with disturbed joins, not by real processes.

Cause: a replica asked to join if its own log did not list it, or if it had known no leader for 3 s. A learner's log lists it, and a learner holds no elections, so it never forgets its last leader. Frozen for longer than a learner may be silent, it is removed; nobody contacts it any more and it does not ask.

Change: a replica asks until its own log lists it as a voter. A leader ignores the request of a learner that it has.

--- a/features/randomised/agreement.feature
+++ b/features/randomised/agreement.feature
@@ -42,6 +42,8 @@
       | seed | steps |
       | 301  | 40000 |
       | 308  | 40000 |
+      | 302  | 40000 |
+      | 303  | 40000 |
       | 312  | 40000 |
       | 313  | 40000 |
       | 320  | 40000 |
--- a/features/support/simulation_self_repair.py
+++ b/features/support/simulation_self_repair.py
@@ -186,10 +186,8 @@
         seen_at = self.leader_seen_at.setdefault(replica.process, now)
         if state.leader is not None:
             seen_at = self.leader_seen_at[replica.process] = now
-        is_member = replica.member_id in {
-            member.member_id for member in state.membership.members
-        }
-        if not needs_to_join(is_member=is_member, leaderless_s=now - seen_at):
+        is_voter = replica.member_id in state.voters()
+        if not needs_to_join(is_voter=is_voter, leaderless_s=now - seen_at):
             return
         known = {m.member_id.replica_id for m in state.membership.members}
         seeds = simulation.random.sample(list(simulation.replicas), SEEDS)
--- a/src/plantainstage/_registry/group.py
+++ b/src/plantainstage/_registry/group.py
@@ -97,13 +97,15 @@
     return is_voter and len(view.voters) > view.limits.min_voters
 
 
-def needs_to_join(*, is_member: bool, leaderless_s: float) -> bool:
+def needs_to_join(*, is_voter: bool, leaderless_s: float) -> bool:
     """Whether a replica should ask to join, as it may not be a member of the group.
 
-    ``is_member`` is whether its own log lists it, ``leaderless_s`` the time for which
-    it has known no leader.
+    ``is_voter`` is whether its own log lists it as a voter, ``leaderless_s`` the time
+    for which it has known no leader. A learner that was silent for a while may have
+    been removed. It holds no elections, so it would never miss its leader; the leader
+    ignores the request of a learner that it still has.
     """
-    return not is_member or leaderless_s > LEADERLESS_S
+    return not is_voter or leaderless_s > LEADERLESS_S
 
 
 def _removals_of_learners(view):
--- a/src/plantainstage/_registry/group_maintainer.py
+++ b/src/plantainstage/_registry/group_maintainer.py
@@ -71,7 +71,7 @@
         if core.state.leader is not None:
             self.leader_seen_at = now
         return needs_to_join(
-            is_member=self._is_member,
+            is_voter=self.replica.member_id in core.state.voters(),
             leaderless_s=now - self.leader_seen_at,
         )
 
--- a/tools/self_repair_mutations.py
+++ b/tools/self_repair_mutations.py
@@ -29,7 +29,7 @@
     Mutation(
         name="a replica outside the group does not ask to join",
         file=GROUP,
-        old="return not is_member or leaderless_s > LEADERLESS_S",
+        old="return not is_voter or leaderless_s > LEADERLESS_S",
         new="return False",
         self_repair=True,
     ),
