Refuse and leave out searchers whose texts no message carries

With a whole request in the id, a sound searcher ran requests that no caller had sent.

Cause: only the length of the texts of an announcement was checked. The id is written into a header of each request to the searcher: encoding it raised in the middle of GatherRequest.start, and line breaks in it ended the head.

What an earlier release has stored or passes on is checked where it enters a host or a replica: it is left out and logged, the others hold. An address must be IP:port; a scope of IPv6 could hold line breaks.

--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -8,6 +8,7 @@
 
 from plantainstage._errors import InvalidConfigurationError
 from plantainstage._messages import serving
+from plantainstage._serving.announcement_ranges import usable
 from plantainstage._serving.control_sources import ControlSources
 from plantainstage._serving.crash_reports import suspicion_digest
 from plantainstage._serving.helper_hosts import helpers_digest
@@ -249,7 +250,7 @@
             self.events.log_event("control_reached", replica=report.address)
         if recorded.replaced_process:
             self.merged_searchers.mark_source_lost(recorded.replaced_process, now)
-        for searcher in report.searchers:
+        for searcher in usable(report.searchers, log_event=self.events.log_event):
             changed = self.merged_searchers.update(report.process, searcher)
             if changed is not None:
                 self._update_searcher(changed)
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -26,6 +26,7 @@
 from plantainstage._registry.sync import SyncService
 from plantainstage._registry.withholding import Withholding
 from plantainstage._serving.account_bounds import QuotaBounds
+from plantainstage._serving.announcement_ranges import usable
 from plantainstage._serving.evacuations import (
     MAX_EVACUATIONS,
     EvacuationState,
@@ -287,8 +288,9 @@
                 version=state.version, document=state.document
             )
         self.machine.restore_evacuations(state.evacuations)
-        # An earlier release may have saved more searchers than this one takes.
-        for searcher in state.searchers[:MAX_SEARCHERS]:
+        # An earlier release may have saved what this one does not take.
+        saved = usable(state.searchers, log_event=self.events.log_event)
+        for searcher in saved[:MAX_SEARCHERS]:
             self.register.record_announcement(searcher, now)
         self.crashes.restore(state.crashes, now, _unix_ms())
         self.saved_cursor = self.register.cursor
@@ -437,7 +439,8 @@
                     await self._release(request.leaving)
                 return await self.sync.reply_to_peer(request)
             case serving.SearcherNotice(searcher=searcher):
-                self.register.record_announcement(searcher, now)
+                for taken in usable((searcher,), log_event=self.events.log_event):
+                    self.register.record_announcement(taken, now)
                 return serving.Noted()
             case serving.JoinRequest(member=member):
                 if self.group is None or self.group.maintainer is None:
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -14,6 +14,7 @@
 
 from plantainstage._messages import serving
 from plantainstage._registry.mirror import MIRROR_VALIDITY_S, SourceMirror
+from plantainstage._serving.announcement_ranges import usable
 from plantainstage._serving.searchers import Searcher, newer
 from plantainstage._supervision import run_supervised
 from plantainstage._transport.rpc import RpcClient
@@ -157,7 +158,7 @@
                 self._note_failure(address, mirror, error)
             else:
                 last_reply_at = loop.time()
-                mirror.record(reply.report, last_reply_at)
+                mirror.record(self._usable(reply.report), last_reply_at)
                 mirror.crash_number = reply.crash_number
                 self.crashes.record_from_replica(reply.crash_reports, last_reply_at)
                 self.troubles.record_sums(address, reply.observations, last_reply_at)
@@ -166,6 +167,11 @@
                 behind_since = self._note_version(reply, behind_since, last_reply_at)
             await asyncio.sleep(PEER_PAUSE_S)
 
+    def _usable(self, report):
+        """Returns the report without the searchers that no host can use."""
+        searchers = usable(report.searchers, log_event=self.events.log_event)
+        return msgspec.structs.replace(report, searchers=searchers)
+
     def _is_needed(self, address, silent_s):
         return address in self.addresses() or silent_s < FORGET_AFTER_S
 
--- a/src/plantainstage/_settings/base.py
+++ b/src/plantainstage/_settings/base.py
@@ -11,12 +11,15 @@
 
 # Fewer digits than int() takes; an address may come from another program.
 _PORT = re.compile(r"[0-9]{1,5}")
+_ADDRESS = re.compile(r"[0-9A-Za-z.:%_\[\]-]{1,80}")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
 
 
 def is_address(value):
     """Whether ``value`` is ``IP:port`` with a port from 1 to 65535."""
     host, separator, port = value.rpartition(":")
+    if not _ADDRESS.fullmatch(value):
+        return False  # a scope of IPv6 may hold any text
     try:
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
