Answer a request whose work fails unexpectedly

Cause: tornado closes the connection if the callback for a complete request raises; an error in a timer or a callback of a connection leaves the request without an end; an error of one waiting request leaves by the call of the one that made room. An error with one entry of a reply of control dropped the entries after it.

Change: the steps that the event loop, connections and other requests call end their request with an answer, 503 if it cannot have run, else 502; counted and logged with the trace. Each entry of a reply is applied on its own. An address that cannot be dialled fails its call at once.

--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -29,6 +29,7 @@
 REPORT_GAP_S = 0.05  # between polls that carry crash reports
 POLL_TIMEOUT_S = 0.8
 EXPIRE_INTERVAL_S = 0.25
+MAX_REASON_CHARACTERS = 500  # in a log line
 
 
 def poll_interval_s(
@@ -251,12 +252,26 @@
         if recorded.replaced_process:
             self.merged_searchers.mark_source_lost(recorded.replaced_process, now)
         for searcher in usable(report.searchers, log_event=self.events.log_event):
-            changed = self.merged_searchers.update(report.process, searcher)
-            if changed is not None:
-                self._update_searcher(changed)
+            self._apply_searcher(report.process, searcher)
         for searcher_id in report.silent:
             self.merged_searchers.mark_silent(report.process, searcher_id, now)
 
+    def _apply_searcher(self, source, searcher):
+        """Applies one entry; a failure costs none of the others.
+
+        The replica does not send them again, since the poll has their cursor.
+        """
+        try:
+            changed = self.merged_searchers.update(source, searcher)
+            if changed is not None:
+                self._update_searcher(changed)
+        except Exception as error:
+            self.events.log_event(
+                "searcher_unusable",
+                searcher=searcher.searcher_id,
+                reason=f"{type(error).__name__}: {error}"[:MAX_REASON_CHARACTERS],
+            )
+
     def _update_searcher(self, searcher):
         self.router.fleet.update_searcher(searcher)
         event = "searcher_ready"
--- a/src/plantainstage/_gateway/gather_request.py
+++ b/src/plantainstage/_gateway/gather_request.py
@@ -7,6 +7,7 @@
 from plantainstage._gateway.messages import SearcherReply
 from plantainstage._gateway.routed_request import RoutedRequest
 from plantainstage._gateway.service_request import QUARANTINED, SEARCHERS_LIMITED
+from plantainstage._gateway.unexpected_failures import ends_on_failure
 from plantainstage._serving import gathering
 from plantainstage._serving.gathering import GatherLimits, Progress, Step
 from plantainstage._serving.records import greatest_records
@@ -17,6 +18,7 @@
 
     kind = "gather"
 
+    @ends_on_failure
     def start(self):
         """Sends the request to all shards that are expected to answer in time.
 
@@ -131,6 +133,7 @@
         """Returns one rank for all shards, a hash of the request id."""
         return xxhash.xxh32_intdigest(self.request.request_id.encode()) / 2**32
 
+    @ends_on_failure
     def _part_done(self, part, outcome):
         if self.over:
             return
@@ -149,6 +152,7 @@
         for part in unstarted:
             part.leave_out()
 
+    @ends_on_failure
     def _step(self):
         if self.over:
             return
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -21,6 +21,10 @@
     RelayOrigin,
 )
 from plantainstage._gateway.requests import refusal_of_share, start_request
+from plantainstage._gateway.unexpected_failures import (
+    INTERNAL_ERROR,
+    record_failure,
+)
 
 # Limits until a configuration is in force.
 DEFAULT_HEAD_BYTES = 64 * 1024
@@ -125,13 +129,16 @@
         self.headers = headers
         self.received_at = asyncio.get_running_loop().time()
         if not self.ingress.relays:
-            self._refuse_early()
+            self._guarded(self._refuse_early)
 
     def data_received(self, chunk):
         if not self.replied:
             self.chunks.append(chunk)
 
     def finish(self):
+        self._guarded(self._finish)
+
+    def _finish(self):
         if self.replied:
             if not self._is_closed():
                 self.connection.finish()
@@ -167,6 +174,27 @@
             case Caller() as caller:
                 self._admit(route, self._request_of(caller, origin))
 
+    def _guarded(self, step):
+        """Takes a step; an unexpected error ends the request with an answer.
+
+        Without the answer tornado would close the connection.
+        """
+        try:
+            step()
+        except Exception as error:
+            request_id = self.headers.get(self.ingress.router.names.request_id, "")
+            record_failure(self.ingress.router, request_id, error)
+            self._fail()
+
+    def _fail(self):
+        if self.gated is not None and self.gated.is_waiting:
+            self.ingress.gate.drop(self.gated)
+        if self.routed is not None:
+            self.routed.fail()
+        elif not self.replied:
+            # RoutedRequests answer for themselves from the moment they are started.
+            self._reply(answers.refusal(reason=INTERNAL_ERROR))
+
     def _request_of(self, caller, origin):
         return CallerRequest.of(
             start_line=self.start_line,
@@ -189,10 +217,13 @@
             self._start(route, request)
 
     def _start(self, route, request):
+        self._guarded(partial(self._start_on, route, request))
+        return self.routed
+
+    def _start_on(self, route, request):
         self.routed = start_request(
             router=self.ingress.router, route=route, request=request, reply=self._reply
         )
-        return self.routed
 
     def _pass_gate(self, route, request):
         """Starts the request once it has a permit of its account."""
@@ -312,6 +343,17 @@
             self.gated.answered(answer)
         if self._is_closed():
             return
+        try:
+            self._write(answer)
+        except ValueError as error:
+            # tornado refuses headers that would break the message.
+            request_id = self.headers.get(self.ingress.router.names.request_id, "")
+            record_failure(self.ingress.router, request_id, error)
+            self._write(answers.failed(reason=INTERNAL_ERROR))
+        if not reads_on:
+            self.connection.finish()
+
+    def _write(self, answer):
         headers = answer.headers
         bodiless = answer.status in (204, 304)
         if not bodiless:
@@ -322,5 +364,3 @@
         line = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
         body = None if bodiless or self.start_line.method == "HEAD" else answer.body
         self.connection.write_headers(line, headers, body)
-        if not reads_on:
-            self.connection.finish()
--- a/src/plantainstage/_gateway/passed_request.py
+++ b/src/plantainstage/_gateway/passed_request.py
@@ -19,6 +19,10 @@
     RelayOrigin,
 )
 from plantainstage._gateway.service_request import MIN_REMAINING_S
+from plantainstage._gateway.unexpected_failures import (
+    INTERNAL_ERROR,
+    ends_on_failure,
+)
 
 # Helpers that get a request; each refusal or failure costs a round trip.
 MAX_HELPERS = 2
@@ -69,6 +73,10 @@
         if self.call is not None:
             self.call.abandon()
 
+    def fail(self):
+        """Ends the request after an unexpected error in its work."""
+        self.end(INTERNAL_ERROR)
+
     def end(self, reason: str):
         """Ends the request with an answer of this host."""
         may_have_run = self.may_have_run or self._is_at_helper()
@@ -113,6 +121,7 @@
         )
         self._end(answer)
 
+    @ends_on_failure
     def _time_out(self):
         sent = self._is_at_helper()
         self._decide("given_up", outcome="timed_out")
@@ -135,6 +144,7 @@
 
     # ---- Outcomes -----------------------------------------------------------------
 
+    @ends_on_failure
     def _replied(self, outcome):
         address = self.tried[-1]
         self.call = None
--- a/src/plantainstage/_gateway/quota_gate.py
+++ b/src/plantainstage/_gateway/quota_gate.py
@@ -73,7 +73,9 @@
         if self.permit is None:
             return
         refused = self.answer.status == 503 and not self.answer.is_of_searcher
-        has_run = not (refused and self.routed.is_untouched)
+        # Without a RoutedRequest its start has failed before anything was sent.
+        untouched = self.routed is None or self.routed.is_untouched
+        has_run = not (refused and untouched)
         self.gate.settle(self, has_run=has_run)
 
 
--- a/src/plantainstage/_gateway/routed_request.py
+++ b/src/plantainstage/_gateway/routed_request.py
@@ -14,6 +14,10 @@
     RequestProgress,
     ServiceRequest,
 )
+from plantainstage._gateway.unexpected_failures import (
+    INTERNAL_ERROR,
+    ends_on_failure,
+)
 from plantainstage._reports.account_counters import account_outcome
 from plantainstage._serving import gathering
 from plantainstage._serving.configuration import Route
@@ -57,6 +61,7 @@
         self.is_limited = False  # whether it needs permits of limited searchers
         self.timer = None
         self.over = False
+        self.replied = False  # or the caller has left
         self.passed = None  # PassedRequest, once a helper has the request
         router.running.add(self)
 
@@ -69,6 +74,7 @@
 
     def caller_disconnected(self):
         """Ends the request, since the caller has closed its connection."""
+        self.replied = True
         if self.passed is not None:
             self.passed.abandon()
         elif self.over:
@@ -88,8 +94,22 @@
                 answers.unfinished(may_have_run=may_have_run, reason=reason)
             )
 
+    def fail(self):
+        """Answers the request after an unexpected error in its work."""
+        if self.replied:
+            return
+        if self.passed is not None:
+            self.passed.fail()
+            return
+        may_have_run = self._may_have_run()
+        self._close(0.0)
+        self._reply_and_log(
+            answers.unfinished(may_have_run=may_have_run, reason=INTERNAL_ERROR)
+        )
+
     # ---- Passing on to a helper -----------------------------------------------------
 
+    @ends_on_failure
     def pass_on_if_stuck(self):
         """Passes the request on if this host cannot get an answer to it."""
         if self.over or not self._may_pass_on() or not self._is_out_of_reach():
@@ -131,7 +151,9 @@
 
     def _may_have_run(self):
         return any(
-            part.runs or any(call.sent_at is not None for call in part.calls)
+            part.runs
+            or part.sending
+            or any(call.sent_at is not None for call in part.calls)
             for part in self.parts
         )
 
@@ -151,6 +173,9 @@
         self.passed.start()
 
     def _reply_and_log(self, answer):
+        if self.replied:
+            return
+        self.replied = True
         self.reply(answer)
         self._log(answer.reason, status=answer.status)
 
@@ -208,6 +233,7 @@
             self._pass_on()
             return
         self._close(UNFINISHED_CALL_GRACE_S)
+        self.replied = True
         self.reply(answer)
         self._log(answer.reason or "answered", status=answer.status)
 
--- a/src/plantainstage/_gateway/service_request.py
+++ b/src/plantainstage/_gateway/service_request.py
@@ -13,6 +13,10 @@
     SearcherReply,
     addressed_request,
 )
+from plantainstage._gateway.unexpected_failures import (
+    INTERNAL_ERROR,
+    ends_on_failure,
+)
 from plantainstage._serving.configuration import Route, RouteKind
 
 QUARANTINED = "request_quarantined"
@@ -114,6 +118,7 @@
         self.held_back = False
         self.waiting = False
         self.over = False
+        self.sending = False  # also after a call whose start failed
         self.succeeded = False
         self.sent_at = None  # of the first call
         self.decisions = []
@@ -230,10 +235,22 @@
         for call in list(self.calls):
             call.abandon()
 
+    def fail(self):
+        """Ends the request after an unexpected error."""
+        if self.over:
+            return
+        self.abandon()
+        if self.sending:
+            # The call whose start has failed may have reached its searcher.
+            self.runs += 1
+        self._add_decision("given_up", outcome=INTERNAL_ERROR)
+        self._end(reason=INTERNAL_ERROR)
+
     def send_waiting(self) -> bool:
         """Sends a request that waits for room; returns whether it waits no longer."""
         return self._send_first()
 
+    @ends_on_failure
     def turn_away_waiting(self, reason: str, *, retry_after_s: float):
         """Ends a request that cannot wait for room any longer."""
         if not self.over:
@@ -243,6 +260,7 @@
 
     # ---- Sending ------------------------------------------------------------------
 
+    @ends_on_failure
     def _send_first(self):
         if self.over:
             return True
@@ -318,6 +336,7 @@
         self.decisions.append(Decision.sent(step=step, choice=choice, now=now))
         if self.sent_at is None:
             self.sent_at = now
+        self.sending = True
         call = self.router.fleet.send(
             searcher_id,
             request=addressed_request(
@@ -334,6 +353,7 @@
             may_send=self._may_send,
         )
         self.calls.append(call)
+        self.sending = False
         return True
 
     def _add_decision(self, step, searcher="", outcome=""):
@@ -346,6 +366,7 @@
 
     # ---- Outcomes -----------------------------------------------------------------
 
+    @ends_on_failure
     def _call_done(self, call, outcome):
         self.calls.remove(call)
         self.router.metrics.calls.labels(_outcome_label(outcome)).inc()
@@ -419,6 +440,7 @@
         loop.call_later(HOLD_BACK_S, self._repeat_held_back)
         return True
 
+    @ends_on_failure
     def _repeat_held_back(self):
         if not self.over:
             self._try_again(arrived=True)
--- a/src/plantainstage/_gateway/single_request.py
+++ b/src/plantainstage/_gateway/single_request.py
@@ -3,6 +3,7 @@
 from plantainstage._gateway import answers
 from plantainstage._gateway.messages import SearcherReply, reply_headers
 from plantainstage._gateway.routed_request import RoutedRequest
+from plantainstage._gateway.unexpected_failures import ends_on_failure
 
 
 class SingleRequest(RoutedRequest):
@@ -10,6 +11,7 @@
 
     kind = "single"
 
+    @ends_on_failure
     def start(self):
         """Sends the request to the next service of the route."""
         service = self.router.next_service(self.route)
@@ -26,6 +28,7 @@
     def _is_out_of_reach(self):
         return not self.router.fleet.reaches(self.parts[0].service)
 
+    @ends_on_failure
     def _schedule(self):
         if self.over:
             return
@@ -45,6 +48,7 @@
         else:
             self._finish(answers.refusal(reason="no_room_in_time"))
 
+    @ends_on_failure
     def _part_done(self, part, outcome):
         if isinstance(outcome, SearcherReply):
             self._finish(self._forward_reply(outcome, ""))
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -63,6 +63,11 @@
         )
         self.hedges = Counter("hedges", "Hedged calls to a second searcher", **shared)
         self.repeats = Counter("repeats", "Calls repeated after a failure", **shared)
+        self.internal_errors = Counter(
+            "internal_errors",
+            "Unexpected errors in requests, which were ended with an answer",
+            **shared,
+        )
         self.ended_searchers = Counter(
             "ended_searchers",
             "Searchers that ended while they ran requests of this host",
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -169,7 +169,7 @@
                 _, stream = await loop.create_connection(
                     ReplyStream, host, int(port), family=family
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ExchangeError(
                 address=address, reason=_reason_of(error), bytes_sent=False
             ) from error
