Refuse configurations whose texts no request head carries

A health path goes into the request line of the checks that a host sends while it is cut off.

Change: control checks the texts of a configuration before it stores them, as it does for numbers; names have no control characters. A machine's name must be what a header carries, since hosts name themselves to each other.

--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -51,6 +51,18 @@
             return json.dumps(content).encode()[:-1] + b', "other": ' + nested + b"}"
         case "a version above 64 bits":
             content["version"] = 2**64
+        case "a line break in the name of a route":
+            route["name"] = "r\r\nX: 1"
+        case "a line break in a host":
+            route["host"] = "a.example\r\nX: 1"
+        case "a blank in a path prefix":
+            route["path_prefix"] = "/a b/"
+        case "a line break in the name of a service":
+            content["services"].append({"name": "s\r\n"})
+        case "a line break in a health path":
+            content["services"][0]["health_path"] = "/h HTTP/1.1\r\nX: 1\r\n\r\n"
+        case "a host beyond Latin-1":
+            route["host"] = "\u0100.example"
     return json.dumps(content).encode()
 
 
--- a/src/plantainstage/_registry/http_api.py
+++ b/src/plantainstage/_registry/http_api.py
@@ -18,6 +18,7 @@
 )
 from plantainstage._messages.account_rows import AccountReport
 from plantainstage._serving.configuration_ranges import check_number_ranges
+from plantainstage._serving.configuration_texts import check_texts
 from plantainstage._transport.bounded_bodies import BodyLimit, BoundedBodies
 
 # Callers turn to another replica after one second without a reply.
@@ -83,6 +84,7 @@
         try:
             configuration = decode(document)
             check_number_ranges(configuration)
+            check_texts(configuration)
         except InvalidConfigurationError as error:
             self._count("refused")
             self.control.events.log_event(
