Check the health of searchers with a path that is one

A path that an earlier release has stored was sent as it is, with line breaks as a whole request.

Change: the default is a constant, and stands in for a path that no request line carries.

Measured: unusable_texts.feature, 2 of 3 new scenarios fail before and pass after.

--- a/features/failures/unusable_texts.feature
+++ b/features/failures/unusable_texts.feature
@@ -36,3 +36,17 @@
       | a line break in its location |
       | a name for its address       |
       | a request in its address     |
+
+  Scenario Outline: The health of a searcher is checked with <request>, <reason>
+    # Guards against requests that no caller has sent, from a configuration that an
+    # earlier release has stored, and against checks that are no requests.
+    Given a routed tier with a searcher "c-1" of "cards"
+    And the configuration in force <content>
+    When the host checks whether it reaches searchers
+    Then "c-1" got nothing but <request>
+
+    Examples:
+      | request     | reason                                | content                                |
+      | GET /health | as the path is no part of a request   | has a whole request in its health path |
+      | GET /health | as the service is not defined         | does not define the service            |
+      | GET /ready  | as the configuration says             | has the health path "/ready"           |
--- a/features/steps/unusable_text_steps.py
+++ b/features/steps/unusable_text_steps.py
@@ -5,8 +5,10 @@
 import json
 from urllib.parse import quote
 
-from behave import then, when
+import msgspec
+from behave import given, then, when
 
+from plantainstage._serving.configuration import Service
 from plantainstage._serving.searchers import Searcher
 from support.routed_tier import NAMES
 
@@ -117,3 +119,37 @@
         ),
         "a log line about the unusable searcher",
     )
+
+
+def apply_services(context, *services):
+    router = context.gateway.router
+    changed = msgspec.structs.replace(
+        router.table.configuration, version=2, services=services
+    )
+    assert router.apply(changed)
+
+
+@given("the configuration in force has a whole request in its health path")
+def step_unusable_health_path(context):
+    apply_services(context, Service(name="cards", health_path=f"/{SMUGGLED}"))
+
+
+@given("the configuration in force does not define the service")
+def step_no_service(context):
+    apply_services(context)
+
+
+@given('the configuration in force has the health path "{path}"')
+def step_health_path(context, path):
+    apply_services(context, Service(name="cards", health_path=path))
+
+
+@when("the host checks whether it reaches searchers")
+def step_probe(context):
+    context.tier.run(context.gateway.router.reach_watch._probe())
+
+
+@then('"{searcher_id}" got nothing but {method:w} {target:S}')
+def step_checked(context, searcher_id, method, target):
+    received = context.tier.searchers[searcher_id].received
+    assert [(r.method, r.target) for r in received] == [(method, target)], received
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -13,8 +13,8 @@
 from plantainstage._reports.exposition import GatewayMetrics
 from plantainstage._serving.account_bounds import WarmUpBounds
 from plantainstage._serving.configuration import (
+    DEFAULT_HEALTH_PATH,
     ClientAccount,
-    Service,
     ServingConfiguration,
 )
 from plantainstage._serving.connection_shares import HostCounts
@@ -23,6 +23,7 @@
 from plantainstage._serving.retry_budget import RetryBudget, RetryBudgetLimits
 from plantainstage._serving.routes import RouteTable
 from plantainstage._serving.splitting import WeightedRoundRobin
+from plantainstage._serving.text_kinds import REQUEST_TARGET
 from plantainstage._serving.work_times import WorkTime
 from plantainstage._transport.buffer_memory import BufferMemory
 
@@ -97,7 +98,10 @@
 
     def _health_path(self, service):
         known = self.table.services.get(service) if self.table is not None else None
-        return Service.health_path if known is None else known.health_path
+        if known is None or not REQUEST_TARGET.contains(known.health_path):
+            # Any reply will do; an earlier release may have stored any text.
+            return DEFAULT_HEALTH_PATH
+        return known.health_path
 
     @property
     def version(self):
--- a/src/plantainstage/_serving/configuration.py
+++ b/src/plantainstage/_serving/configuration.py
@@ -16,6 +16,7 @@
 from plantainstage._serving.account_checks import account_problems
 
 MAX_PROBLEMS = 32  # listed in one error
+DEFAULT_HEALTH_PATH = "/health"
 
 
 class RouteKind(enum.Enum):
@@ -107,7 +108,7 @@
     """
 
     name: str
-    health_path: str = "/health"
+    health_path: str = DEFAULT_HEALTH_PATH
     connections: int = 16
     warm_up_s: float = 0.0
     warm_up_rate_per_s: float = 0.0
