Report a replica that is added again before it is a voter, and what it waits for

A status without the new field, as an earlier release sends it, reads as nothing.

Not run with real processes of before the fix.

--- a/features/behaviour/joining.feature
+++ b/features/behaviour/joining.feature
@@ -42,3 +42,18 @@
     When D is added whose earlier start all members have recorded
     And D is recorded by A alone before E and F take the places of B and C
     Then D has joined with the membership of A
+
+  Scenario: The leader knows what a replica that joins waits for
+    # Guards against a group that is a voter short without a word on the reason.
+    Given the cores A, B and C of which A leads
+    When D is added whose earlier start all members have recorded
+    And only its requests for a snapshot arrive
+    Then A reports that D waits for a record of its start
+    And A reports that D waits for nothing once it has joined
+
+  Scenario: A replica that is added again before it is a voter is counted with its reason
+    # Guards against a replica that is added and removed for ever, unnoticed.
+    Given a leader that has added a learner, which waits for a record of its start
+    When the learner is removed and added again
+    Then the second addition is reported, with a record of its start as the reason
+    And an addition after it was promoted is reported no more
--- a/features/steps/joining_steps.py
+++ b/features/steps/joining_steps.py
@@ -1,9 +1,12 @@
 """Steps for the start of a replica that joins with an empty folder."""
 
-from behave import then, when
+from behave import given, then, when
 
+from plantainstage._control.member_statuses import member_statuses
 from plantainstage._messages import agreement as messages
-from plantainstage._messages.control import MemberAction
+from plantainstage._messages.control import MemberAction, ReplicaStatus, ReplicaWait
+from plantainstage._registry.group import MemberStep
+from plantainstage._registry.join_records import JoinRecords
 from support.core_group import make_member_id
 
 ROUND_S = 0.05
@@ -193,3 +196,60 @@
     for name in "EF":
         # They ask D for nothing, so that D hears of them through A alone.
         group.state(name).boot_recorded_by.add(start.member_id)
+
+
+# ---- What operators see -----------------------------------------------------------
+
+
+@then("A reports that D waits for {wait}")
+def check_wait(context, wait):
+    if wait.endswith(" once it has joined"):
+        run(context.group)
+        wait = wait.removesuffix(" once it has joined")
+    statuses = member_statuses(context.group.cores["A"])
+    waits = {status.replica_id: status.waits_for for status in statuses}
+    assert waits["D"] is ReplicaWait(wait), waits
+
+
+def record_step(context, action):
+    member = messages.Member(member_id=make_member_id("D"))
+    return context.joins.record(MemberStep(action=action, member=member))
+
+
+@given("a leader that has added a learner, which waits for a record of its start")
+def observe_learner(context):
+    context.joins = JoinRecords()
+    assert record_step(context, MemberAction.ADD_LEARNER) is None
+    member_id = make_member_id("D")
+    status = ReplicaStatus(
+        replica_id=member_id.replica_id,
+        incarnation=member_id.incarnation,
+        client_address="",
+        peer_address="",
+        voter=False,
+        leader=False,
+        match_index=0,
+        last_heard_ms=5000,
+        waits_for=ReplicaWait.RECORD_OF_START,
+    )
+    context.joins.observe([status])
+
+
+@when("the learner is removed and added again")
+def remove_and_add(context):
+    assert record_step(context, MemberAction.REMOVE) is None
+    context.joins.observe([])
+    context.repeated = record_step(context, MemberAction.ADD_LEARNER)
+
+
+@then("the second addition is reported, with a record of its start as the reason")
+def check_repeated(context):
+    assert context.repeated.additions == 2
+    assert context.repeated.waited_for is ReplicaWait.RECORD_OF_START
+    assert context.joins.repeated == 1
+
+
+@then("an addition after it was promoted is reported no more")
+def check_promoted(context):
+    record_step(context, MemberAction.PROMOTE)
+    assert record_step(context, MemberAction.ADD_LEARNER) is None
--- a/src/plantainstage/_agreement/core.py
+++ b/src/plantainstage/_agreement/core.py
@@ -157,6 +157,9 @@
 
     def _receive_unrecorded(self, state, sender, message):
         """Handles what a process may send before its start is recorded here."""
+        progress = state.progress.get(sender)
+        if progress is not None:
+            progress.unrecorded_at = state.now
         match message:
             case messages.AppendReply(needs_snapshot=True):
                 replication.offer_snapshot(state, sender, message)
--- a/src/plantainstage/_agreement/state.py
+++ b/src/plantainstage/_agreement/state.py
@@ -82,6 +82,8 @@
     sent_records: tuple[PeerRecord, ...] = ()
     records_in_all_from_round: int = 0  # each request carries them from this one on
     records_confirmed: bool = False
+    # Time of the last message of a process whose start is not recorded here.
+    unrecorded_at: float = float("-inf")
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/plantainstage/_control/member_statuses.py
+++ b/src/plantainstage/_control/member_statuses.py
@@ -1,7 +1,10 @@
 """The members of a group as one replica sees them."""
 
 from plantainstage._agreement.core import Core
-from plantainstage._messages.control import ReplicaStatus
+from plantainstage._messages.control import ReplicaStatus, ReplicaWait
+
+# Several heartbeats fit into it.
+RECENT_S = 1.0
 
 
 def member_statuses(core: Core) -> tuple[ReplicaStatus, ...]:
@@ -31,4 +34,19 @@
         leader=member.member_id == state.leader,
         match_index=match_index,
         last_heard_ms=heard_ms,
+        waits_for=_wait_of(state, progress),
     )
+
+
+def _wait_of(state, progress):
+    if progress is None:
+        return ReplicaWait.NOTHING
+    if state.now - progress.unrecorded_at < RECENT_S:
+        return ReplicaWait.RECORD_OF_START
+    if state.now - progress.heard_at > RECENT_S:
+        return ReplicaWait.REPLY
+    if progress.snapshot_transfer is not None:
+        return ReplicaWait.SNAPSHOT
+    if progress.match_index < state.commit_index:
+        return ReplicaWait.ENTRIES
+    return ReplicaWait.NOTHING
--- a/src/plantainstage/_messages/control.py
+++ b/src/plantainstage/_messages/control.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from plantainstage._messages.agreement import MemberId
 from plantainstage._messages.configuration import (
     Configuration,
     EntryHost,
@@ -338,8 +339,18 @@
     draining: bool
 
 
+class ReplicaWait(enum.Enum):
+    """What a member lacks until it has all that is committed, as seen by its leader."""
+
+    NOTHING = "nothing"
+    REPLY = "a reply"
+    RECORD_OF_START = "a record of its start"
+    SNAPSHOT = "a snapshot"
+    ENTRIES = "entries"
+
+
 class ReplicaStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """The leader's view of a control replica."""
+    """The leader's view of a replica; earlier releases send no ``waits_for``."""
 
     replica_id: str
     incarnation: str
@@ -349,6 +360,12 @@
     leader: bool
     match_index: int
     last_heard_ms: int
+    waits_for: ReplicaWait = ReplicaWait.NOTHING
+
+    @property
+    def member_id(self) -> MemberId:
+        """The identity of the replica's folder."""
+        return MemberId(replica_id=self.replica_id, incarnation=self.incarnation)
 
 
 class Status(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -245,6 +245,7 @@
         metrics.hosts.set_function(lambda: len(self.sync.hosts))
         metrics.leader_state.set_function(self._leads)
         metrics.missing_voters.set_function(self._missing_voters)
+        metrics.repeated_joins.set_function(self._repeated_joins)
         metrics.dropped_lines.set_function(lambda: self.events.dropped_total)
         metrics.failed_tasks.set_function(lambda: self.events.counts["task_failed"])
         metrics.failed_requests.set_function(lambda: sync.failed_requests)
@@ -261,6 +262,10 @@
             return 0
         return self.group.maintainer.missing_voters
 
+    def _repeated_joins(self):
+        maintainer = self.group.maintainer
+        return 0 if maintainer is None else maintainer.joins.repeated
+
     def _knows_leader(self):
         return self.replica is not None and self.replica.knows_leader
 
--- a/src/plantainstage/_registry/group_maintainer.py
+++ b/src/plantainstage/_registry/group_maintainer.py
@@ -19,6 +19,7 @@
     next_member_steps,
 )
 from plantainstage._registry.group_limits import GroupLimits
+from plantainstage._registry.join_records import JoinRecords
 from plantainstage._transport.rpc import RpcClient
 
 STEP_INTERVAL_S = 0.2
@@ -56,6 +57,7 @@
         self.logged_refusals = set()
         self.logged_losses = ((), 0)  # lost voters, number of missing ones
         self.stopping = False  # then it does not ask to join again
+        self.joins = JoinRecords()
         self.missing_voters = 0  # voters that are lost or not there, as leader
         self.leader_seen_at = asyncio.get_running_loop().time()
 
@@ -93,7 +95,9 @@
             if not self.replica.is_leader:
                 self.join_requests.clear()
                 continue
-            self._report_losses(self._view())
+            view = self._view()
+            self.joins.observe(view.learners)
+            self._report_losses(view)
             while await self._take_step():
                 # A group between two steps bears less than before and after them.
                 pass
@@ -133,11 +137,18 @@
         asking = self.join_requests.get(step.member.member_id.replica_id)
         if asking is not None and asking.member_id == step.member.member_id:
             del self.join_requests[asking.member_id.replica_id]
+        member_id = step.member.member_id
         self.events.log_event(
-            "group_changed",
-            action=step.action.value,
-            replica=str(step.member.member_id),
+            "group_changed", action=step.action.value, replica=str(member_id)
         )
+        repeated = self.joins.record(step)
+        if repeated is not None:
+            self.events.log_event(
+                "join_repeated",
+                replica=str(member_id),
+                additions=repeated.additions,
+                waited_for=repeated.waited_for.value,
+            )
 
     def _report_losses(self, view):
         """Logs a group that bears fewer losses than it should, and its recovery."""
@@ -148,7 +159,10 @@
         if (lost, missing) != self.logged_losses:
             self.logged_losses = (lost, missing)
             event = "group_degraded" if lost or missing else "group_whole"
-            self.events.log_event(event, voters=voters, lost=lost, missing=missing)
+            joining = {str(name): wait.value for name, wait in self.joins.waits.items()}
+            self.events.log_event(
+                event, voters=voters, lost=lost, missing=missing, joining=joining
+            )
 
     # ---- A planned stop -----------------------------------------------------------
 
--- a/src/plantainstage/_reports/exposition.py
+++ b/src/plantainstage/_reports/exposition.py
@@ -177,6 +177,11 @@
             "Voters that the control group lacks or has lost; 0 if not the leader",
             **shared,
         )
+        self.repeated_joins = Gauge(
+            "repeated_joins",
+            "Replicas added again before they were voters, by this one as leader",
+            **shared,
+        )
         self.dropped_lines = Gauge(
             "dropped_event_lines", "Event lines dropped since the start", **shared
         )
