--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -73,7 +73,7 @@
     for line in lines[1:]:
         name, separator, value = line.partition(":")
         if separator:
-            name, value = name.lower(), value.strip()
+            name, value = name.lower(), value.strip(" \t")
             headers[name] = f"{headers[name]}, {value}" if name in headers else value
     if on_head is not None:
         await on_head(headers)
