Record unexpected errors of a caller's request in one place

Two steps of IngressRequest read the request's id and recorded the error with the same lines. No change of behaviour: unexpected_errors.feature, 13 scenarios pass.

--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -182,10 +182,14 @@
         try:
             step()
         except Exception as error:
-            request_id = self.headers.get(self.ingress.router.names.request_id, "")
-            record_failure(self.ingress.router, request_id, error)
+            self._record_failure(error)
             self._fail()
 
+    def _record_failure(self, error):
+        router = self.ingress.router
+        request_id = self.headers.get(router.names.request_id, "")
+        record_failure(router, request_id, error)
+
     def _fail(self):
         if self.gated is not None and self.gated.is_waiting:
             self.ingress.gate.drop(self.gated)
@@ -347,8 +351,7 @@
             self._write(answer)
         except ValueError as error:
             # tornado refuses headers that would break the message.
-            request_id = self.headers.get(self.ingress.router.names.request_id, "")
-            record_failure(self.ingress.router, request_id, error)
+            self._record_failure(error)
             self._write(answers.failed(reason=INTERNAL_ERROR))
         if not reads_on:
             self.connection.finish()
