Log from which replica a host has a version, and polls that fail in a row

Hosts log replica, held_ms and control_age_ms with configuration_in_force, and polls_fail, polls_recovered from the third failure in a row; replicas log configuration_known and configuration_from_replica. These lines have a share of their own of the lines a second.

--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -29,6 +29,8 @@
 REPORT_GAP_S = 0.05  # between polls that carry crash reports
 POLL_TIMEOUT_S = 0.8
 EXPIRE_INTERVAL_S = 0.25
+# Failed polls of one replica in a row that are logged; a single one is ordinary.
+LOGGED_FAILURES = 3
 
 
 def poll_interval_s(
@@ -73,6 +75,7 @@
         self.confirmed = {}  # address -> (process, number of its last crash report)
         self.leader = ""  # sync address of the leader that a replica last named
         self.has_replied = False  # whether any replica has
+        self.heard_before = float("-inf")  # the last reply but one of any replica
         self.observed = ChangeSignal()
         router.end_checks.on_observation = self.observed.notify
 
@@ -137,9 +140,10 @@
                 request, crash_number = self._request(address)
                 reply = await client.call(request, timeout_s=POLL_TIMEOUT_S)
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
-                self.router.metrics.failed_polls.labels(type(error).__name__).inc()
+                self._note_failure(address, type(error).__name__)
             else:
                 client.reconnect_max_ms = RECONNECT_MAX_MS
+                self._note_success(address)
                 self._apply_reply(address, reply)
                 self._confirm_reports(address, reply, crash_number)
             await self._pause(address)
@@ -197,19 +201,33 @@
         )
         return request, crash_number
 
+    def _note_failure(self, address, reason):
+        self.router.metrics.failed_polls.labels(reason).inc()
+        failed = self.sources.record_failure(address)
+        if failed == LOGGED_FAILURES:
+            self.events.log_rare(
+                "polls_fail", replica=address, reason=reason, failed=failed
+            )
+
+    def _note_success(self, address):
+        now = asyncio.get_running_loop().time()
+        self.heard_before = self.sources.replied_at
+        failed = self.sources.record_reply(address, now)
+        if failed >= LOGGED_FAILURES:
+            self.events.log_rare("polls_recovered", replica=address, failed=failed)
+
     # ---- Replies ------------------------------------------------------------------
 
     def _apply_reply(self, address, reply):
         # Applied first, so that an error in the rest of the reply cannot keep the host
         # at an old version.
         if reply.document is not None and reply.version > self.router.version:
-            self._apply_configuration(reply)
+            self._apply_configuration(address, reply)
         now = asyncio.get_running_loop().time()
         # Before the searchers, so that none of those there gets a request meanwhile.
         if reply.evacuations is not None:
             self._apply_evacuations(reply.evacuations, now)
         self.has_replied = True
-        self.sources.record_reply(address, now)
         self.leader = reply.leader or self.leader
         self._start_pollers(reply.replicas)
         for report in reply.sources:
@@ -279,7 +297,7 @@
             data_centre=searcher.data_centre,
         )
 
-    def _apply_configuration(self, reply):
+    def _apply_configuration(self, address, reply):
         try:
             configuration = self.decode(reply.document)
         except InvalidConfigurationError as error:
@@ -289,6 +307,16 @@
             return
         if self.router.apply(configuration):
             self.on_limits(configuration.limits)
-            self.events.log_event(
-                "configuration_in_force", version=configuration.version
+            self.events.log_rare(
+                "configuration_in_force",
+                version=configuration.version,
+                replica=address,
+                held_ms=reply.held_ms,
+                control_age_ms=self._control_age_ms(),
             )
+
+    def _control_age_ms(self):
+        """Returns how long ago control was last heard before the reply in hand."""
+        if self.heard_before == float("-inf"):
+            return None
+        return round((asyncio.get_running_loop().time() - self.heard_before) * 1000)
--- a/src/plantainstage/_gateway/events.py
+++ b/src/plantainstage/_gateway/events.py
@@ -2,8 +2,8 @@
 
 Lines are buffered and passed to the writer in batches, so that a request does not
 wake up the writer thread. The number of lines per second is limited. Lines about
-ordinary requests are dropped before those about failed or late ones; the next batch
-states the number of dropped lines.
+ordinary requests are dropped before those about failed or late ones, and these before
+those about the configuration; the next batch states the number of dropped lines.
 """
 
 import asyncio
@@ -17,6 +17,8 @@
 LINES_PER_SECOND = 200
 # Above this share of the limit, ordinary lines are dropped.
 ORDINARY_SHARE = 0.5
+# Up to this multiple of the limit, lines of rare events are written all the same.
+RARE_SHARE = 1.25
 
 _encoder = msgspec.json.Encoder()
 
@@ -49,6 +51,10 @@
         """Logs an ordinary request; such lines are dropped first under load."""
         self._add(event, fields, LINES_PER_SECOND * ORDINARY_SHARE)
 
+    def log_rare(self, event: str, **fields):
+        """Logs an event that others must not keep out of the log, however many."""
+        self._add(event, fields, LINES_PER_SECOND * RARE_SHARE)
+
     def log_threadsafe(self, event: str, **fields):
         """Logs an event from a thread other than the event loop's."""
         self.loop.call_soon_threadsafe(partial(self.log_event, event, **fields))
--- a/src/plantainstage/_messages/serving.py
+++ b/src/plantainstage/_messages/serving.py
@@ -106,7 +106,8 @@
     ``helpers``, the relay addresses of a few hosts that reach the searchers.
     ``leader`` is the sync address of the leader of the control group, empty while the
     replica knows none. ``evacuations`` is None if the host has them, and so is
-    ``troubles``, the searchers in trouble as all hosts observe them.
+    ``troubles``, the searchers in trouble as all hosts observe them. ``held_ms`` is
+    for how long the replica has had the document.
     """
 
     version: int
@@ -118,6 +119,7 @@
     leader: str = ""
     evacuations: Evacuations | None = None
     troubles: tuple[SearcherTrouble, ...] | None = None
+    held_ms: int = 0
 
 
 class PeerSyncRequest(
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -301,10 +301,12 @@
         self.saved_cursor = self.register.cursor
         self.saved_crashes = self.crashes.revision
         self.known_evacuations = self.machine.evacuations
+        self.sync.note_document(now)
         self.machine.on_change = self._state_changed
 
     def _state_changed(self):
         self.save_due.set()
+        self.sync.note_document(asyncio.get_running_loop().time())
         self._log_evacuations()
 
     def _log_evacuations(self):
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -164,7 +164,9 @@
                 self.troubles.record_sums(address, reply.observations, last_reply_at)
                 if reply.evacuations is not None:
                     self.machine.restore_evacuations(reply.evacuations)
-                behind_since = self._note_version(reply, behind_since, last_reply_at)
+                behind_since = self._note_version(
+                    address, reply, behind_since, last_reply_at
+                )
             await asyncio.sleep(PEER_PAUSE_S)
 
     def _usable(self, report):
@@ -181,9 +183,15 @@
             return NO_DOCUMENT
         return self.machine.newest.version
 
-    def _note_version(self, reply, behind_since, now):
+    def _note_version(self, address, reply, behind_since, now):
         """Takes a newer document; returns since when this replica is behind."""
-        if reply.document is not None:
+        if reply.document is not None and reply.version > self.machine.newest.version:
+            self.events.log_rare(
+                "configuration_from_replica",
+                version=reply.version,
+                replica=address,
+                behind_ms=round((now - behind_since) * 1000),
+            )
             self.machine.restore_committed(
                 version=reply.version, document=reply.document
             )
--- a/src/plantainstage/_registry/sync.py
+++ b/src/plantainstage/_registry/sync.py
@@ -63,6 +63,8 @@
         self.events = events
         self.troubled = set()  # ids of searchers
         self.hosts = {}  # host id -> PollingHost
+        self.known_version = None  # of the document that was known last
+        self.known_at = 0.0
         self.changes = ChangeSignal()
         register.on_change = self.changes.notify
         crashes.on_change = self.changes.notify
@@ -75,6 +77,13 @@
             if now - host.polled_at > HOST_RETENTION_S:
                 del self.hosts[host_id]
 
+    def note_document(self, now: float):
+        """Notes since when the newest document is known, and logs a new one."""
+        version = self.machine.newest.version
+        if version != self.known_version:
+            self.known_version, self.known_at = version, now
+            self.events.log_rare("configuration_known", version=version)
+
     # ---- Replies ------------------------------------------------------------------
 
     def reply_to_host(self, request: serving.SyncRequest, now: float):
@@ -99,6 +108,7 @@
             leader=self.leader(),
             troubles=self._troubles_unless(request.troubles_digest, now),
             evacuations=self._evacuations_above(request.evacuations),
+            held_ms=round((now - self.known_at) * 1000),
         )
 
     def _troubles_unless(self, digest, now):
--- a/src/plantainstage/_serving/control_sources.py
+++ b/src/plantainstage/_serving/control_sources.py
@@ -40,6 +40,7 @@
     hosts: int = 0
     seen_at: float = float("-inf")  # last known to be up, directly or not
     replied_at: float = float("-inf")  # last reply to a poll of this host
+    failed_polls: int = 0  # in a row
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -99,6 +100,12 @@
         ]
         return min(replying, key=self._rank, default="")
 
+    @property
+    def replied_at(self) -> float:
+        """The time of the last reply of any replica."""
+        times = (source.replied_at for source in self.sources.values())
+        return max(times, default=float("-inf"))
+
     @property
     def hosts(self) -> HostCounts:
         """The entry hosts that all replicas count together."""
@@ -122,9 +129,18 @@
 
     # ---- Commands -----------------------------------------------------------------
 
-    def record_reply(self, address: str, now: float):
-        """Records that a replica replied to a poll of this host."""
-        self._known(address).replied_at = now
+    def record_reply(self, address: str, now: float) -> int:
+        """Records a reply to a poll of this host; returns the failures before it."""
+        source = self._known(address)
+        source.replied_at = now
+        failed, source.failed_polls = source.failed_polls, 0
+        return failed
+
+    def record_failure(self, address: str) -> int:
+        """Records a poll without a reply; returns how many there were in a row."""
+        source = self._known(address)
+        source.failed_polls += 1
+        return source.failed_polls
 
     def record_report(
         self, relay: str, report: SourceReport, now: float
