Wait longer for the reply to a poll of control after one that came late

In the model a host that gets each reply 0.8 to 1.3 s late, as its event loop, its link or control is slow, serves an old version as long as that lasts, up to 15 s, and is in touch all the while: CONFIG, 'handled by version N or older'.

Cause: a poll waits 0.8 s, then its connection is closed and its reply thrown away with the document in it; the next one does the same. A fixed limit of an attempt, below the time that the attempt takes, starves what it carries.

Now the limit follows the round trips: it doubles with each overdue poll, to 3.2 s at most, and falls back with a reply that is fast; the first poll after an overdue one is sent after 0.05 s in place of the poll interval. A dead connection is still replaced after 0.8 s.

--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -13,6 +13,7 @@
 from plantainstage._serving.crash_reports import suspicion_digest
 from plantainstage._serving.helper_hosts import helpers_digest
 from plantainstage._serving.merged_searchers import MergedSearchers
+from plantainstage._serving.reply_timeouts import ReplyTimeout
 from plantainstage._serving.searcher_observations import troubles_digest
 from plantainstage._serving.searchers import SearcherState
 from plantainstage._supervision import ChangeSignal, log_failure, run_supervised
@@ -27,7 +28,9 @@
 # intervals to connect to replicas that are still starting.
 UNCONFIGURED_RECONNECT_MAX_MS = 60
 REPORT_GAP_S = 0.05  # between polls that carry crash reports
-POLL_TIMEOUT_S = 0.8
+POLL_TIMEOUT_S = 0.8  # at first; see ReplyTimeout
+# Before a poll is sent again that had no reply in time; a failed dial is no such poll.
+OVERDUE_PAUSE_S = 0.05
 EXPIRE_INTERVAL_S = 0.25
 # Failed polls of one replica in a row that are logged; a single one is ordinary.
 LOGGED_FAILURES = 3
@@ -129,6 +132,7 @@
 
     async def _poll_with(self, client, address):
         loop = asyncio.get_running_loop()
+        timeout = ReplyTimeout(shortest_s=POLL_TIMEOUT_S)
         if not self._is_configured:
             client.reconnect_max_ms = UNCONFIGURED_RECONNECT_MAX_MS
         while True:
@@ -136,13 +140,19 @@
                 client.close()
                 await self._wait_while_relayed(address)
                 continue
+            sent_at = loop.time()
             try:
                 request, crash_number = self._request(address)
-                reply = await client.call(request, timeout_s=POLL_TIMEOUT_S)
+                reply = await client.call(request, timeout_s=timeout.limit_s)
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
                 self._note_failure(address, type(error).__name__)
+                if loop.time() - sent_at >= timeout.limit_s:
+                    timeout.record_failure()
+                    await asyncio.sleep(OVERDUE_PAUSE_S)
+                    continue
             else:
                 client.reconnect_max_ms = RECONNECT_MAX_MS
+                timeout.record_reply(loop.time() - sent_at)
                 self._note_success(address)
                 self._apply_reply(address, reply)
                 self._confirm_reports(address, reply, crash_number)
