Use a connection that was accepted while the caller was late to notice

The event and the time-out are handled in one turn of the loop, and the time-out won. Now the event decides. The scenario with a pause of 0.5 s ends with TimeoutError before, and passes now.

--- a/features/steps/late_reply_steps.py
+++ b/features/steps/late_reply_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from behave import given, then, when
 
@@ -11,7 +12,7 @@
 from plantainstage._messages import serving
 from plantainstage._serving.configuration import decode_configuration
 from plantainstage._serving.retry_budget import RetryBudgetLimits
-from plantainstage._transport.rpc import RpcServer
+from plantainstage._transport.rpc import RpcClient, RpcServer
 from support.processes import free_address
 from support.routed_tier import HANG_LIMIT_S
 
@@ -39,13 +40,27 @@
     context.version = asyncio.run(poll_slow_replica(context.address, context.delay_s))
 
 
+@when(
+    "a host calls it and is suspended for {pause_s:f} s while the connection is accepted"
+)
+def step_suspended(context, pause_s):
+    context.reply = asyncio.run(
+        call_while_suspended(context.address, context.delay_s, pause_s)
+    )
+
+
+@then("the host gets a reply")
+def step_reply(context):
+    assert context.reply.version == VERSION
+
+
 @then("the host gets the configuration of the replica")
 def step_version(context):
     assert context.version == VERSION, context.version
 
 
-async def poll_slow_replica(address, delay_s):
-    """Returns the version of a host that polls only a slow replica."""
+def start_replica(address, delay_s):
+    """Starts a server that replies to each poll after a delay."""
 
     async def reply(request):
         await asyncio.sleep(delay_s)
@@ -56,6 +71,26 @@
         address=address, handler=reply, request_decoder=serving.REQUEST_DECODER
     )
     server.start()
+    return server
+
+
+async def call_while_suspended(address, delay_s, pause_s):
+    """Returns the reply to a call whose process stands still while it connects."""
+    server = start_replica(address, delay_s)
+    client = RpcClient(address=address, reply_decoder=serving.REPLY_DECODER)
+    asyncio.get_running_loop().call_soon(time.sleep, pause_s)
+    try:
+        return await client.call(
+            serving.SyncRequest(host_id="h"), timeout_s=HANG_LIMIT_S
+        )
+    finally:
+        client.close()
+        await server.stop()
+
+
+async def poll_slow_replica(address, delay_s):
+    """Returns the version of a host that polls only a slow replica."""
+    server = start_replica(address, delay_s)
     events = DiscardedEvents()
     router = Router(
         names=HeaderNames(),
--- a/src/plantainstage/_transport/rpc.py
+++ b/src/plantainstage/_transport/rpc.py
@@ -226,6 +226,9 @@
             async with asyncio.timeout(timeout_s):
                 await self.connected.wait()
         except TimeoutError:
+            if self.connected.is_set():
+                # Accepted in time; this process was late to notice.
+                return
             self._connection_lost(socket)
             raise
 
