Wait longer for the reply of another replica after one that came late

Same cause as on the hosts: a replica that does not get a version from its log asks another one for it, and threw away replies that took 0.5 s longer than it had asked the other one to wait.

--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -15,13 +15,14 @@
 from plantainstage._messages import serving
 from plantainstage._registry.mirror import MIRROR_VALIDITY_S, SourceMirror
 from plantainstage._serving.announcement_ranges import usable
+from plantainstage._serving.reply_timeouts import ReplyTimeout
 from plantainstage._serving.searchers import Searcher, newer
 from plantainstage._supervision import run_supervised
 from plantainstage._transport.rpc import RpcClient
 
 # The polled replica replies when something has changed, at the latest after this.
 PEER_WAIT_S = 0.6
-PEER_TIMEOUT_S = PEER_WAIT_S + 0.5
+PEER_TIMEOUT_S = 0.5  # beyond that, at first; see ReplyTimeout
 # Changes in quick succession, as at the start of the searchers, are sent together.
 PEER_PAUSE_S = 0.1
 # The log usually delivers a newer document; it is asked for only after this time, so
@@ -142,6 +143,7 @@
     async def _poll_with(self, client, address, mirror):
         loop = asyncio.get_running_loop()
         behind_since = None
+        timeout = ReplyTimeout(shortest_s=PEER_TIMEOUT_S)
         last_reply_at = loop.time()
         while self._is_needed(address, loop.time() - last_reply_at):
             request = serving.PeerSyncRequest(
@@ -152,12 +154,16 @@
                 crash_number=mirror.crash_number,
                 evacuations=self.machine.evacuations.number,
             )
+            sent_at = loop.time()
             try:
-                reply = await client.call(request, timeout_s=PEER_TIMEOUT_S)
+                reply = await client.call(request, timeout_s=self._limit_s(timeout))
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
                 self._note_failure(address, mirror, error)
+                if loop.time() - sent_at >= self._limit_s(timeout):
+                    timeout.record_failure()
             else:
                 last_reply_at = loop.time()
+                timeout.record_reply(last_reply_at - sent_at - PEER_WAIT_S)
                 mirror.record(self._usable(reply.report), last_reply_at)
                 mirror.crash_number = reply.crash_number
                 self.crashes.record_from_replica(reply.crash_reports, last_reply_at)
@@ -169,6 +175,10 @@
                 )
             await asyncio.sleep(PEER_PAUSE_S)
 
+    @staticmethod
+    def _limit_s(timeout):
+        return PEER_WAIT_S + timeout.limit_s
+
     def _usable(self, report):
         """Returns the report without the searchers that no host can use."""
         searchers = usable(report.searchers, log_event=self.events.log_event)
