Fetch a version that the log does not deliver once the grace time is over

Cause, second hypothesis: a replica whose log is late (disk stalled or full, not a member, cut off from the leader only) noticed it with a poll that no new document woke (0.6 s), asked for the document 0.8 s later at the earliest, and that poll waited up to 0.6 s for other news although it had the document to give.

Now a new document wakes the polls of the other replicas, a poll of one that is behind waits no longer than the grace time, and a document that was asked for is sent at once: 0.8 s and a round trip.

--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -150,7 +150,7 @@
                 process=mirror.process,
                 cursor=mirror.cursor,
                 version=self._asked_version(behind_since, loop.time()),
-                wait_ms=round(PEER_WAIT_S * 1000),
+                wait_ms=round(self._wait_s(behind_since, loop.time()) * 1000),
                 crash_number=mirror.crash_number,
                 evacuations=self.machine.evacuations.number,
             )
@@ -187,6 +187,14 @@
     def _is_needed(self, address, silent_s):
         return address in self.addresses() or silent_s < FORGET_AFTER_S
 
+    @staticmethod
+    def _wait_s(behind_since, now):
+        """Returns how long the reply may wait for changes."""
+        if behind_since is None:
+            return PEER_WAIT_S
+        grace_left_s = behind_since + DOCUMENT_GRACE_S - now
+        return min(PEER_WAIT_S, max(0.0, grace_left_s))
+
     def _asked_version(self, behind_since, now):
         """Returns the version above which a document is asked for."""
         if behind_since is None or now - behind_since < DOCUMENT_GRACE_S:
--- a/src/plantainstage/_registry/sync.py
+++ b/src/plantainstage/_registry/sync.py
@@ -83,6 +83,7 @@
         if version != self.known_version:
             self.known_version, self.known_at = version, now
             self.events.log_rare("configuration_known", version=version)
+            self.changes.notify()
 
     # ---- Replies ------------------------------------------------------------------
 
@@ -150,7 +151,8 @@
     async def reply_to_peer(self, request: serving.PeerSyncRequest):
         """Returns the reply to another replica, once there is something to report."""
         known = (self.process, self.register.cursor, self.crashes.last_number)
-        if (request.process, request.cursor, request.crash_number) == known:
+        unchanged = (request.process, request.cursor, request.crash_number) == known
+        if unchanged and self._document_above(request.version) is None:
             await self.changes.wait(request.wait_ms / 1000)
         number = request.crash_number if request.process == self.process else 0
         now = asyncio.get_running_loop().time()
