--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -81,6 +81,7 @@
         self.heard_before = float("-inf")  # the last reply but one of any replica
         self.observed = ChangeSignal()
         router.end_checks.on_observation = self.observed.notify
+        router.on_outdated = self.observed.notify
 
     # ---- Tasks --------------------------------------------------------------------
 
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -15,11 +15,8 @@
 )
 from plantainstage._gateway.messages import CallerRequest
 from plantainstage._gateway.quota_gate import GatedRequest
-from plantainstage._gateway.relay_headers import (
-    NO_ROUTE,
-    OLDER_CONFIGURATION,
-    RelayOrigin,
-)
+from plantainstage._gateway.relay_decisions import relay_refusal_reason
+from plantainstage._gateway.relay_headers import OLDER_CONFIGURATION, RelayOrigin
 from plantainstage._gateway.requests import refusal_of_share, start_request
 from plantainstage._gateway.unexpected_failures import (
     INTERNAL_ERROR,
@@ -287,15 +284,12 @@
             return answers.relay_refusal(reason=STOPPING)
         if router.table is None:
             return answers.relay_refusal(reason=OLDER_CONFIGURATION)
-        route = self._find_route()
-        is_same = route is not None and route.digest == origin.route
-        if router.version < origin.version and not is_same:
-            return answers.relay_refusal(reason=OLDER_CONFIGURATION)
-        if len(self.ingress.running) > MAX_RELAYED:
-            return answers.relay_refusal(reason="full")
-        if route is None:
-            return answers.relay_refusal(reason=NO_ROUTE)
-        return None
+        reason = relay_refusal_reason(
+            origin, version=router.version, route=self._find_route()
+        )
+        if reason is None and len(self.ingress.running) > MAX_RELAYED:
+            reason = "full"
+        return None if reason is None else answers.relay_refusal(reason=reason)
 
     def _find_route(self):
         table = self.ingress.router.table
--- a/src/plantainstage/_gateway/passed_request.py
+++ b/src/plantainstage/_gateway/passed_request.py
@@ -12,6 +12,7 @@
     reply_headers,
 )
 from plantainstage._gateway.relay_headers import (
+    NEWER_CONFIGURATION,
     NO_ROUTE,
     OLDER_CONFIGURATION,
     OUT_OF_REACH,
@@ -28,7 +29,11 @@
 MAX_HELPERS = 2
 STATUS_REFUSALS = frozenset({408, 421, 429, 503})
 # Reasons that say nothing of other requests.
-REFUSALS_OF_REQUEST = frozenset({OLDER_CONFIGURATION, NO_ROUTE, OUT_OF_REACH})
+REFUSALS_OF_REQUEST = frozenset(
+    {OLDER_CONFIGURATION, NEWER_CONFIGURATION, NO_ROUTE, OUT_OF_REACH}
+)
+# Reasons that tell of a newer configuration than that of this host.
+REFUSALS_AS_OUTDATED = frozenset({NEWER_CONFIGURATION, NO_ROUTE})
 
 
 class PassedRequest:
@@ -156,6 +161,8 @@
             case SearcherReply() if RELAY_REFUSED in outcome.headers:
                 reason = outcome.headers[RELAY_REFUSED]
                 self._decide("outcome", address, f"refused: {reason}")
+                if reason in REFUSALS_AS_OUTDATED:
+                    self.router.on_outdated()
                 if reason not in REFUSALS_OF_REQUEST:
                     self.router.helpers.hosts.avoid(address, self.loop.time())
                 self._send("helpers_refused")
--- a/src/plantainstage/_gateway/relay_headers.py
+++ b/src/plantainstage/_gateway/relay_headers.py
@@ -18,6 +18,7 @@
 # Of a 503: why the helper does not take the request; another one may.
 RELAY_REFUSED = "X-Relay-Refused"
 OLDER_CONFIGURATION = "older_configuration"
+NEWER_CONFIGURATION = "newer_configuration"
 NO_ROUTE = "no_route"
 OUT_OF_REACH = "out_of_reach"
 RELAY_HEADERS = frozenset(
@@ -29,7 +30,7 @@
 class RelayOrigin:
     """The host that passed a request on, with its version and a digest of the route.
 
-    A helper whose configuration is older takes the request if its route is the same.
+    A helper with another version takes the request only if its route is the same.
     ``account`` is None if that host has not checked a key.
     """
 
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -28,6 +28,10 @@
 from plantainstage._transport.buffer_memory import BufferMemory
 
 
+def _ignore():
+    """Replaces ``on_outdated`` until it is set."""
+
+
 class Router:
     """The configuration in force on this host, and the estimates made while serving.
 
@@ -74,6 +78,7 @@
         self.reach_watch.on_cut_off = self._pass_on_running
         self.helpers = Helpers(names=names, memory=self.reply_memory)
         self.running = set()  # RoutedRequests
+        self.on_outdated = _ignore  # called if another host has a newer configuration
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.searchers.set_function(lambda: len(self.fleet.members))
         self.metrics.evacuated.set_function(
