Refuse configurations with two routes whose hosts differ only in case

It is checked where documents are accepted, not where hosts read them: a host has to take what an earlier release has stored.

--- a/features/failures/routed_control.feature
+++ b/features/failures/routed_control.feature
@@ -25,21 +25,22 @@
     And each replica reads back the first document of version 7
 
     Examples:
-      | fault                                 |
-      | bytes that cannot be read             |
-      | an unknown service                    |
-      | two routes for one prefix             |
-      | weights that add up to 0              |
-      | deep nesting                          |
-      | a version above 64 bits               |
-      | a timeout of 0                        |
-      | a prefix without a slash              |
-      | a line break in the name of a route   |
-      | a line break in a host                |
-      | a blank in a path prefix              |
-      | a line break in the name of a service |
-      | a line break in a health path         |
-      | a host beyond Latin-1                 |
+      | fault                                              |
+      | bytes that cannot be read                          |
+      | an unknown service                                 |
+      | two routes for one prefix                          |
+      | two routes for one prefix and host in another case |
+      | weights that add up to 0                           |
+      | deep nesting                                       |
+      | a version above 64 bits                            |
+      | a timeout of 0                                     |
+      | a prefix without a slash                           |
+      | a line break in the name of a route                |
+      | a line break in a host                             |
+      | a blank in a path prefix                           |
+      | a line break in the name of a service              |
+      | a line break in a health path                      |
+      | a host beyond Latin-1                              |
 
   Scenario: A replica that lost its folder is replaced, and then another one is lost
     # Guards against a replica with an empty folder that votes, and against a repair
--- a/features/steps/routed_control_steps.py
+++ b/features/steps/routed_control_steps.py
@@ -40,6 +40,9 @@
             content["services"] = []
         case "two routes for one prefix":
             content["routes"].append({**route, "name": "other"})
+        case "two routes for one prefix and host in another case":
+            host = route["host"].upper()
+            content["routes"].append({**route, "name": "other", "host": host})
         case "weights that add up to 0":
             route["target"]["shares"][0]["weight"] = 0
         case "a timeout of 0":
--- a/src/plantainstage/_serving/configuration_texts.py
+++ b/src/plantainstage/_serving/configuration_texts.py
@@ -13,15 +13,34 @@
 
     The names of client accounts and their keys have checks of their own.
     """
-    problems = tuple(
-        ConfigurationProblem(place=place, detail=f"{name} must be {kind}")
-        for place, name, text, kind in _texts(configuration)
-        if not kind.contains(text)
+    problems = (
+        *(
+            ConfigurationProblem(place=place, detail=f"{name} must be {kind}")
+            for place, name, text, kind in _texts(configuration)
+            if not kind.contains(text)
+        ),
+        *_repeated_places(configuration),
     )
     if problems:
         raise InvalidConfigurationError(problems=problems[:MAX_PROBLEMS])
 
 
+def _repeated_places(configuration):
+    """Yields routes that differ from an earlier one only in the case of the host.
+
+    Requests name a host in any case, so only one of the two would get them.
+    """
+    places = set()
+    for index, route in enumerate(configuration.routes):
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            yield ConfigurationProblem(
+                place=f"routes[{index}]",
+                detail="the host and path prefix are those of an earlier route",
+            )
+        places.add(place)
+
+
 def _texts(configuration):
     """Yields (place, name, text, kind) of each text."""
     for index, route in enumerate(configuration.routes):
