Apply a raised limit of bodies to connections that wait for a request

The limit of a head and the idle time are read at the same moment and keep their old values for that one request; this stays open.

--- a/features/steps/late_reply_steps.py
+++ b/features/steps/late_reply_steps.py
@@ -15,20 +15,12 @@
 from plantainstage._transport.rpc import RpcClient, RpcServer
 from support.processes import free_address
 from support.routed_tier import HANG_LIMIT_S
+from support.silent_events import SilentEvents
 
 VERSION = 7
 DOCUMENT = b'{"version": 7}'
 
 
-class DiscardedEvents:
-    """Stands in for an event log."""
-
-    def log_event(self, event, **fields):
-        """Discards an event."""
-
-    log_ordinary = log_rare = log_event
-
-
 @given("a replica that replies to each poll after {delay_s:f} s")
 def step_replica(context, delay_s):
     context.delay_s = delay_s
@@ -91,7 +83,7 @@
 async def poll_slow_replica(address, delay_s):
     """Returns the version of a host that polls only a slow replica."""
     server = start_replica(address, delay_s)
-    events = DiscardedEvents()
+    events = SilentEvents()
     router = Router(
         names=HeaderNames(),
         data_centre="dc-1",
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -70,11 +70,18 @@
         self.stopping = False
 
     def set_limits(self, limits):
-        """Applies the caller limits of a configuration to new connections."""
+        """Applies the caller limits of a configuration to the next requests.
+
+        Connections that wait for a request keep the limit of its head, and the time
+        that they may be idle, for this one request.
+        """
         self.server.conn_params.max_header_size = limits.head_bytes
         self.server.conn_params.max_body_size = limits.body_bytes
         idle_s = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
         self.server.conn_params.header_timeout = idle_s
+        for waiting in self.waiting.values():
+            # tornado takes the limit of a body when it begins to wait for a request.
+            waiting.connection.set_max_body_size(limits.body_bytes)
 
     def start_request(self, server_conn, request_conn):
         """Returns the delegate for the next request of a connection."""
