--- a/features/support/control_model/run.py
+++ b/features/support/control_model/run.py
@@ -311,6 +311,8 @@
     "host_restarts",
     "overloads",
 )
+# They leave too little time for the other faults, or replace one of them.
+EXTRA_FAULTS = ("power_losses", "late_replies")
 
 
 def run_with_faults(*, seed: int, faults: tuple[str, ...] = ALL_FAULTS) -> ControlRun:
--- a/features/support/control_model/tier.py
+++ b/features/support/control_model/tier.py
@@ -122,6 +122,8 @@
         work = self.context.run(
             asyncio.create_task, self.daemon.put_configuration(version, document)
         )
+        # A caller that has given up does not learn how the change ended.
+        work.add_done_callback(lambda done: done.cancelled() or done.exception())
         await asyncio.wait([work], timeout=OPERATOR_TIMEOUT_S)
         if not work.done() or work.cancelled():
             # The process was killed meanwhile, or is late.
