Keep the model of control beside the model of routed requests

It drives the product's daemons in virtual time like that one, and serves a command as well as the tests.

--- a/features/steps/configuration_in_force_steps.py
+++ b/features/steps/configuration_in_force_steps.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "bench"))
 
-from support.control_model.run import ALL_FAULTS, run_with_faults
+from control_model.run import ALL_FAULTS, run_with_faults
 
 
 @when("control and 12 hosts run for 60 s with {faults}, seed {seed:d}")
--- a/src/plantainstage/_serving/reply_timeouts.py
+++ b/src/plantainstage/_serving/reply_timeouts.py
@@ -1,6 +1,6 @@
 """How long to wait for a reply before the connection is given up."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Of the last round trip; the next one may well take longer.
 MARGIN = 2.0
@@ -24,7 +24,7 @@
     """
 
     shortest_s: float
-    limit_s: float = 0.0
+    limit_s: float = field(init=False)
 
     def __post_init__(self):
         self.limit_s = self.shortest_s
--- a/tools/run_control_model.py
+++ b/tools/run_control_model.py
@@ -12,9 +12,9 @@
 from loguru import logger
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT / name) for name in ("src", "features", "bench")]
+sys.path[:0] = [str(ROOT / name) for name in ("src", "bench")]
 
-from support.control_model.run import (  # noqa: E402
+from control_model.run import (  # noqa: E402
     ALL_FAULTS,
     EXTRA_FAULTS,
     run_with_faults,
