Try a new connection beside an overdue poll, and take the first reply

Follows, whose limit grew with each overdue poll: after a cut whose new connections are accepted but silent, a host waited up to 3.2 s on one of them.

An overdue call now goes on, while after each 0.8 s the request is sent on a new connection; the first reply counts, up to 3.2 s after the first attempt. What a late reply says of other replicas counts as made that much earlier. ReplyTimeout goes.

--- a/bench/control_model/tier.py
+++ b/bench/control_model/tier.py
@@ -197,10 +197,9 @@
     async def __aenter__(self):
         for target, stand_in in (
             ("plantainstage._registry.daemon.RpcServer", ModelServer),
-            ("plantainstage._registry.relay.RpcClient", ModelClient),
             ("plantainstage._registry.group_maintainer.RpcClient", ModelClient),
             ("plantainstage._registry.announcements.RpcClient", ModelClient),
-            ("plantainstage._gateway.control_link.RpcClient", ModelClient),
+            ("plantainstage._transport.patient_client.RpcClient", ModelClient),
             ("plantainstage._control.replica.PeerLinks", ModelLinks),
         ):
             self.resources.enter_context(mock.patch(target, stand_in))
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -13,11 +13,11 @@
 from plantainstage._serving.crash_reports import suspicion_digest
 from plantainstage._serving.helper_hosts import helpers_digest
 from plantainstage._serving.merged_searchers import MergedSearchers
-from plantainstage._serving.reply_timeouts import ReplyTimeout
 from plantainstage._serving.searcher_observations import troubles_digest
 from plantainstage._serving.searchers import SearcherState
 from plantainstage._supervision import ChangeSignal, log_failure, run_supervised
-from plantainstage._transport.rpc import RECONNECT_MAX_MS, RpcClient
+from plantainstage._transport.patient_client import PatientClient
+from plantainstage._transport.rpc import RECONNECT_MAX_MS
 
 POLL_INTERVAL_S = 0.35
 # Traffic between data centres is expensive, so remote replicas are polled less often.
@@ -28,9 +28,7 @@
 # intervals to connect to replicas that are still starting.
 UNCONFIGURED_RECONNECT_MAX_MS = 60
 REPORT_GAP_S = 0.05  # between polls that carry crash reports
-POLL_TIMEOUT_S = 0.8  # at first; see ReplyTimeout
-# Before a poll is sent again that had no reply in time; a failed dial is no such poll.
-OVERDUE_PAUSE_S = 0.05
+POLL_OVERDUE_S = 0.8
 EXPIRE_INTERVAL_S = 0.25
 # Failed polls of one replica in a row that are logged; a single one is ordinary.
 LOGGED_FAILURES = 3
@@ -125,7 +123,7 @@
                 self.pollers[address] = asyncio.create_task(polling)
 
     async def _poll(self, address):
-        client = RpcClient(address=address, reply_decoder=serving.REPLY_DECODER)
+        client = PatientClient(address=address, reply_decoder=serving.REPLY_DECODER)
         try:
             await self._poll_with(client, address)
         finally:
@@ -133,7 +131,6 @@
 
     async def _poll_with(self, client, address):
         loop = asyncio.get_running_loop()
-        timeout = ReplyTimeout(shortest_s=POLL_TIMEOUT_S)
         if not self._is_configured:
             client.reconnect_max_ms = UNCONFIGURED_RECONNECT_MAX_MS
         while True:
@@ -144,18 +141,14 @@
             sent_at = loop.time()
             try:
                 request, crash_number = self._request(address)
-                reply = await client.call(request, timeout_s=timeout.limit_s)
+                reply = await client.call(request, overdue_s=POLL_OVERDUE_S)
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
                 self._note_failure(address, type(error).__name__)
-                if loop.time() - sent_at >= timeout.limit_s:
-                    timeout.record_failure()
-                    await asyncio.sleep(OVERDUE_PAUSE_S)
-                    continue
             else:
                 client.reconnect_max_ms = RECONNECT_MAX_MS
-                timeout.record_reply(loop.time() - sent_at)
                 self._note_success(address)
-                self._apply_reply(address, reply)
+                late_s = max(0.0, loop.time() - sent_at - POLL_OVERDUE_S)
+                self._apply_reply(address, reply, late_s)
                 self._confirm_reports(address, reply, crash_number)
             await self._pause(address)
 
@@ -229,7 +222,7 @@
 
     # ---- Replies ------------------------------------------------------------------
 
-    def _apply_reply(self, address, reply):
+    def _apply_reply(self, address, reply, late_s):
         # Applied first, so that an error in the rest of the reply cannot keep the host
         # at an old version.
         if reply.document is not None and reply.version > self.router.version:
@@ -242,7 +235,7 @@
         self.leader = reply.leader or self.leader
         self._start_pollers(reply.replicas)
         for report in reply.sources:
-            self._apply_report(address, report, now)
+            self._apply_report(address, report, now, made_at=now - late_s)
         if reply.suspected is not None:
             self.suspicion_digests[address] = suspicion_digest(reply.suspected)
             rulings = self.router.evidence.apply_suspected(reply.suspected, now)
@@ -271,8 +264,8 @@
         known, _ = self.confirmed.get(address, (process, 0))
         self.confirmed[address] = (process, crash_number if process == known else 0)
 
-    def _apply_report(self, relay, report, now):
-        recorded = self.sources.record_report(relay, report, now)
+    def _apply_report(self, relay, report, now, *, made_at):
+        recorded = self.sources.record_report(relay, report, made_at)
         if not recorded.current:
             return
         if recorded.is_new:
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -15,14 +15,13 @@
 from plantainstage._messages import serving
 from plantainstage._registry.mirror import MIRROR_VALIDITY_S, SourceMirror
 from plantainstage._serving.announcement_ranges import usable
-from plantainstage._serving.reply_timeouts import ReplyTimeout
 from plantainstage._serving.searchers import Searcher, newer
 from plantainstage._supervision import run_supervised
-from plantainstage._transport.rpc import RpcClient
+from plantainstage._transport.patient_client import PatientClient
 
 # The polled replica replies when something has changed, at the latest after this.
 PEER_WAIT_S = 0.6
-PEER_TIMEOUT_S = 0.5  # beyond that, at first; see ReplyTimeout
+PEER_OVERDUE_S = PEER_WAIT_S + 0.5
 # Changes in quick succession, as at the start of the searchers, are sent together.
 PEER_PAUSE_S = 0.1
 # The log usually delivers a newer document; it is asked for only after this time, so
@@ -133,7 +132,7 @@
 
     async def _poll(self, address):
         mirror = self.mirrors[address] = SourceMirror()
-        client = RpcClient(address=address, reply_decoder=serving.REPLY_DECODER)
+        client = PatientClient(address=address, reply_decoder=serving.REPLY_DECODER)
         try:
             await self._poll_with(client, address, mirror)
         finally:
@@ -143,7 +142,6 @@
     async def _poll_with(self, client, address, mirror):
         loop = asyncio.get_running_loop()
         behind_since = None
-        timeout = ReplyTimeout(shortest_s=PEER_TIMEOUT_S)
         last_reply_at = loop.time()
         while self._is_needed(address, loop.time() - last_reply_at):
             request = serving.PeerSyncRequest(
@@ -156,15 +154,13 @@
             )
             sent_at = loop.time()
             try:
-                reply = await client.call(request, timeout_s=self._limit_s(timeout))
+                reply = await client.call(request, overdue_s=PEER_OVERDUE_S)
             except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
                 self._note_failure(address, mirror, error)
-                if loop.time() - sent_at >= self._limit_s(timeout):
-                    timeout.record_failure()
             else:
                 last_reply_at = loop.time()
-                timeout.record_reply(last_reply_at - sent_at - PEER_WAIT_S)
-                mirror.record(self._usable(reply.report), last_reply_at)
+                late_s = max(0.0, last_reply_at - sent_at - PEER_OVERDUE_S)
+                mirror.record(self._usable(reply.report), last_reply_at - late_s)
                 mirror.crash_number = reply.crash_number
                 self.crashes.record_from_replica(reply.crash_reports, last_reply_at)
                 self.troubles.record_sums(address, reply.observations, last_reply_at)
@@ -175,10 +171,6 @@
                 )
             await asyncio.sleep(PEER_PAUSE_S)
 
-    @staticmethod
-    def _limit_s(timeout):
-        return PEER_WAIT_S + timeout.limit_s
-
     def _usable(self, report):
         """Returns the report without the searchers that no host can use."""
         searchers = usable(report.searchers, log_event=self.events.log_event)
