--- a/src/plantainstage/_transport/patient_client.py
+++ b/src/plantainstage/_transport/patient_client.py
@@ -35,10 +35,7 @@
         if self.client is not None:
             self.client.close()
             self.client = None
-        for task, client in self.attempts.items():
-            task.cancel()
-            client.close()
-        self.attempts.clear()
+        self._end_attempts()
 
     async def call(self, request, *, overdue_s: float):
         """Returns the decoded reply; raises TimeoutError, NNGException or MsgspecError.
