--- a/review/stand_ins3/small_site.py
+++ b/review/stand_ins3/small_site.py
@@ -263,9 +263,7 @@
             "dataDir": str(data),
             "listen": {"control": self.control(number)},
         }
-        return Program(
-            node=node, role="control", settings=settings, folder=self.folder
-        )
+        return Program(node=node, role="control", settings=settings, folder=self.folder)
 
     def _front(self, number):
         node = f"front-{ZONES[number % 3]}-{number // 3 + 1}"
