--- a/review/stand_ins3/case.py
+++ b/review/stand_ins3/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from pathlib import Path
@@ -24,12 +25,15 @@
 
 async def _run(record, play, trouble, machines):
     site = None
+    # Ended early, the script still ends the programs that it started.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         site = Site(**machines)
         site.note(event="begin", trouble=trouble)
         async with asyncio.timeout(LIMIT_S):
             broken = await play(site, trouble)
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         return COULD_NOT_RUN
     except Exception:
