--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 import ast
 import pathlib
 
-for folder in ("stand_ins3", "11", "12", "13", "14"):
+for folder in ("stand_ins3", "11", "12", "13", "14", "15"):
     for path in sorted(pathlib.Path(folder).glob("*.py")):
         ast.parse(path.read_text(), str(path))
         print("checked", path)
