Keep a searcher whose address another writer announces

Cause: a host removed every searcher at the address of a new announcement that had not started later, whatever its service, and what it had merged from control had the removed one as ready still, so that no later heartbeat added it.

Change: AddressClaims keeps all searchers announced at an address. One of a service that the version in force names counts before others, then the later start; it is decided anew when one of them leaves, falls silent or answers 421, and with each version.

An entry under the searcher's own id takes it out as well; that is another cause.

--- a/src/plantainstage/_gateway/fleet.py
+++ b/src/plantainstage/_gateway/fleet.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from plantainstage._gateway.call import Call
 from plantainstage._gateway.searcher_limits import SearcherLimits
@@ -12,6 +12,7 @@
 from plantainstage._gateway.warm_up_limits import WarmUpLimits
 from plantainstage._serving import connection_shares, placement
 from plantainstage._serving.account_bounds import WarmUpBounds
+from plantainstage._serving.address_claims import AddressClaims
 from plantainstage._serving.connection_shares import ConnectionShare, HostCounts
 from plantainstage._serving.host_evacuations import HostEvacuations
 from plantainstage._serving.searcher_observations import ObservationLog, SearcherTrouble
@@ -76,7 +77,8 @@
         self.host_id = host_id
         self.data_centre = data_centre
         self.make_pool = make_pool
-        self.members = {}  # searcher id -> Member
+        self.claims = AddressClaims()  # all that are announced as ready
+        self.members = {}  # searcher id -> Member, one at an address
         self.by_service = defaultdict(dict)  # service -> searcher id -> Member
         self.connection_caps = {}  # service -> connections of each searcher
         self.waiting = defaultdict(list)  # service -> heap of waiting requests
@@ -105,7 +107,7 @@
         known = self.members.get(searcher.searcher_id)
         if known and known.searcher.start != searcher.start:
             self.on_start_gone(known.searcher)
-            self.remove_searcher(searcher.searcher_id)
+            self._drop_member(searcher.searcher_id)
             known = None
         if searcher.state is not SearcherState.READY:
             self.remove_searcher(searcher.searcher_id)
@@ -113,10 +115,52 @@
         now = asyncio.get_running_loop().time()
         self.warm_up.record_announced(searcher, now)
         if known is not None and _same_endpoint(known.searcher, searcher):
+            self.claims.put(searcher)
             known.load.searcher = searcher
             return
         self.remove_searcher(searcher.searcher_id)
-        self._remove_earlier_at_address(searcher)
+        self.claims.put(searcher)
+        self._settle_address(searcher.address)
+
+    def remove_searcher(self, searcher_id: str):
+        """Stops sending requests to a searcher; running requests continue.
+
+        Another one that is announced at its address gets them again.
+        """
+        address = self.claims.remove(searcher_id)
+        self._drop_member(searcher_id)
+        if address is not None:
+            self._settle_address(address)
+
+    def set_services(self, services: Collection[str]):
+        """Sets the services that the configuration in force names."""
+        for address in self.claims.set_services(services):
+            self._settle_address(address)
+
+    def _settle_address(self, address):
+        """Sends requests to the one searcher at the address that counts."""
+        holder = self.claims.holder(address)
+        for other in self.claims.at(address):
+            if other is not holder and other.searcher_id in self.members:
+                self._supersede(other, holder)
+        if holder is not None and holder.searcher_id not in self.members:
+            self._add_member(holder)
+
+    def _supersede(self, searcher, holder):
+        self.log_event(
+            "searcher_superseded",
+            searcher=searcher.searcher_id,
+            service=searcher.service,
+            address=searcher.address,
+            by=holder.searcher_id,
+            by_service=holder.service,
+            later_ms=holder.started_at_ms - searcher.started_at_ms,
+        )
+        self.on_start_gone(searcher)
+        self._drop_member(searcher.searcher_id)
+
+    def _add_member(self, searcher):
+        now = asyncio.get_running_loop().time()
         pool = self.make_pool(searcher=searcher)
         member = Member(searcher=searcher, pool=pool, now=now)
         self.members[searcher.searcher_id] = member
@@ -125,8 +169,7 @@
         self.shares.clear()
         self.retry_waiting(searcher.service)
 
-    def remove_searcher(self, searcher_id: str):
-        """Stops sending requests to a searcher; running requests continue."""
+    def _drop_member(self, searcher_id):
         member = self.members.pop(searcher_id, None)
         if member is not None:
             self.by_service[member.searcher.service].pop(searcher_id, None)
@@ -139,21 +182,12 @@
             self.warm_up.searcher_removed(member.searcher, now)
             self.shares.clear()
 
-    def _remove_earlier_at_address(self, searcher):
-        """Removes searchers with earlier starts at the address, which was reused."""
-        for member in list(self.members.values()):
-            other = member.searcher
-            earlier = other.started_at_ms <= searcher.started_at_ms
-            if other.address == searcher.address and earlier:
-                self.on_start_gone(other)
-                self.remove_searcher(other.searcher_id)
-
     def remove_silent(self, searcher_id: str):
         """Stops sending requests to a searcher that announces itself no longer."""
         member = self.members.get(searcher_id)
         if member is not None:
             self.on_start_gone(member.searcher)
-            self.remove_searcher(searcher_id)
+        self.remove_searcher(searcher_id)
 
     def _add_to_service(self, member):
         if not self.is_evacuated(member):
--- a/src/plantainstage/_gateway/router.py
+++ b/src/plantainstage/_gateway/router.py
@@ -126,6 +126,7 @@
         self._set_room_gate()
         caps = {s.name: s.connections for s in configuration.services}
         self.fleet.set_limits(caps=caps)
+        self.fleet.set_services(caps.keys())
         self.fleet.warm_up.set_services(configuration.services)
         return True
 
