Let no announcement for an unnamed service replace a searcher under its id

Cause: newer() compared only start, state and number of two announcements under one id. It decided in the register of a replica, for departures without a start, for what other replicas heard and in what a host merges, and the searcher's own lower numbers could never come back.

Change: counting() prefers a service that is named. A replica asks its newest committed version, a host the one in force on it; hosts keep both announcements, since versions differ for a while. Messages and files are as before.

--- a/features/failures/other_writers.feature
+++ b/features/failures/other_writers.feature
@@ -41,3 +41,18 @@
     When "s-1" ends, and a searcher "s-3" of "moved" starts at its address
     And a configuration names "moved"
     Then the host sends requests of "moved" to "s-3", and knows no searcher of "cards"
+
+  Scenario Outline: An announcement under a searcher's id for a service that is not named, <with>, leaves it in use
+    # Guards against a searcher that a process with its id and a newer announcement
+    # takes out, or drains.
+    When another writer announces itself as "s-1" for "nobody" <with>
+    And "s-1" has announced itself again
+    Then 20 requests to "/read/x" are answered by "s-1"
+    When "s-1" reports that it leaves
+    Then the host knows no searcher "s-1"
+
+    Examples:
+      | with                                 |
+      | with a higher number                 |
+      | with a later start                   |
+      | with a higher number, draining       |
--- a/features/steps/other_writer_steps.py
+++ b/features/steps/other_writer_steps.py
@@ -60,12 +60,45 @@
     context.tier.wait_for(heard, "the announcement at the host")
 
 
-@when("the other writer leaves")
-def step_other_leaves(context):
-    path = f"/v1/searchers/{OTHER_ID}/departure"
+@when('another writer announces itself as "{searcher_id}" for "{service}" {described}')
+def step_announce_id(context, searcher_id, service, described):
+    searcher = context.searcher = context.tier.searchers[searcher_id]
+    changes = {"service": service, "sequence": searcher.sequence + 100_000}
+    if "later start" in described:
+        changes["started_at_ms"] = searcher.started_at_ms + 50
+    state = 1 if "draining" in described else 0
+    announce(context, searcher, searcher.announcement(state, **changes))
+
+
+@when('"{searcher_id}" has announced itself again')
+def step_again(context, searcher_id):
+    searcher = context.tier.searchers[searcher_id]
+    before = searcher.sequence
+    # Two rounds later the earlier of them has been answered, and polled by the host.
+    context.tier.wait_for(lambda: searcher.sequence > before + 5, "announcements")
+
+
+@when('"{searcher_id}" reports that it leaves')
+def step_leaves(context, searcher_id):
+    report_departure(context, searcher_id)
+
+
+@then('the host knows no searcher "{searcher_id}"')
+def step_unknown(context, searcher_id):
+    members = fleet(context).members
+    context.tier.wait_for(lambda: searcher_id not in members, "the departure")
+
+
+def report_departure(context, searcher_id):
+    path = f"/v1/searchers/{searcher_id}/departure"
     address = next(iter(context.tier.registries))
     reply = context.tier.run(context.tier.call_control(address, "POST", path))
     assert reply.status == 200, reply
+
+
+@when("the other writer leaves")
+def step_other_leaves(context):
+    report_departure(context, OTHER_ID)
     context.tier.wait_for(lambda: OTHER_ID not in fleet(context).members, "departure")
 
 
--- a/src/plantainstage/_gateway/control_link.py
+++ b/src/plantainstage/_gateway/control_link.py
@@ -102,6 +102,9 @@
         for searcher_id in self.merged_searchers.expire(now):
             self.events.log_event("searcher_lost", searcher=searcher_id)
             self.router.fleet.remove_silent(searcher_id)
+            remaining = self.merged_searchers.find(searcher_id)
+            if remaining is not None:
+                self._update_searcher(remaining)
         self.router.evidence.expire(now)
         self.router.set_hosts(self.sources.hosts)
         self.router.fleet.update_evacuations(now)
@@ -310,6 +313,9 @@
             self.events.log_event("configuration_unreadable", reason=str(error)[:500])
             return
         if self.router.apply(configuration):
+            names = {service.name for service in configuration.services}
+            for searcher in self.merged_searchers.set_services(names):
+                self._update_searcher(searcher)
             self.on_limits(configuration.limits)
             self.events.log_rare(
                 "configuration_in_force",
--- a/src/plantainstage/_registry/announcements.py
+++ b/src/plantainstage/_registry/announcements.py
@@ -58,9 +58,21 @@
         now = asyncio.get_running_loop().time()
         searcher = msgspec.structs.replace(searcher, heard_after=self.evacuations())
         is_departure = self.register.record_announcement(searcher, now)
+        self._log_without_effect(searcher)
         if is_departure or searcher.searcher_id in self.unheard_departures:
             await self._pass_on_departure(searcher)
 
+    def _log_without_effect(self, searcher):
+        """Logs an announcement under the id of a searcher of another service."""
+        counts = self.register.find(searcher.searcher_id)
+        if counts.service != searcher.service:
+            self.events.log_ordinary(
+                "announcement_without_effect",
+                searcher=searcher.searcher_id,
+                service=searcher.service,
+                service_that_counts=counts.service,
+            )
+
     async def handle_departure(self, searcher_id: str, started_at_ms: int | None):
         """Records the departure of a searcher and notifies the peers of it.
 
--- a/src/plantainstage/_registry/control_format.py
+++ b/src/plantainstage/_registry/control_format.py
@@ -12,6 +12,7 @@
     ConfigurationDecoder,
     decode_configuration,
     has_accounts,
+    service_names,
 )
 from plantainstage._serving.searchers import Searcher
 
@@ -63,7 +64,8 @@
     The ``*_searcher`` paths are regular expressions whose group is the searcher's id,
     ``lift_quarantine`` is one whose group is the fingerprint of the request, and the
     ``*_evacuation`` paths are those whose group is the name of the data centre.
-    ``has_accounts`` tells of a stored configuration whether it has client accounts.
+    ``has_accounts`` tells of a stored configuration whether it has client accounts,
+    ``service_names`` which services it names.
     """
 
     put_configuration: str = "/v1/configuration"
@@ -78,5 +80,6 @@
     list_accounts: str = "/v1/accounts"
     decode_configuration: ConfigurationDecoder = decode_configuration
     has_accounts: Callable[[bytes], bool] = has_accounts
+    service_names: Callable[[bytes], frozenset[str]] = service_names
     decode_announcement: Callable[[str, bytes], Searcher] = decode_announcement
     decode_departure: Callable[[bytes], int | None] = decode_departure
--- a/src/plantainstage/_registry/daemon.py
+++ b/src/plantainstage/_registry/daemon.py
@@ -14,6 +14,7 @@
 from plantainstage._registry.account_service import AccountService
 from plantainstage._registry.announcements import AnnouncementService
 from plantainstage._registry.configured_accounts import ConfiguredAccounts
+from plantainstage._registry.configured_services import ConfiguredServices
 from plantainstage._registry.control_format import ControlFormat
 from plantainstage._registry.crash_register import CrashRegister
 from plantainstage._registry.group_limits import GroupLimits
@@ -105,6 +106,10 @@
         self.machine = ConfigurationMachine()
         self.register = SearcherRegister(heartbeat_s=settings.heartbeat_s)
         self.register.ended_number = self._ended_number
+        services = ConfiguredServices(
+            machine=self.machine, decode=settings.format.service_names
+        )
+        self.register.is_named = services.is_named
         self.crashes = CrashRegister()
         self.troubles = SearcherTroubles()
         self.group = None  # GroupReplica, once its module is loaded
@@ -122,6 +127,7 @@
             machine=self.machine,
             crashes=self.crashes,
             troubles=self.troubles,
+            is_named=services.is_named,
             events=events,
         )
         self.accounts = AccountService(
--- a/src/plantainstage/_registry/register.py
+++ b/src/plantainstage/_registry/register.py
@@ -9,8 +9,8 @@
     COUNTDOWN_MARGIN_S,
     Searcher,
     SearcherState,
+    counting,
     differs,
-    newer,
 )
 
 # Heartbeat intervals without an announcement after which a searcher counts as silent.
@@ -44,6 +44,11 @@
     return 0
 
 
+def _none_named(service):
+    """Replaces ``is_named`` until it is set."""
+    return False
+
+
 def _warm_at(searcher, now):
     return now + searcher.warm_up_ms / 1000
 
@@ -54,8 +59,9 @@
     Each change that hosts need to know gets the next number; an announcement that
     repeats known data is not sent to them. ``ended_number(data_centre)`` is the number
     of the end of its last evacuation, after which hosts need one announcement of each
-    searcher there. Searchers that are silent for long are
-    forgotten, and sooner if more than MAX_SEARCHERS are known.
+    searcher there. ``is_named(service)`` tells whether the configuration names a
+    service; see ``counting`` for announcements under one id. Searchers that are silent
+    for long are forgotten, and sooner if more than MAX_SEARCHERS are known.
     """
 
     def __init__(self, *, heartbeat_s: float):
@@ -64,6 +70,7 @@
         self.cursor = 0
         self.on_change = None  # called after a change that hosts need to know
         self.ended_number = _none_ended
+        self.is_named = _none_named
 
     # ---- Queries ------------------------------------------------------------------
 
@@ -99,9 +106,8 @@
             )
             return searcher.state is not SearcherState.READY
         before = entry.searcher
-        entry.searcher = newer(before, searcher)
-        current = entry.searcher.started_at_ms == searcher.started_at_ms
-        if not current:
+        entry.searcher = counting(before, searcher, self.is_named)
+        if not self._is_current(entry, searcher):
             return False
         changed = differs(before, entry.searcher)
         entry.announced_at = now
@@ -111,6 +117,12 @@
             entry.warm_at = _warm_at(entry.searcher, now)
         return changed and searcher.state is not SearcherState.READY
 
+    @staticmethod
+    def _is_current(entry, searcher):
+        """Whether an announcement is one of the start that the entry describes."""
+        counts = entry.searcher
+        return (counts.service, counts.start) == (searcher.service, searcher.start)
+
     def _is_news(self, entry, before, now):
         """Whether hosts need an announcement for what they know of the warm-up."""
         searcher = entry.searcher
@@ -142,7 +154,7 @@
         if known is None:
             return None
         if heard_elsewhere is not None:
-            known = newer(known, heard_elsewhere)
+            known = counting(known, heard_elsewhere, self.is_named)
         if started_at_ms is None:
             started_at_ms = known.started_at_ms
         left = msgspec.structs.replace(
--- a/src/plantainstage/_registry/relay.py
+++ b/src/plantainstage/_registry/relay.py
@@ -15,7 +15,7 @@
 from plantainstage._messages import serving
 from plantainstage._registry.mirror import MIRROR_VALIDITY_S, SourceMirror
 from plantainstage._serving.announcement_ranges import usable
-from plantainstage._serving.searchers import Searcher, newer
+from plantainstage._serving.searchers import Searcher, counting
 from plantainstage._supervision import run_supervised
 from plantainstage._transport.patient_client import PatientClient
 
@@ -40,6 +40,7 @@
     a newer committed configuration if the log does not deliver it in time, and newer
     evacuations; ``crashes`` gets what hosts have reported to the others of requests
     that end searchers, ``troubles`` what their hosts observe of searchers.
+    ``is_named(service)`` tells whether the configuration names a service.
     """
 
     def __init__(
@@ -50,9 +51,11 @@
         machine,
         crashes,
         troubles,
+        is_named: Callable[[str], bool],
         events,
     ):
         self.own_address = own_address
+        self.is_named = is_named
         self.addresses = addresses
         self.machine = machine
         self.crashes = crashes  # CrashRegister
@@ -96,13 +99,13 @@
         return all(mirror and mirror.is_current(now) for mirror in mirrors)
 
     def find(self, searcher_id: str) -> Searcher | None:
-        """Returns the newest announcement of a searcher that another replica heard."""
-        newest = None
+        """Returns the announcement under an id that counts of those heard elsewhere."""
+        found = None
         for mirror in self.mirrors.values():
             heard = mirror.find(searcher_id)
             if heard is not None:
-                newest = newer(newest, heard)
-        return newest
+                found = counting(found, heard, self.is_named)
+        return found
 
     # ---- Commands -----------------------------------------------------------------
 
--- a/src/plantainstage/_serving/configuration.py
+++ b/src/plantainstage/_serving/configuration.py
@@ -201,6 +201,30 @@
         return True
 
 
+class _ServiceName(msgspec.Struct):
+    name: str
+
+
+class _ServicesOnly(msgspec.Struct):
+    services: tuple[_ServiceName, ...] = ()
+
+
+_services_decoder = msgspec.json.Decoder(_ServicesOnly)
+
+
+def service_names(document: bytes, *, decoder=_services_decoder) -> frozenset[str]:
+    """Returns the names of a document's services; it reads nothing else of it.
+
+    ``decoder`` reads it as an object whose attribute ``services`` is a sequence of
+    objects with a ``name``. A document that cannot be read names no service.
+    """
+    try:
+        services = decode_bytes(decoder, document).services
+    except msgspec.MsgspecError:
+        return frozenset()
+    return frozenset(service.name for service in services)
+
+
 def check_configuration(configuration: ServingConfiguration):
     """Raises InvalidConfigurationError if the configuration is invalid."""
     problems = [*_number_problems(configuration), *_service_problems(configuration)]
--- a/src/plantainstage/_serving/searchers.py
+++ b/src/plantainstage/_serving/searchers.py
@@ -3,9 +3,15 @@
 A searcher is identified by its id and its start time. Within one start the
 announcement with the most advanced state and then the highest sequence number counts;
 a searcher that drains or has left never becomes ready again.
+
+Another process may announce itself under the id of a searcher, for a service that the
+configuration does not name. Such an announcement does not count beside a searcher of a
+service that it names. Hosts and replicas may know different versions for a while, so
+that each of them decides this by its own.
 """
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 
@@ -64,6 +70,24 @@
     return known
 
 
+def counting(
+    known: Searcher | None, announced: Searcher, is_named: Callable[[str], bool]
+) -> Searcher:
+    """Returns which of two announcements under one id counts.
+
+    ``is_named(service)`` tells whether the configuration names a service. One of a
+    service that is not named never replaces one of a service that is. For example::
+
+        counting(card_searcher, other_searcher, {"cards"}.__contains__)  # card_searcher
+    """
+    if known is None or known.service == announced.service:
+        return newer(known, announced)
+    known_is_named = is_named(known.service)
+    if known_is_named != is_named(announced.service):
+        return known if known_is_named else announced
+    return newer(known, announced)
+
+
 def differs(known: Searcher | None, announced: Searcher) -> bool:
     """Whether ``announced`` changes where or whether requests are sent.
 
