Take the limits for a request when it begins, also on open connections

Cause: tornado takes the limit and the timeout of a head when the connection begins to wait for it. Evidence: the same head passes on a new connection at the same time, and a lowered limit is not heeded either, so that the value taken before the wait decides.

Change: HeadReader reads the first byte and then the rest of a head. The wait for the first byte has the idle timeout, which a new version changes for waits that have begun; size and timeout of the head are those in force when it begins. The head timeout had no effect before.

--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -17,33 +17,37 @@
 from plantainstage._gateway.quota_gate import GatedRequest
 from plantainstage._gateway.relay_decisions import relay_refusal_reason
 from plantainstage._gateway.relay_headers import OLDER_CONFIGURATION, RelayOrigin
+from plantainstage._gateway.request_heads import HeadReader
 from plantainstage._gateway.requests import refusal_of_share, start_request
 from plantainstage._gateway.unexpected_failures import (
     INTERNAL_ERROR,
     record_failure,
 )
+from plantainstage._serving.configuration import CallerLimits
 
-# Limits until a configuration is in force.
-DEFAULT_HEAD_BYTES = 64 * 1024
-DEFAULT_BODY_BYTES = 1024 * 1024
-DEFAULT_IDLE_S = 60.0
-# Allows callers to reuse a connection that was idle for almost the whole limit.
-IDLE_MARGIN_S = 1.0
-
+# Until a configuration is in force.
+DEFAULT_LIMITS = CallerLimits(
+    head_bytes=64 * 1024, body_bytes=1024 * 1024, idle_timeout_ms=60_000
+)
 
 # Requests of hosts that are cut off which a helper has at a time; the memory of a small
 # host holds several times as many.
 MAX_RELAYED = 64
 
-
 STOPPING = "stopping"
 
 
 class _CallerServer(HTTPServer):
-    """tornado's server, which also notifies the delegate of closed connections."""
+    """A server whose delegate reads the heads and is told of closed connections."""
+
+    def handle_stream(self, stream, address):
+        stream.read_until_regex = self.request_callback.read_heads_of(stream)
+        super().handle_stream(stream, address)
 
     def on_close(self, server_conn):
         super().on_close(server_conn)
+        # Breaks the cycle between the stream and its reader.
+        del server_conn.stream.read_until_regex
         self.request_callback.on_close(server_conn)
 
 
@@ -59,29 +63,26 @@
         self.gate = gate
         self.relays = relays
         self.started_at = asyncio.get_running_loop().time()
-        self.server = _CallerServer(
-            self,
-            idle_connection_timeout=DEFAULT_IDLE_S,
-            max_header_size=DEFAULT_HEAD_BYTES,
-            max_body_size=DEFAULT_BODY_BYTES,
-        )
+        self.limits = DEFAULT_LIMITS
+        self.idle_heads = set()  # HeadReaders that wait for a request
+        self.server = _CallerServer(self)
+        self.server.conn_params.header_timeout = None  # HeadReaders have their own
         self.waiting = {}  # connection -> request whose headers have not arrived
         self.running = set()
         self.stopping = False
 
     def set_limits(self, limits):
-        """Applies the caller limits of a configuration to the next requests.
-
-        Connections that wait for a request keep the limit of its head, and the time
-        that they may be idle, for this one request.
-        """
-        self.server.conn_params.max_header_size = limits.head_bytes
-        self.server.conn_params.max_body_size = limits.body_bytes
-        idle_s = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
-        self.server.conn_params.header_timeout = idle_s
-        for waiting in self.waiting.values():
-            # tornado takes the limit of a body when it begins to wait for a request.
-            waiting.connection.set_max_body_size(limits.body_bytes)
+        """Applies the caller limits of a configuration to all requests from now on."""
+        self.limits = limits
+        for head in list(self.idle_heads):
+            head.limits_changed()
+
+    def read_heads_of(self, stream):
+        """Returns the function that reads the heads of requests on a connection."""
+        head = HeadReader(
+            stream=stream, limits=lambda: self.limits, idle=self.idle_heads
+        )
+        return head.read_until_regex
 
     def start_request(self, server_conn, request_conn):
         """Returns the delegate for the next request of a connection."""
@@ -132,6 +133,7 @@
         self.start_line = start_line
         self.headers = headers
         self.received_at = asyncio.get_running_loop().time()
+        self.connection.set_max_body_size(self.ingress.limits.body_bytes)
         if not self.ingress.relays:
             self._guarded(self._refuse_early)
 
