Apply the limits of a version to requests of other hosts as well

Cause: only the listener for callers was told the limits of a version; the one for other hosts kept 64 KiB and 1 MiB.

Change: both listeners get the limits. On the one for hosts sizes only grow, since the other host has applied those of its version.

--- a/features/failures/cut_off_hosts.feature
+++ b/features/failures/cut_off_hosts.feature
@@ -58,3 +58,13 @@
     Then host 1 finds itself cut off while callers send it requests of each kind
     When a caller of host 1 leaves while a searcher works on its request
     Then the searcher's work is cancelled
+
+  Scenario: A long body that the version allows is taken by a helper
+    # Guards against a listener for hosts with a limit of its own, lower than that of
+    # callers.
+    When a version allows bodies of 2000000 bytes
+    And the connections of host 1 to all searchers are reset and refused
+    Then host 1 finds itself cut off while callers send it requests of each kind
+    And a request with a body of 1500000 bytes to host 1 gets 200
+    When a version allows bodies of 1000 bytes
+    Then a host still takes 1500000 bytes from other hosts, and 1000 from callers
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -131,6 +131,37 @@
     return context.tier.run(send_in_turn())
 
 
+@when("a version allows bodies of {size:d} bytes")
+def step_limit(context, size):
+    version = 1 + max(host.router.version for host in context.hosts)
+    document = configuration(version, SHARDS) | {"limits": {"body_bytes": size}}
+    assert context.tier.put_with_retries(document).status == 200
+    for host in context.hosts:
+        context.tier.wait_for(
+            lambda host=host: host.router.version == version, "the version at a host"
+        )
+
+
+@then("a request with a body of {size:d} bytes to host {number:d} gets 200")
+def step_long_body(context, size, number):
+    names = {NAMES.request_id: "long", NAMES.deadline: "5000"}
+    listen = host_named(context, number).settings.listen
+    work = context.tier.call(
+        listen, method="POST", target="/card/long", body=bytes(size), **names
+    )
+    reply = context.tier.run(work)
+    assert reply.status == 200, reply
+
+
+@then(
+    "a host still takes {size:d} bytes from other hosts, and {callers:d} from callers"
+)
+def step_limits(context, size, callers):
+    host = context.hosts[1]
+    assert host.relay_ingress.limits.body_bytes >= size
+    assert host.ingress.limits.body_bytes == callers
+
+
 # ---- Cuts ---------------------------------------------------------------------------
 
 
--- a/src/plantainstage/_gateway/daemon.py
+++ b/src/plantainstage/_gateway/daemon.py
@@ -141,7 +141,8 @@
 
     def _apply_limits(self, limits):
         """Takes note of a configuration that has come into force."""
-        self.ingress.set_limits(limits)
+        for ingress in self._ingresses:
+            ingress.set_limits(limits)
         self.account_link.wake(urgent=False)
 
     def _make_account_link(self):
--- a/src/plantainstage/_gateway/ingress.py
+++ b/src/plantainstage/_gateway/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 from functools import partial
 
+import msgspec
 from tornado import httputil
 from tornado.httpserver import HTTPServer
 
@@ -30,6 +31,10 @@
     head_bytes=64 * 1024, body_bytes=1024 * 1024, idle_timeout_ms=60_000
 )
 
+# Headers that a host adds to a head when it passes a request on, with the name of an
+# account.
+RELAY_HEAD_BYTES = 4096
+
 # Requests of hosts that are cut off which a helper has at a time; the memory of a small
 # host holds several times as many.
 MAX_RELAYED = 64
@@ -73,10 +78,24 @@
 
     def set_limits(self, limits):
         """Applies the caller limits of a configuration to all requests from now on."""
-        self.limits = limits
+        self.limits = self._limits_for_hosts(limits) if self.relays else limits
         for head in list(self.idle_heads):
             head.limits_changed()
 
+    def _limits_for_hosts(self, limits):
+        """Returns limits within which another host may pass its requests on.
+
+        It has applied those of its version, which may be higher than in the version
+        here, so that sizes never fall; its connections keep the timeouts.
+        """
+        known = self.limits
+        head_bytes = limits.head_bytes + RELAY_HEAD_BYTES
+        return msgspec.structs.replace(
+            known,
+            head_bytes=max(known.head_bytes, head_bytes),
+            body_bytes=max(known.body_bytes, limits.body_bytes),
+        )
+
     def read_heads_of(self, stream):
         """Returns the function that reads the heads of requests on a connection."""
         head = HeadReader(
