Take a searcher's 204 or 304 for a complete reply

Cause: ReplyReader took each reply without a length for one that ends with its connection, and the open connection after it for a reply that was cut off.

Measured: 2 of 2 new scenarios (204, 304; at most once and repeatable) fail before and pass after.

--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -118,6 +118,22 @@
     When a caller sends GET "/read/x"
     Then the caller gets 200 with the answer of "s-1"
 
+  Scenario Outline: A reply with <status>, which has no body and no length, is complete
+    # Guards against a request that has run and whose caller is told that it failed, and
+    # against a connection that is closed after it (review/14).
+    Given a routed tier with a searcher "s-1" of "cards"
+    And the searcher "s-1" answers with <status>
+    When a caller sends POST "/card/x" with body "done"
+    Then the caller gets <status> with the signature of "s-1" and no body
+    When a caller sends GET "/read/x"
+    Then the caller gets <status> with the signature of "s-1" and no body
+    And "s-1" has got both on one connection
+
+    Examples:
+      | status |
+      | 204    |
+      | 304    |
+
   Scenario: A chunked reply is forwarded completely
     # Guards against chunk sizes in the body of an answer, and against missing chunks.
     Given a routed tier with a searcher "s-1" of "cards"
--- a/features/steps/routed_request_steps.py
+++ b/features/steps/routed_request_steps.py
@@ -252,6 +252,21 @@
         assert_answer_of(context, reply, searcher_id)
 
 
+@then('the caller gets {status:d} with the signature of "{searcher_id}" and no body')
+def step_bodiless(context, status, searcher_id):
+    signature = context.reply.headers.get(NAMES.signature.lower())
+    assert context.reply.status == status, context.reply
+    assert signature == f"signed-by-{searcher_id}", context.reply
+    assert not {"content-length", "transfer-encoding"} & context.reply.headers.keys()
+
+
+@then('"{searcher_id}" has got both on one connection')
+def step_both(context, searcher_id):
+    searcher = context.tier.searchers[searcher_id]
+    assert len(searcher.received) == 2, searcher.received
+    assert searcher.connections == 1, searcher.connections
+
+
 @then("each answer carries the id of its own request")
 def step_own_ids(context):
     for number, reply in enumerate(context.replies):
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -226,6 +226,16 @@
     writer.close()
 
 
+def answer_without_body(status):
+    """Returns the behaviour of a searcher whose replies never have a body."""
+
+    async def answer(searcher, request, writer):
+        head = reply_head(searcher, request, status=f"{status} Without Body")
+        writer.write(head + b"\r\n")
+
+    return answer
+
+
 async def answer_unframed(searcher, request, writer):
     writer.write(reply_head(searcher, request, extra=["Connection: close"]) + b"\r\n")
     writer.write(searcher.record)
@@ -367,6 +377,8 @@
     "answers": answer_whole,
     "never answers": answer_without_end,
     "cuts its answers short": answer_cut_short,
+    "answers with 204": answer_without_body(204),
+    "answers with 304": answer_without_body(304),
     "answers without a length": answer_unframed,
     "resets answers without a length": answer_unframed_reset,
     "answers twice": answer_with_extra,
--- a/src/plantainstage/_transport/http_connection.py
+++ b/src/plantainstage/_transport/http_connection.py
@@ -27,6 +27,7 @@
 )
 # Request heads differ by searcher, path and body length; each takes 200 bytes.
 MAX_CACHED_HEADS = 4096
+BODILESS_STATUSES = frozenset({204, 304})
 MAX_MISMATCHED_REPLIES = 4  # in one exchange; after more the connection is closed
 
 
@@ -58,8 +59,8 @@
             self.keep_alive = requested != "close"
         else:
             self.keep_alive = requested == "keep-alive"
-        chunked = "Transfer-Encoding" in headers
-        self.close_delimited = not chunked and "Content-Length" not in headers
+        framed = "Transfer-Encoding" in headers or "Content-Length" in headers
+        self.close_delimited = not framed and self.status not in BODILESS_STATUSES
         if self.on_first_byte is not None:
             self.on_first_byte()
 
