--- a/src/plantainstage/_gateway/request_heads.py
+++ b/src/plantainstage/_gateway/request_heads.py
@@ -56,20 +56,20 @@
         """
         idle_s = _seconds(self.limits().idle_timeout_ms)
         once_more = min(self.close_at, self.loop.time() + idle_s)
-        self._close_at(max(self.idle_since + idle_s, once_more))
+        self._restart_timer(max(self.idle_since + idle_s, once_more))
 
     async def _wait_for_request(self):
         self.idle.add(self)
         self.idle_since = self.loop.time()
-        self._close_at(self.idle_since + _seconds(self.limits().idle_timeout_ms))
+        self._restart_timer(self.idle_since + _seconds(self.limits().idle_timeout_ms))
         try:
             return await self.stream.read_bytes(1)
         finally:
             self.timer.cancel()
             self.idle.discard(self)
 
-    def _close_at(self, when):
+    def _restart_timer(self, close_at):
         if self.timer is not None:
             self.timer.cancel()
-        self.close_at = when
-        self.timer = self.loop.call_at(when, self.stream.close)
+        self.close_at = close_at
+        self.timer = self.loop.call_at(close_at, self.stream.close)
