Tell the other replicas of a departure, whatever announcement comes next

A replica that had answered a departure with 503, since nobody had heard it, passed on the next announcement under that id in its place, a late one or that of another process, and then counted the departure as heard: it would acknowledge it although no other replica had been told.

Cause: handle_announcement passed its argument on, not what the register has. Evidence: the scenario's notice is READY in place of LEFT.

Not seen in a run with real processes.

--- a/features/failures/departures.feature
+++ b/features/failures/departures.feature
@@ -49,3 +49,18 @@
     Then each running replica knows that "s-1" is ready
     When the departure of this start of "s-1" arrives
     Then each running replica knows that "s-1" has left
+
+  Scenario Outline: <announcement> does not make a departure heard that nobody has heard
+    # Guards against an acknowledgement of a departure of which the other replicas got
+    # another announcement under the id.
+    Given a control group of 3 replicas for routed requests
+    And a searcher "s-1" has announced itself
+    When all replicas but one are stopped
+    Then the departure of "s-1" is answered with 503
+    When the others can be notified again and <announcement> arrives
+    Then they have been told that "s-1" has left
+
+    Examples:
+      | announcement                      |
+      | a late announcement of "s-1"      |
+      | one of another process as "s-1"   |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -1,6 +1,7 @@
 """Steps for searchers that report their departure to a control replica."""
 
 import json
+from unittest import mock
 
 from behave import then, when
 
@@ -83,6 +84,25 @@
     assert depart(context, searcher_id, started_at_ms=start) == 200
 
 
+@when("the others can be notified again and {announcement} arrives")
+def step_late_announcement(context, announcement):
+    address = addresses(context)[0]
+    service = context.tier.registries[address][0].announcements
+    notify = mock.AsyncMock(return_value=True)
+    context.resources.enter_context(mock.patch.object(service, "_notify_peers", notify))
+    changes = {"service": "nobody"} if "another process" in announcement else {}
+    body = context.searcher.announcement(**changes)
+    work = context.tier.announce(context.searcher, body, address)
+    assert context.tier.run(work).status == 200
+    context.notified = [call.args[0] for call in notify.await_args_list]
+
+
+@then('they have been told that "{searcher_id}" has left')
+def step_told(context, searcher_id):
+    (told,) = context.notified
+    assert (told.searcher_id, told.state) == (searcher_id, SearcherState.LEFT), told
+
+
 @then('each running replica knows that "{searcher_id}" {standing}')
 def step_known(context, searcher_id, standing):
     for daemon, *_ in context.tier.registries.values():
--- a/src/plantainstage/_registry/announcements.py
+++ b/src/plantainstage/_registry/announcements.py
@@ -60,7 +60,8 @@
         is_departure = self.register.record_announcement(searcher, now)
         self._log_without_effect(searcher)
         if is_departure or searcher.searcher_id in self.unheard_departures:
-            await self._pass_on_departure(searcher)
+            # A late announcement, or one of another process, says nothing of it.
+            await self._pass_on_departure(self.register.find(searcher.searcher_id))
 
     def _log_without_effect(self, searcher):
         """Logs an announcement under the id of a searcher of another service."""
