--- a/features/behaviour/promises.feature
+++ b/features/behaviour/promises.feature
@@ -29,6 +29,7 @@
     When all helpers of host 1 reply with status "<status>"
     Then requests of each kind to host 1 get 502 without headers between hosts
     And no helper got a request twice, and one got those that may run once
+    And each of them counts as run, for the quota of its account
 
     Examples:
       | status |
--- a/features/steps/promise_steps.py
+++ b/features/steps/promise_steps.py
@@ -1,7 +1,10 @@
 """Steps for statuses that promise that a request has not run."""
 
+from unittest import mock
+
 from behave import then, when
 
+from plantainstage._gateway import ingress
 from plantainstage._gateway.relay_headers import RELAY_NOT_RUN, RELAY_REFUSED
 from steps.cut_off_steps import KINDS, send
 from steps.invalid_status_steps import SIGNATURES, answer_with, replace_helpers
@@ -60,8 +63,22 @@
     assert_statuses(context, KINDS[:2], status)
 
 
+@then("each of them counts as run, for the quota of its account")
+def step_counts_as_run(context):
+    assert len(context.started) == len(KINDS), context.started
+    assert not any(request.is_untouched for request in context.started)
+
+
 def assert_statuses(context, kinds, status):
     host = context.hosts[0]
+    context.started = []
+
+    def start(**arguments):
+        context.started.append(start_request(**arguments))
+        return context.started[-1]
+
+    start_request = ingress.start_request
+    context.resources.enter_context(mock.patch.object(ingress, "start_request", start))
     for kind in kinds:
         host.router.helpers.hosts.avoided_until.clear()
         reply = context.tier.run(send(context, host, kind))
