--- a/features/behaviour/routed_requests.feature
+++ b/features/behaviour/routed_requests.feature
@@ -149,22 +149,6 @@
     Then each caller gets 200 with the answer of "s-1"
     And each answer carries the id of its own request
 
-  Scenario: An answer without an id reaches no caller if the searcher echoes ids
-    # Guards against additional bytes that read as an answer: the next caller got the
-    # answer to another request (review/13).
-    Given a routed tier with a searcher "s-1" of "cards"
-    And the searcher "s-1" sends each answer again without an id
-    When 8 callers send GET "/read/x" one after the other
-    Then each caller gets 200 with the answer of "s-1"
-    And each answer carries the id of its own request
-
-  Scenario: A searcher that echoes no ids is believed
-    # Guards against a host that waits for another answer than the only one.
-    Given a routed tier with a searcher "s-1" of "cards"
-    And the searcher "s-1" answers without an id
-    When 8 callers send GET "/read/x" one after the other
-    Then each caller gets 200 with the answer of "s-1"
-
   Scenario Outline: If a searcher <fault>, an at-most-once request is retried only if it has not run
     # Guards against a second run of a request that may have run. A rejected request
     # has not run, so it is retried.
--- a/features/support/routed_tier.py
+++ b/features/support/routed_tier.py
@@ -261,23 +261,6 @@
     asyncio.get_running_loop().call_later(0.02, writer.write, whole)
 
 
-async def answer_again_without_id(searcher, request, writer):
-    """Sends the last answer once more, without an id, before the next one."""
-    whole = reply_head(searcher, request) + sized(searcher.record)
-    before = getattr(writer, "last_answer", b"")
-    line = f"{NAMES.request_id}: {request.request_id}\r\n".encode()
-    writer.last_answer = whole.replace(line, b"")
-    writer.write(before)
-    await writer.drain()
-    writer.write(whole)
-
-
-async def answer_without_id(searcher, request, writer):
-    line = f"{NAMES.request_id}: {request.request_id}\r\n".encode()
-    head = reply_head(searcher, request).replace(line, b"")
-    writer.write(head + sized(searcher.record))
-
-
 async def answer_for_another(searcher, request, writer):
     """Answers with the id of a request that was not received."""
     writer.write(
@@ -399,8 +382,6 @@
     "answers without a length": answer_unframed,
     "resets answers without a length": answer_unframed_reset,
     "answers twice": answer_with_extra,
-    "sends each answer again without an id": answer_again_without_id,
-    "answers without an id": answer_without_id,
     "answers for another request": answer_for_another,
     "answers in chunks": answer_in_chunks,
     "rejects": reject,
